--- /dev/null
+++ b/crates/mangogw/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/model/src/time.rs
@@ -0,0 +1,77 @@
+//! A point in time as the state machines see it.
+
+use serde::{Deserialize, Serialize};
+use std::ops::{Add, AddAssign, Sub};
+use std::time::Duration;
+
+/// A point in time, in microseconds since an origin that the shell picks.
+///
+/// Every state machine is handed the current `Time`; none reads a clock.
+///
+/// ```
+/// use mangogw_model::Time;
+/// use std::time::Duration;
+///
+/// let start = Time::from_micros(1_000);
+/// let later = start + Duration::from_millis(2);
+/// assert_eq!(later - start, Duration::from_millis(2));
+/// assert_eq!(start - later, Duration::ZERO);
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Self = Self(0);
+    /// Later than every time a shell hands out.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// A time `micros` microseconds after the origin.
+    ///
+    /// ```
+    /// assert_eq!(mangogw_model::Time::from_micros(7).as_micros(), 7);
+    /// ```
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// A time `millis` milliseconds after the origin.
+    ///
+    /// ```
+    /// assert_eq!(mangogw_model::Time::from_millis(7).as_micros(), 7_000);
+    /// ```
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    ///
+    /// ```
+    /// assert_eq!(mangogw_model::Time::from_millis(1).as_micros(), 1_000);
+    /// ```
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(self.0.saturating_add(rhs.as_micros() as u64))
+    }
+}
+
+impl AddAssign<Duration> for Time {
+    fn add_assign(&mut self, rhs: Duration) {
+        *self = *self + rhs;
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+
+    fn sub(self, rhs: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(rhs.0))
+    }
+}
