The whole path, thin: caller, entry host, target, answer

Cause: nothing ran end to end. Change: the host value (mangogw-host), the daemon's shell (HTTP in, pool to targets, drain on a stop), a tool with run, submit, job, cancel and a stand-in target, and loopback tests of the path.

--- /dev/null
+++ b/crates/host/src/ask.rs
@@ -0,0 +1,85 @@
+//! What callers and targets ask of a host.
+
+use bytes::Bytes;
+use mangogw_model::{Announcement, EntryName, Incarnation, Key, Needs, TargetName, Usage};
+use std::time::Duration;
+
+/// One request to a host.
+#[derive(Debug, Clone)]
+pub enum Ask {
+    /// Run one request and answer with the target's answer.
+    Run {
+        /// The entry it belongs to.
+        entry: EntryName,
+        /// The key, where the caller gave one.
+        key: Option<Key>,
+        /// How long the caller waits, where it said so.
+        within: Option<Duration>,
+        /// The payload.
+        body: Bytes,
+    },
+    /// Take a job on.
+    Submit(Job),
+    /// Read a job, waiting up to `wait` for its end.
+    Read {
+        /// The key of the job.
+        key: Key,
+        /// How long to wait for the end.
+        wait: Duration,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// The key of the job.
+        key: Key,
+    },
+    /// A target announces itself.
+    Announce(Announcement),
+    /// A target is alive.
+    Heartbeat {
+        /// The target.
+        name: TargetName,
+        /// Its life.
+        life: Incarnation,
+    },
+    /// A target takes no new work.
+    Leave {
+        /// The target.
+        name: TargetName,
+    },
+    /// A target reports its usage.
+    Usage {
+        /// The target.
+        name: TargetName,
+        /// The report.
+        usage: Usage,
+    },
+}
+
+/// A job to take on.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The entry all tasks belong to.
+    pub entry: EntryName,
+    /// The key, where the caller gave one.
+    pub key: Option<Key>,
+    /// How long the caller gives the whole job, where it said so.
+    pub within: Option<Duration>,
+    /// The tasks in order.
+    pub tasks: Vec<Task>,
+}
+
+/// One task of a job.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// The payload.
+    pub body: Bytes,
+    /// What it says it needs.
+    pub needs: Needs,
+}
+
+impl Ask {
+    /// A request without a key and with the deadline of its entry.
+    pub fn run(entry: &str, body: &'static [u8]) -> Self {
+        Self::Run { entry: entry.into(), key: None, within: None, body: Bytes::from_static(body) }
+    }
+}
--- /dev/null
+++ b/crates/mangogw/src/target.rs
@@ -0,0 +1,323 @@
+//! A stand-in for a target: announces itself, runs tasks by sleeping, and fails in chosen ways.
+
+use crate::client::Client;
+use bytes::Bytes;
+use futures_util::stream;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use hyper_util::server::conn::auto;
+use indexmap::IndexMap;
+use mangogw_model::{Announcement, Capacity, EntryName, Incarnation, Kind, Rack, TargetName, Zone};
+use mangogw_wire::{LeaseBody, header};
+use serde::{Deserialize, Serialize};
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// Between heartbeats until a host says otherwise.
+const FIRST_BEAT: Duration = Duration::from_millis(500);
+/// Requests that a connection answers before [`Fault::Silent`] silences it.
+const LOUD_REQUESTS: u32 = 20;
+
+/// The payload of a task for a stand-in target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Work {
+    /// Run time on a target of speed 1, in milliseconds.
+    pub millis: f64,
+    /// Anything; it tells one request from another.
+    pub note: String,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        Self { millis: 50.0, note: String::new() }
+    }
+}
+
+impl Work {
+    /// Work of `millis` with a note.
+    pub fn new(millis: f64, note: &str) -> Self {
+        Self { millis, note: note.to_owned() }
+    }
+
+    /// Reads a payload; what is no such JSON counts as the default.
+    pub fn parse(bytes: &[u8]) -> Self {
+        serde_json::from_slice(bytes).unwrap_or_default()
+    }
+
+    /// The payload as JSON.
+    pub fn to_bytes(&self) -> Bytes {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
+
+/// A way to fail.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Fault {
+    /// It works.
+    #[default]
+    None,
+    /// It takes tasks and never answers.
+    Stall,
+    /// It answers everything at once with status 500, while its heartbeats look well.
+    Fail,
+    /// It cuts its answers short.
+    Cut,
+    /// It answers after the deadline.
+    Late,
+    /// It names another attempt in its answers.
+    Cross,
+    /// Its connections go silent after some requests; new ones work.
+    Silent,
+    /// It says of everything that it did not start it.
+    Refuse,
+}
+
+/// What a stand-in is made of.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The name it announces.
+    pub name: TargetName,
+    /// The zone it announces.
+    pub zone: Zone,
+    /// The rack it announces.
+    pub rack: Rack,
+    /// The kind it announces.
+    pub kind: Kind,
+    /// The entries it serves.
+    pub entries: Vec<EntryName>,
+    /// The capacity it announces and keeps to.
+    pub capacity: Capacity,
+    /// How many times faster than speed 1 it runs.
+    pub speed: f64,
+    /// The way it fails.
+    pub fault: Fault,
+    /// The hosts it announces itself to, one after the other.
+    pub hosts: Vec<SocketAddr>,
+}
+
+/// What a stand-in has seen.
+#[derive(Debug, Clone, Default)]
+pub struct Seen {
+    /// Starts by submission and task.
+    pub starts: IndexMap<(String, u32), u32>,
+    /// Tasks running now.
+    pub running: u32,
+    /// The most tasks that ran at once.
+    pub peak: u32,
+}
+
+#[derive(Debug)]
+struct Inner {
+    settings: Settings,
+    fault: Mutex<Fault>,
+    seen: Mutex<Seen>,
+}
+
+/// A running stand-in.
+#[derive(Debug)]
+pub struct Target {
+    inner: Arc<Inner>,
+    address: SocketAddr,
+    tasks: JoinSet<()>,
+    client: Client,
+}
+
+type Body = BoxBody<Bytes, io::Error>;
+
+impl Target {
+    /// Binds `address`, announces itself and serves until it is dropped.
+    ///
+    /// # Errors
+    /// What the system says of the address.
+    pub async fn bind(address: SocketAddr, settings: Settings) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let fault = Mutex::new(settings.fault);
+        let inner = Arc::new(Inner { settings, fault, seen: Mutex::default() });
+        let client = Client::default();
+        let mut tasks = JoinSet::new();
+        tasks.spawn(accept(listener, Arc::clone(&inner)));
+        tasks.spawn(announce(Arc::clone(&inner), address, client.clone()));
+        Ok(Self { inner, address, tasks, client })
+    }
+
+    /// Where it listens.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it has seen so far.
+    pub fn seen(&self) -> Seen {
+        self.inner.seen.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Fails in this way from now on.
+    pub fn set_fault(&self, fault: Fault) {
+        *self.inner.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
+    }
+
+    /// Says that it leaves.
+    ///
+    /// # Errors
+    /// [`crate::client::BadCall`] if no host could be told.
+    pub async fn leave(&self) -> Result<(), crate::client::BadCall> {
+        let path = format!("/v1/targets/{}/leave", self.inner.settings.name);
+        for &host in &self.inner.settings.hosts {
+            self.client.call(host, Method::POST, &path, &[], Bytes::new()).await?;
+        }
+        Ok(())
+    }
+
+    /// Ends at once: every connection is closed.
+    pub fn kill(mut self) {
+        self.tasks.abort_all();
+    }
+}
+
+async fn announce(inner: Arc<Inner>, address: SocketAddr, client: Client) {
+    let settings = &inner.settings;
+    let said = Announcement {
+        name: settings.name.clone(),
+        address,
+        zone: settings.zone.clone(),
+        rack: settings.rack.clone(),
+        kind: settings.kind,
+        entries: settings.entries.clone(),
+        capacity: settings.capacity,
+        incarnation: Incarnation(u64::from(address.port())),
+        running: Vec::new(),
+        connections: 0,
+    };
+    let body = Bytes::from(serde_json::to_vec(&said).unwrap_or_default());
+    let path = format!("/v1/targets/{}", settings.name);
+    let mut beat = FIRST_BEAT;
+    for turn in 0.. {
+        let Some(&host) = settings.hosts.get(turn % settings.hosts.len().max(1)) else { return };
+        match client.call(host, Method::PUT, &path, &[], body.clone()).await {
+            Ok(response) => match serde_json::from_slice::<LeaseBody>(&response.body) {
+                Ok(lease) => beat = Duration::from_millis(lease.heartbeat_ms),
+                Err(_) => log::warn!(code = response.code(); "target: announcement refused"),
+            },
+            Err(error) => log::debug!(error:%; "target: announcement lost"),
+        }
+        tokio::time::sleep(beat).await;
+    }
+}
+
+async fn accept(listener: TcpListener, inner: Arc<Inner>) {
+    let mut open = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        open.spawn(serve(stream, Arc::clone(&inner)));
+        while open.try_join_next().is_some() {}
+    }
+}
+
+async fn serve(stream: TcpStream, inner: Arc<Inner>) {
+    drop(stream.set_nodelay(true));
+    let requests = Arc::new(AtomicU32::new(0));
+    let service = service_fn(move |request| {
+        let (inner, requests) = (Arc::clone(&inner), Arc::clone(&requests));
+        async move { Ok::<_, Infallible>(handle(request, &inner, &requests).await) }
+    });
+    let served = auto::Builder::new(TokioExecutor::new()).serve_connection(TokioIo::new(stream), service).await;
+    if let Err(error) = served {
+        log::debug!(error:%; "target: connection ended");
+    }
+}
+
+async fn handle(request: Request<Incoming>, inner: &Inner, requests: &AtomicU32) -> Response<Body> {
+    let attempt = text(&request, header::ATTEMPT);
+    let submission = text(&request, header::SUBMISSION);
+    let task = text(&request, header::TASK).parse().unwrap_or(0);
+    let left: u64 = text(&request, header::DEADLINE).parse().unwrap_or(0);
+    let fault = *inner.fault.lock().unwrap_or_else(PoisonError::into_inner);
+    let word = request.uri().path().trim_matches('/').split('/').nth(3).is_some();
+    let Ok(body) = request.into_body().collect().await.map(http_body_util::Collected::to_bytes) else {
+        return plain(StatusCode::BAD_REQUEST, Bytes::new());
+    };
+    if word {
+        return plain(StatusCode::OK, Bytes::new());
+    }
+    let running = Running::open(inner, submission, task);
+    let silenced = fault == Fault::Silent && requests.fetch_add(1, Ordering::Relaxed) >= LOUD_REQUESTS;
+    match fault {
+        Fault::Stall => return std::future::pending().await,
+        Fault::Silent if silenced => return std::future::pending().await,
+        Fault::Fail => return plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        Fault::Refuse => return marked(header::NOT_STARTED, "true", Bytes::new()),
+        _ => {}
+    }
+    let span = Duration::from_secs_f64(Work::parse(&body).millis / 1_000.0 / inner.settings.speed);
+    tokio::time::sleep(span).await;
+    drop(running);
+    match fault {
+        Fault::Cut => cut(&body),
+        Fault::Cross => marked(header::ATTEMPT, "1-1-1", body),
+        Fault::Late => {
+            tokio::time::sleep(Duration::from_millis(left + left / 4)).await;
+            marked(header::ATTEMPT, &attempt, body)
+        }
+        _ => marked(header::ATTEMPT, &attempt, body),
+    }
+}
+
+/// Counts a task from its start to its end.
+#[derive(Debug)]
+struct Running<'a>(&'a Inner);
+
+impl<'a> Running<'a> {
+    fn open(inner: &'a Inner, submission: String, task: u32) -> Self {
+        let mut seen = inner.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        *seen.starts.entry((submission, task)).or_default() += 1;
+        seen.running += 1;
+        seen.peak = seen.peak.max(seen.running);
+        Self(inner)
+    }
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.seen.lock().unwrap_or_else(PoisonError::into_inner).running -= 1;
+    }
+}
+
+fn text(request: &Request<Incoming>, name: &str) -> String {
+    request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("").to_owned()
+}
+
+fn whole(body: Bytes) -> Body {
+    Full::new(body).map_err(|never| match never {}).boxed()
+}
+
+fn plain(status: StatusCode, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+fn marked(name: &'static str, value: &str, body: Bytes) -> Response<Body> {
+    let mut response = Response::new(whole(body));
+    if let Ok(value) = value.parse() {
+        response.headers_mut().insert(name, value);
+    }
+    response
+}
+
+/// An answer that ends in the middle.
+fn cut(body: &Bytes) -> Response<Body> {
+    let half = body.slice(..body.len() / 2);
+    let frames = [Ok(Frame::data(half)), Err(io::Error::other("cut"))];
+    Response::new(BodyExt::boxed(StreamBody::new(stream::iter(frames))))
+}
--- /dev/null
+++ b/crates/mangogwd/src/api.rs
@@ -0,0 +1,270 @@
+//! The HTTP interface: requests to [`Ask`]s, and [`Reply`]s to responses. The reference is `docs/API.md`.
+
+use crate::node::Node;
+use crate::settings::Network;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use mangogw_host::{Ask, Job, Refused, Reply, Task};
+use mangogw_model::{Announcement, Code, Incarnation, JobState, JobView, Key, Outcome, TargetName, Usage};
+use mangogw_wire::{JobBody, LeaseBody, Problem, header};
+use serde::Deserialize;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Bytes of the largest body of any kind.
+const MAX_BODY: usize = 64 * 1024 * 1024;
+/// Bytes of the longest key.
+const MAX_KEY: usize = 200;
+/// The longest deadline a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_hours(1);
+
+/// What the handlers share.
+#[derive(Debug, Clone)]
+pub struct Api {
+    /// The host that answers.
+    pub node: Arc<Node>,
+    /// The time a sender has for a whole request.
+    pub send: Duration,
+    /// Networks that targets may announce addresses in.
+    pub networks: Arc<[Network]>,
+}
+
+/// The body of `POST /v1/targets/{name}/heartbeat`.
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default)]
+struct Beat {
+    incarnation: Incarnation,
+}
+
+type Handled = Result<Response<Full<Bytes>>, Refused>;
+
+impl Api {
+    /// Answers one request.
+    pub async fn handle<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    where
+        B: http_body::Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        self.route(request).await.unwrap_or_else(|refused| refusal(&refused))
+    }
+
+    async fn route<B>(&self, request: Request<B>) -> Handled
+    where
+        B: http_body::Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let (head, body) = request.into_parts();
+        let parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
+        let query = head.uri.query().unwrap_or("");
+        match (&head.method, &parts[..]) {
+            (&Method::POST, ["v1", "run", entry]) => {
+                let ask = Ask::Run {
+                    entry: (*entry).into(),
+                    key: key_of(&head.headers)?,
+                    within: deadline_of(&head.headers)?,
+                    body: self.read(body).await?,
+                };
+                Ok(respond(self.node.ask(ask).await))
+            }
+            (&Method::POST, ["v1", "jobs"]) => {
+                let job = job_of(&head.headers, &self.read(body).await?)?;
+                Ok(respond(self.node.ask(Ask::Submit(job)).await))
+            }
+            (&Method::GET, ["v1", "jobs", key]) => {
+                let ask = Ask::Read { key: Key::from(*key), wait: wait_of(query)? };
+                Ok(respond(self.node.ask(ask).await))
+            }
+            (&Method::DELETE, ["v1", "jobs", key]) => {
+                Ok(respond(self.node.ask(Ask::Cancel { key: Key::from(*key) }).await))
+            }
+            (&Method::PUT, ["v1", "targets", name]) => {
+                let said = self.announcement(name, &self.read(body).await?)?;
+                Ok(respond(self.node.ask(Ask::Announce(said)).await))
+            }
+            (&Method::POST, ["v1", "targets", name, "heartbeat"]) => {
+                let beat: Beat = json(&self.read(body).await?)?;
+                let ask = Ask::Heartbeat { name: TargetName::from(*name), life: beat.incarnation };
+                Ok(respond(self.node.ask(ask).await))
+            }
+            (&Method::POST, ["v1", "targets", name, "leave"]) => {
+                Ok(respond(self.node.ask(Ask::Leave { name: TargetName::from(*name) }).await))
+            }
+            (&Method::POST, ["v1", "targets", name, "usage"]) => {
+                let usage: Usage = json(&self.read(body).await?)?;
+                Ok(respond(self.node.ask(Ask::Usage { name: TargetName::from(*name), usage }).await))
+            }
+            (&Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "alive\n")),
+            (&Method::GET, ["readyz"]) if self.node.is_ready() => Ok(text(StatusCode::OK, "ready\n")),
+            (&Method::GET, ["readyz"]) => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+            (method, _) => Err(Refused::new(Code::NoRoute, format!("{method} {}", head.uri.path()))),
+        }
+    }
+
+    async fn read<B>(&self, body: B) -> Result<Bytes, Refused>
+    where
+        B: http_body::Body<Data = Bytes> + Send,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let whole = timeout(self.send, Limited::new(body, MAX_BODY).collect());
+        match whole.await {
+            Ok(Ok(whole)) => Ok(whole.to_bytes()),
+            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+                Err(Refused::new(Code::BodyTooLarge, format!("the limit of any body is {MAX_BODY} bytes")))
+            }
+            Ok(Err(error)) => Err(Refused::new(Code::BadRequest, format!("the body could not be read: {error}"))),
+            Err(_elapsed) => Err(Refused::new(Code::SlowSender, format!("the body took over {:?}", self.send))),
+        }
+    }
+
+    fn announcement(&self, name: &str, body: &[u8]) -> Result<Announcement, Refused> {
+        let mut value: serde_json::Value = json(body)?;
+        if let Some(fields) = value.as_object_mut() {
+            fields.insert("name".to_owned(), name.into());
+        }
+        let said: Announcement =
+            serde_json::from_value(value).map_err(|error| Refused::new(Code::BadAnnouncement, error.to_string()))?;
+        let address = said.address.ip();
+        if !self.networks.iter().any(|network| network.contains(address)) {
+            let detail = format!("{address} is in none of --target-networks");
+            return Err(Refused::new(Code::AddressRefused, detail));
+        }
+        if said.capacity.slots == 0 || said.entries.is_empty() {
+            return Err(Refused::new(Code::BadAnnouncement, "slots and entries must not be empty"));
+        }
+        Ok(said)
+    }
+}
+
+fn json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
+    serde_json::from_slice(body).map_err(|error| Refused::new(Code::BadRequest, error.to_string()))
+}
+
+fn header_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refused> {
+    let bad = |_opaque| Refused::new(Code::BadHeader, format!("{name} is no visible ASCII"));
+    headers.get(name).map(HeaderValue::to_str).transpose().map_err(bad)
+}
+
+fn key_of(headers: &HeaderMap) -> Result<Option<Key>, Refused> {
+    header_of(headers, header::KEY)?.map(check_key).transpose()
+}
+
+fn check_key(text: &str) -> Result<Key, Refused> {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.:".contains(&byte);
+    match text.len() {
+        1..=MAX_KEY if text.bytes().all(plain) => Ok(Key::from(text)),
+        _ => {
+            let detail = format!("a key has 1 to {MAX_KEY} letters, digits and -_.: only");
+            Err(Refused::new(Code::BadHeader, detail))
+        }
+    }
+}
+
+fn deadline_of(headers: &HeaderMap) -> Result<Option<Duration>, Refused> {
+    let bad = || Refused::new(Code::BadHeader, format!("{} is no number of milliseconds", header::DEADLINE));
+    let millis = header_of(headers, header::DEADLINE)?.map(|text| text.parse().map_err(|_bad| bad()));
+    millis.transpose()?.map(check_deadline).transpose()
+}
+
+fn check_deadline(millis: u64) -> Result<Duration, Refused> {
+    match Duration::from_millis(millis) {
+        within if millis > 0 && within <= MAX_DEADLINE => Ok(within),
+        _ => Err(Refused::new(Code::BadHeader, format!("a deadline is 1 to {} ms", MAX_DEADLINE.as_millis()))),
+    }
+}
+
+fn wait_of(query: &str) -> Result<Duration, Refused> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("wait_ms="));
+    let bad = |_bad| Refused::new(Code::BadRequest, "wait_ms is no number of milliseconds");
+    value.map_or(Ok(Duration::ZERO), |text| text.parse().map(Duration::from_millis).map_err(bad))
+}
+
+fn job_of(headers: &HeaderMap, body: &[u8]) -> Result<Job, Refused> {
+    let bad = |error: &dyn std::fmt::Display| Refused::new(Code::BadRequest, error.to_string());
+    let job = JobBody::parse(body).map_err(|error| bad(&error))?;
+    let key = match job.key {
+        Some(key) => Some(check_key(key.as_str())?),
+        None => key_of(headers)?,
+    };
+    let within = match job.deadline_ms {
+        Some(millis) => Some(check_deadline(millis)?),
+        None => deadline_of(headers)?,
+    };
+    let task = |task: &mangogw_wire::TaskBody| match task.payload() {
+        Ok(body) => Ok(Task { body: body.into(), needs: task.needs }),
+        Err(error) => Err(bad(&error)),
+    };
+    let tasks = job.tasks.iter().map(task).collect::<Result<_, _>>()?;
+    Ok(Job { entry: job.entry, key, within, tasks })
+}
+
+fn respond(reply: Reply) -> Response<Full<Bytes>> {
+    match reply {
+        Reply::Answer { key, answer } => {
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            let kind = answer.kind.and_then(|kind| HeaderValue::from_str(&kind).ok());
+            if let Some(kind) = kind {
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+            }
+            mark(&mut response, Outcome::Answered, Code::Answered, Some(&key));
+            response
+        }
+        Reply::Refused(refused) => refusal(&refused),
+        Reply::Job(view) => job(&view),
+        Reply::Lease(lease) => as_json(
+            StatusCode::OK,
+            &LeaseBody { heartbeat_ms: lease.heartbeat.as_millis() as u64, lease_ms: lease.lease.as_millis() as u64 },
+        ),
+        Reply::Done => as_json(StatusCode::OK, &serde_json::json!({})),
+    }
+}
+
+fn job(view: &JobView) -> Response<Full<Bytes>> {
+    let status = if view.state == JobState::Running { StatusCode::ACCEPTED } else { StatusCode::OK };
+    let code = view.code.and_then(Code::from_number).unwrap_or(Code::Accepted);
+    let mut response = as_json(status, view);
+    mark(&mut response, code.outcome(), code, Some(&view.key));
+    response
+}
+
+pub(crate) fn refusal(refused: &Refused) -> Response<Full<Bytes>> {
+    let code = refused.code;
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut response = as_json(status, &Problem::new(code, &refused.detail));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if let Some(wait) = refused.wait {
+        let seconds = wait.as_millis().div_ceil(1000).max(1) as u64;
+        response.headers_mut().insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    mark(&mut response, code.outcome(), code, refused.key.as_ref());
+    response
+}
+
+/// Sets the outcome headers.
+fn mark(response: &mut Response<Full<Bytes>>, outcome: Outcome, code: Code, key: Option<&Key>) {
+    let headers = response.headers_mut();
+    headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.name()));
+    headers.insert(header::CODE, HeaderValue::from(code.number()));
+    let key = key.and_then(|key| HeaderValue::from_str(key.as_str()).ok());
+    if let Some(key) = key {
+        headers.insert(header::SUBMISSION, key);
+    }
+}
+
+fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
+
+fn as_json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
+    // Every body here is a plain struct; serialization of those can't fail.
+    let bytes = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(bytes)));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/mangogwd/src/flags.rs
@@ -0,0 +1,192 @@
+//! Command-line flags as a table: each has an environment variable, a default, a unit and a help line.
+
+use getopts::Options;
+use indexmap::IndexMap;
+use snafu::Snafu;
+
+/// One flag.
+#[derive(Debug, Clone, Copy)]
+pub struct Flag {
+    /// The heading it stands under in the help.
+    pub group: &'static str,
+    /// The long name, without dashes. The environment variable is derived from it.
+    pub name: &'static str,
+    /// What its value is, such as `ADDR` or `MS`; empty for a switch.
+    pub value: &'static str,
+    /// The default; empty for none.
+    pub default: &'static str,
+    /// One line for people.
+    pub help: &'static str,
+}
+
+/// The flags that were given, with environment and defaults filled in.
+#[derive(Debug, Clone, Default)]
+pub struct Given {
+    values: IndexMap<&'static str, (String, Source)>,
+    /// Arguments that are no flags.
+    pub free: Vec<String>,
+}
+
+/// Where a value comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// The command line.
+    Flag,
+    /// The environment.
+    Environment,
+    /// The table.
+    Default,
+}
+
+/// A wrong flag or value.
+#[derive(Debug, Snafu)]
+pub enum BadFlag {
+    /// The command line does not fit the table.
+    #[snafu(display("{source}; see --help"))]
+    Usage {
+        /// What the parser said.
+        source: getopts::Fail,
+    },
+    /// A value does not fit its flag.
+    #[snafu(display("{origin} is {value:?}: {reason}"))]
+    Value {
+        /// The flag or the environment variable.
+        origin: String,
+        /// The value that was given.
+        value: String,
+        /// What is wrong and what to do.
+        reason: String,
+    },
+}
+
+impl Flag {
+    /// The environment variable of the flag.
+    ///
+    /// ```
+    /// use mangogwd::flags::Flag;
+    /// let flag = Flag { group: "", name: "log-format", value: "FORMAT", default: "text", help: "" };
+    /// assert_eq!(flag.variable(), "MANGOGW_LOG_FORMAT");
+    /// ```
+    pub fn variable(&self) -> String {
+        format!("MANGOGW_{}", self.name.to_uppercase().replace('-', "_"))
+    }
+
+    const fn is_switch(&self) -> bool {
+        self.value.is_empty()
+    }
+}
+
+/// Reads `args` against `table`; what is missing comes from `env`, then from the defaults.
+///
+/// # Errors
+/// [`BadFlag::Usage`] for a flag that is not in the table, or one without its value.
+///
+/// ```
+/// use mangogwd::flags::{Flag, parse};
+/// const TABLE: &[Flag] = &[Flag { group: "", name: "zone", value: "ZONE", default: "here", help: "" }];
+/// let given = parse(TABLE, ["--zone", "there"], &|_| None).unwrap();
+/// assert_eq!(given.text("zone"), "there");
+/// ```
+pub fn parse<I>(table: &'static [Flag], args: I, env: &dyn Fn(&str) -> Option<String>) -> Result<Given, BadFlag>
+where
+    I: IntoIterator,
+    I::Item: AsRef<std::ffi::OsStr>,
+{
+    let matches = options(table).parse(args).map_err(|source| BadFlag::Usage { source })?;
+    let mut given = Given { values: IndexMap::new(), free: matches.free.clone() };
+    for flag in table {
+        let said = match flag.is_switch() {
+            true => matches.opt_present(flag.name).then(|| "true".to_owned()),
+            false => matches.opt_str(flag.name),
+        };
+        let value = match (said, env(&flag.variable())) {
+            (Some(value), _) => (value, Source::Flag),
+            (None, Some(value)) if !value.is_empty() => (value, Source::Environment),
+            _ => (flag.default.to_owned(), Source::Default),
+        };
+        given.values.insert(flag.name, value);
+    }
+    Ok(given)
+}
+
+fn options(table: &[Flag]) -> Options {
+    let mut options = Options::new();
+    for flag in table {
+        match flag.is_switch() {
+            true => options.optflag("", flag.name, flag.help),
+            false => options.optopt("", flag.name, flag.help, flag.value),
+        };
+    }
+    options
+}
+
+/// The help text of a table, by groups.
+///
+/// ```
+/// use mangogwd::flags::{Flag, help};
+/// const TABLE: &[Flag] = &[Flag { group: "Place", name: "zone", value: "ZONE", default: "", help: "the zone" }];
+/// assert!(help(TABLE).contains("--zone ZONE"));
+/// ```
+pub fn help(table: &[Flag]) -> String {
+    let mut text = String::new();
+    let mut group = "";
+    for flag in table {
+        if flag.group != group {
+            group = flag.group;
+            text.push_str(&format!("\n{group}\n"));
+        }
+        let head = format!("--{} {}", flag.name, flag.value);
+        let default = if flag.default.is_empty() { String::new() } else { format!(" [default: {}]", flag.default) };
+        text.push_str(&format!("  {head:<30} {}{default}\n", flag.help));
+    }
+    text
+}
+
+impl Given {
+    /// The value of a flag; empty where there is none.
+    pub fn text(&self, name: &str) -> &str {
+        self.values.get(name).map_or("", |(value, _)| value)
+    }
+
+    /// True if the switch is set.
+    pub fn is_set(&self, name: &str) -> bool {
+        matches!(self.text(name), "true" | "1" | "yes")
+    }
+
+    /// The value of a flag as another type.
+    ///
+    /// # Errors
+    /// [`BadFlag::Value`] with the flag or variable it came from and what `read` said.
+    pub fn read<T, E: std::fmt::Display>(
+        &self,
+        name: &str,
+        read: impl FnOnce(&str) -> Result<T, E>,
+    ) -> Result<T, BadFlag> {
+        let value = self.text(name);
+        read(value).map_err(|reason| self.fault(name, reason))
+    }
+
+    /// The fault of a flag's value, with where the value came from.
+    pub fn fault(&self, name: &str, reason: impl std::fmt::Display) -> BadFlag {
+        let origin = match self.values.get(name) {
+            Some((_, Source::Environment)) => format!("MANGOGW_{}", name.to_uppercase().replace('-', "_")),
+            _ => format!("--{name}"),
+        };
+        BadFlag::Value { origin, value: self.text(name).to_owned(), reason: reason.to_string() }
+    }
+}
+
+/// Reads a number between `least` and `most`, both included.
+///
+/// # Errors
+/// A sentence that names the bounds.
+///
+/// ```
+/// assert!(mangogwd::flags::between(1, 10)("11").is_err());
+/// ```
+pub fn between(least: u64, most: u64) -> impl Fn(&str) -> Result<u64, String> {
+    move |text| match text.parse() {
+        Ok(number) if (least..=most).contains(&number) => Ok(number),
+        _ => Err(format!("give a whole number from {least} to {most}")),
+    }
+}
--- /dev/null
+++ b/crates/mangogwd/src/pipeline.rs
@@ -0,0 +1,58 @@
+//! The layers a request passes before it is handled.
+
+use crate::api::{self, Api};
+use bytes::Bytes;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, Version};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use mangogw_host::Refused;
+use mangogw_model::Code;
+use std::convert::Infallible;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::sync::Semaphore;
+use tower::Service;
+
+/// The service that each connection runs.
+#[derive(Debug, Clone)]
+pub struct Pipeline {
+    api: Api,
+    open: Arc<Semaphore>,
+}
+
+impl Pipeline {
+    /// A pipeline that refuses what comes while `requests` are open.
+    pub fn new(api: Api, requests: usize) -> Self {
+        Self { api, open: Arc::new(Semaphore::new(requests)) }
+    }
+}
+
+impl Service<Request<Incoming>> for Pipeline {
+    type Response = Response<Full<Bytes>>;
+    type Error = Infallible;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Infallible>> + Send>>;
+
+    fn poll_ready(&mut self, _cx: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, req: Request<Incoming>) -> Self::Future {
+        let api = self.api.clone();
+        let place = Arc::clone(&self.open).try_acquire_owned();
+        Box::pin(async move {
+            let version = req.version();
+            let mut response = match &place {
+                Ok(_held) => api.handle(req).await,
+                Err(_full) => api::refusal(&Refused::new(Code::Overloaded, "too many open requests")),
+            };
+            // A client that is told to close moves on before the listener goes.
+            if !api.node.is_ready() && version < Version::HTTP_2 {
+                response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            drop(place);
+            Ok(response)
+        })
+    }
+}
--- /dev/null
+++ b/crates/mangogwd/src/pool.rs
@@ -0,0 +1,213 @@
+//! Connections to targets: kept by target, and dropped when they go silent.
+
+use bytes::{Bytes, BytesMut};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use indexmap::IndexMap;
+use mangogw_dispatch::Report;
+use mangogw_host::{Answer, Seen, Start};
+use mangogw_model::AttemptId;
+use mangogw_wire::header;
+use socket2::{SockRef, TcpKeepalive};
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout};
+
+/// How long a new connection may take.
+const CONNECT: Duration = Duration::from_millis(500);
+/// How long written bytes may stay without an acknowledgement.
+const UNACKED: Duration = Duration::from_secs(1);
+/// How long a connection may be idle before it is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// Idle connections kept for one target.
+const MAX_IDLE: usize = 64;
+
+/// Every connection to every target.
+#[derive(Debug, Default)]
+pub struct Pool {
+    lines: Mutex<IndexMap<SocketAddr, Vec<Line>>>,
+}
+
+/// One connection.
+#[derive(Debug)]
+struct Line {
+    sender: SendRequest<Full<Bytes>>,
+    used: Instant,
+}
+
+/// What is said about an attempt besides its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// Stop it.
+    Stop,
+    /// Slow it down.
+    Throttle,
+    /// Write its state down and set it aside.
+    Checkpoint,
+}
+
+impl Word {
+    const fn path(self) -> &'static str {
+        match self {
+            Self::Stop => "stop",
+            Self::Throttle => "throttle",
+            Self::Checkpoint => "checkpoint",
+        }
+    }
+}
+
+/// Why one exchange gave no answer.
+#[derive(Debug)]
+enum Miss {
+    /// No byte was written.
+    Unsent,
+    /// Bytes may have been written.
+    Unsure,
+}
+
+impl Pool {
+    /// Sends a task to its target and waits for the whole answer until `deadline`.
+    pub async fn start(&self, start: &Start, left: Duration) -> Seen {
+        let sent = timeout(left, self.exchange(start, left)).await;
+        match sent {
+            Ok(seen) => seen,
+            Err(_elapsed) => {
+                self.distrust(start.address);
+                Seen::Other(Report::Lost)
+            }
+        }
+    }
+
+    /// Says a word about an attempt to the target that runs it. Nothing is done about a lost word.
+    pub async fn say(&self, address: SocketAddr, attempt: AttemptId, word: Word) {
+        let path = format!("/v1/tasks/{attempt}/{}", word.path());
+        let request = Request::post(path).header(http::header::HOST, address.to_string()).body(Full::default());
+        let Ok(request) = request else { return };
+        drop(timeout(UNACKED, self.send(address, request)).await);
+    }
+
+    async fn exchange(&self, start: &Start, left: Duration) -> Seen {
+        let Ok(request) = request(start, left) else { return Seen::Other(Report::NotStarted) };
+        match self.send(start.address, request).await {
+            Err(Miss::Unsent) => Seen::Other(Report::NotStarted),
+            Err(Miss::Unsure) => Seen::Other(Report::Lost),
+            Ok((response, line)) => self.receive(start, response, line).await,
+        }
+    }
+
+    async fn receive(&self, start: &Start, response: Response<Incoming>, line: Line) -> Seen {
+        let echo = response.headers().get(header::ATTEMPT).and_then(|value| value.to_str().ok());
+        match echo.map(str::parse::<AttemptId>) {
+            Some(Ok(echo)) if echo == start.attempt => {}
+            Some(_) => return Seen::Other(Report::Lost),
+            None => {}
+        }
+        let unstarted = response.headers().get(header::NOT_STARTED).is_some_and(|value| value == "true");
+        let status = response.status();
+        let kind = response.headers().get(http::header::CONTENT_TYPE);
+        let kind = kind.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let body = match collect(response.into_body(), start.limit).await {
+            Ok(body) => body,
+            Err(report) => return Seen::Other(report),
+        };
+        self.put_back(start.address, line);
+        if unstarted {
+            return Seen::Other(Report::NotStarted);
+        }
+        Seen::Answer(Answer { status: status.as_u16(), kind, body })
+    }
+
+    /// Sends on an idle connection, or on a new one where an idle one turned out closed.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Line), Miss> {
+        loop {
+            let (mut line, fresh) = match self.take(address) {
+                Some(line) => (line, false),
+                None => (connect(address).await.ok_or(Miss::Unsent)?, true),
+            };
+            match line.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, line)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if !fresh => request = unsent,
+                    Some(_) => return Err(Miss::Unsent),
+                    None => return Err(Miss::Unsure),
+                },
+            }
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Line> {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = lines.get_mut(&address)?;
+        let now = Instant::now();
+        idle.retain(|line| !line.sender.is_closed() && now - line.used < IDLE);
+        let ready = idle.iter().rposition(|line| line.sender.is_ready())?;
+        Some(idle.swap_remove(ready))
+    }
+
+    fn put_back(&self, address: SocketAddr, mut line: Line) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        let idle = lines.entry(address).or_default();
+        line.used = Instant::now();
+        if idle.len() < MAX_IDLE {
+            idle.push(line);
+        }
+    }
+
+    /// Drops the idle connections of a target after one of them went silent: what lost track of one may have lost
+    /// track of all, and new ones work.
+    fn distrust(&self, address: SocketAddr) {
+        let mut lines = self.lines.lock().unwrap_or_else(PoisonError::into_inner);
+        lines.swap_remove(&address);
+    }
+}
+
+fn request(start: &Start, left: Duration) -> http::Result<Request<Full<Bytes>>> {
+    Request::post(format!("/v1/tasks/{}", start.attempt))
+        .header(http::header::HOST, start.address.to_string())
+        .header(header::ATTEMPT, start.attempt.to_string())
+        .header(header::ENTRY, start.entry.as_str())
+        .header(header::SUBMISSION, start.key.as_str())
+        .header(header::TASK, start.task.0)
+        .header(header::DEADLINE, left.as_millis() as u64)
+        .header(header::LEASE, left.as_millis() as u64)
+        .body(Full::new(start.body.clone()))
+}
+
+async fn connect(address: SocketAddr) -> Option<Line> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_user_timeout(Some(UNACKED)).ok()?;
+    let probes = TcpKeepalive::new().with_time(UNACKED).with_interval(UNACKED);
+    socket.set_tcp_keepalive(&probes).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(address:%, error:%; "pool: connection ended");
+        }
+    });
+    Some(Line { sender, used: Instant::now() })
+}
+
+/// Reads a whole body of at most `limit` bytes.
+async fn collect(mut body: Incoming, limit: u64) -> Result<Bytes, Report> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_cut| Report::Cut)?;
+        let Ok(data) = frame.into_data() else { continue };
+        if (whole.len() + data.len()) as u64 > limit {
+            return Err(Report::TooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -1,6 +1,8 @@
 //! Jobs as callers see them.
 
 use crate::{Code, Key, Outcome, TaskIndex};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
 use serde::{Deserialize, Serialize};
 
 /// What a task says it needs; hints, corrected by what ran.
@@ -57,6 +59,17 @@
     pub body_base64: String,
 }
 
+impl TaskView {
+    /// The view of an answer.
+    ///
+    /// ```
+    /// assert_eq!(mangogw_model::TaskView::new(200, b"b").body_base64, "Yg==");
+    /// ```
+    pub fn new(status: u16, body: &[u8]) -> Self {
+        Self { status, body_base64: STANDARD.encode(body) }
+    }
+}
+
 impl JobView {
     /// A job that is still running.
     ///
