Read the catalogue from TOML and JSON with every fault

Cause: operators steer by the catalogue only, so a broken one must be refused whole, with the place of each fault. Change: mangogw-catalogue reads TOML and JSON into one tree with offsets, and one table of fields (unit, bounds, meaning) drives reading, checking and printing. Model: Team (weight and quota of an owner), codes 1409 to 1411. Conclusion: Catalogue::parse, parse_json, entries and version stand for the daemon.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -1,1 +1,37 @@
-//! Placeholder.
+//! The catalogue, its changes, and the state that the control group replicates.
+//!
+//! Nothing here does I/O or reads a clock: bytes and times come in, values go out.
+//!
+//! ```
+//! use mangogw_catalogue::Catalogue;
+//!
+//! let text = r#"
+//! [owners.gates]
+//!
+//! [entries.gate-scan]
+//! owner = "gates"
+//! class = "urgent"
+//! deadline_ms = 800
+//! "#;
+//! let catalogue = Catalogue::parse(text).expect("it has no faults");
+//! assert_eq!(catalogue.entry(&"gate-scan".into()).expect("it is there").deadline_ms, 800);
+//!
+//! let faults = Catalogue::parse("[entries.gate-scan]\ndeadline_ms = 0\n").expect_err("it has faults");
+//! assert_eq!(faults.to_string().lines().count(), 2, "no owner, and no time");
+//! ```
+
+mod catalogue;
+mod check;
+mod fault;
+mod field;
+mod json;
+mod name;
+mod node;
+mod read;
+mod tables;
+mod toml_text;
+
+pub use catalogue::{Catalogue, MAX_ENTRIES, MAX_OWNERS, MAX_TEXT_BYTES, parse_entry, parse_entry_json};
+pub use fault::{Fault, Faults};
+pub use field::{FieldInfo, entry_fields, owner_fields};
+pub use name::{MAX_NAME_BYTES, NAME_RULE, valid_name};
--- /dev/null
+++ b/crates/catalogue/src/toml_text.rs
@@ -0,0 +1,46 @@
+//! Reads TOML into a tree of nodes.
+
+use crate::node::{Flaw, Member, Node, Value};
+use toml::Spanned;
+use toml::de::{DeFloat, DeInteger, DeTable, DeValue};
+
+/// The tree of a TOML text, and every flaw of its syntax.
+pub(crate) fn read(text: &str) -> (Node, Vec<Flaw>) {
+    let (root, errors) = DeTable::parse_recoverable(text);
+    let flaws = errors.iter().map(flaw).collect();
+    (Node { at: 0, value: table(root.get_ref()) }, flaws)
+}
+
+fn flaw(error: &toml::de::Error) -> Flaw {
+    Flaw { at: error.span().map_or(0, |span| span.start), reason: error.message().to_owned() }
+}
+
+fn table(table: &DeTable<'_>) -> Value {
+    Value::Table(table.iter().map(|(key, value)| member(key.span().start, key.get_ref(), value)).collect())
+}
+
+fn member(at: usize, name: &str, value: &Spanned<DeValue<'_>>) -> Member {
+    let node = Node { at: value.span().start, value: node(value.get_ref()) };
+    Member { name: name.to_owned(), at, node }
+}
+
+fn node(value: &DeValue<'_>) -> Value {
+    match value {
+        DeValue::Table(inner) => table(inner),
+        DeValue::Integer(number) => integer(number),
+        DeValue::Float(number) => float(number),
+        DeValue::Boolean(flag) => Value::Flag(*flag),
+        DeValue::String(text) => Value::Text(text.clone().into_owned()),
+        DeValue::Array(_) => Value::Other("a list"),
+        DeValue::Datetime(_) => Value::Other("a date"),
+    }
+}
+
+fn integer(number: &DeInteger<'_>) -> Value {
+    u64::from_str_radix(number.as_str(), number.radix())
+        .map_or(Value::Other("a number below 0 or too large"), Value::Count)
+}
+
+fn float(number: &DeFloat<'_>) -> Value {
+    number.as_str().parse().map_or(Value::Other("no number"), Value::Ratio)
+}
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -140,6 +140,9 @@
     NoLeader = 1406, Unknown, 503, "The control group has no reachable leader.", "Send the change again under the same Idempotency-Key.";
     StoreFailed = 1407, Unknown, 503, "The data folder can't be written.", "Check the disk of the host, then send it again under the same Idempotency-Key.";
     ShiftState = 1408, NotRun, 409, "The shift is already in that state.", "Nothing to do.";
+    UnknownVersion = 1409, NotRun, 404, "The version is not in the history.", "Choose one that `mangogw catalogue history` lists.";
+    UnknownToken = 1410, NotRun, 404, "There is no token with this id.", "List the tokens with `mangogw token list`.";
+    TableFull = 1411, NotRun, 507, "A bounded table of the control group is full.", "Remove what is no longer used, as the detail says.";
     // 1500: targets.
     BadAnnouncement = 1500, NotRun, 422, "The announcement is not valid.", "Correct it as the detail says.";
     AddressRefused = 1501, NotRun, 403, "The announced address is not allowed.", "Announce IP:port in a network that --target-networks lists.";
--- a/crates/model/src/entry.rs
+++ b/crates/model/src/entry.rs
@@ -131,3 +131,23 @@
         Self { quantile: 0.99, budget: 0.0 }
     }
 }
+
+/// What a team may use, all its entries together; changed by administrators only.
+///
+/// ```
+/// assert_eq!(mangogw_model::Team::default().weight, 1);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Team {
+    /// The share against other teams of the same class.
+    pub weight: u32,
+    /// Bounds on what its tasks may hold at once; 0 is no bound.
+    pub quota: Quota,
+}
+
+impl Default for Team {
+    fn default() -> Self {
+        Self { weight: 1, quota: Quota::default() }
+    }
+}
