--- a/crates/mangogw/src/command.rs
+++ b/crates/mangogw/src/command.rs
@@ -34,13 +34,26 @@
     Command { name: "target", args: "", help: "run a stand-in target", flags: TARGET },
 ];
 
-const HOST: Flag = Flag { group: "Host", name: "host", value: "IP:PORT", default: "127.0.0.1:7070", help: "entry host" };
+const HOST: Flag =
+    Flag { group: "Host", name: "host", value: "IP:PORT", default: "127.0.0.1:7070", help: "entry host" };
 
 const CALL: &[Flag] = &[
     HOST,
     Flag { group: "Request", name: "key", value: "KEY", default: "", help: "idempotency key" },
-    Flag { group: "Request", name: "deadline-ms", value: "MS", default: "", help: "deadline; the entry's own if missing" },
-    Flag { group: "Request", name: "wait-ms", value: "MS", default: "0", help: "how long to wait for the end of a job" },
+    Flag {
+        group: "Request",
+        name: "deadline-ms",
+        value: "MS",
+        default: "",
+        help: "deadline; the entry's own if missing",
+    },
+    Flag {
+        group: "Request",
+        name: "wait-ms",
+        value: "MS",
+        default: "0",
+        help: "how long to wait for the end of a job",
+    },
 ];
 
 const TARGET: &[Flag] = &[
@@ -51,7 +64,13 @@
     Flag { group: "Target", name: "entries", value: "LIST", default: "", help: "entries to serve, joined by commas" },
     Flag { group: "Target", name: "slots", value: "N", default: "8", help: "tasks at once" },
     Flag { group: "Target", name: "speed", value: "FACTOR", default: "1", help: "how many times faster than speed 1" },
-    Flag { group: "Target", name: "fault", value: "FAULT", default: "none", help: "none, stall, fail, cut, late, cross, silent or refuse" },
+    Flag {
+        group: "Target",
+        name: "fault",
+        value: "FAULT",
+        default: "none",
+        help: "none, stall, fail, cut, late, cross, silent or refuse",
+    },
 ];
 
 /// Why a command failed.
--- a/crates/mangogw/src/target.rs
+++ b/crates/mangogw/src/target.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Client;
 use bytes::Bytes;
-use futures_util::stream;
+use futures_util::{StreamExt, stream};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
@@ -28,6 +28,9 @@
 /// Requests that a connection answers before [`Fault::Silent`] silences it.
 const LOUD_REQUESTS: u32 = 20;
 
+/// Between the two halves of an answer that is cut.
+const PACE: Duration = Duration::from_millis(10);
+
 /// The payload of a task for a stand-in target.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -318,6 +321,11 @@
 /// An answer that ends in the middle.
 fn cut(body: &Bytes) -> Response<Body> {
     let half = body.slice(..body.len() / 2);
-    let frames = [Ok(Frame::data(half)), Err(io::Error::other("cut"))];
-    Response::new(BodyExt::boxed(StreamBody::new(stream::iter(frames))))
+    let frames = stream::iter([Ok(Frame::data(half)), Err(io::Error::other("cut"))]);
+    // The first half is on its way before the connection breaks.
+    let paced = frames.then(|frame| async {
+        tokio::time::sleep(PACE).await;
+        frame
+    });
+    Response::new(BodyExt::boxed(StreamBody::new(paced)))
 }
--- a/crates/mangogw/tests/path.rs
+++ b/crates/mangogw/tests/path.rs
@@ -81,7 +81,8 @@
     let daemon = daemon(&folder).await;
     let target = target("a", daemon.address(), Fault::None).await;
     until_served(daemon.address()).await;
-    let tasks: Vec<_> = (0..20u32).map(|i| serde_json::json!({"body": format!(r#"{{"millis":{}}}"#, 20 - i)})).collect();
+    let tasks: Vec<_> =
+        (0..20u32).map(|i| serde_json::json!({"body": format!(r#"{{"millis":{}}}"#, 20 - i)})).collect();
     let job = serde_json::json!({"entry": "tally", "key": "wicks-1", "tasks": tasks});
     let bytes = Bytes::from(job.to_string());
     for _ in 0..2 {
@@ -104,7 +105,11 @@
 async fn a_key_with_another_body_is_refused() {
     let folder = tempfile::tempdir().unwrap();
     let daemon = daemon(&folder).await;
-    let job = |body: &str| Bytes::from(serde_json::json!({"entry":"tally","key":"k","tasks":[{"body":body}]}).to_string());
+    let job = |body: &str| {
+        Bytes::from(
+            serde_json::json!({"entry":"tally","key":"k","deadline_ms":300,"tasks":[{"body":body}]}).to_string(),
+        )
+    };
     post(daemon.address(), "/v1/jobs", &[], job("a")).await;
     let again = post(daemon.address(), "/v1/jobs", &[], job("b")).await;
     assert_eq!(again.code(), Code::KeyReused.number());
@@ -142,7 +147,11 @@
     let _target = target("a", host, Fault::None).await;
     until_served(host).await;
     let calls: Vec<_> = (0..8)
-        .map(|i| tokio::spawn(async move { post(host, "/v1/run/scan", &[], Work::new(300.0, &i.to_string()).to_bytes()).await }))
+        .map(|i| {
+            tokio::spawn(
+                async move { post(host, "/v1/run/scan", &[], Work::new(300.0, &i.to_string()).to_bytes()).await },
+            )
+        })
         .collect();
     tokio::time::sleep(Duration::from_millis(100)).await;
     daemon.stop().await;
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -59,7 +59,7 @@
         let (head, body) = request.into_parts();
         let parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
         let query = head.uri.query().unwrap_or("");
-        match (&head.method, &parts[..]) {
+        match (&head.method, parts.as_slice()) {
             (&Method::POST, ["v1", "run", entry]) => {
                 let ask = Ask::Run {
                     entry: (*entry).into(),
--- a/crates/mangogwd/src/flags.rs
+++ b/crates/mangogwd/src/flags.rs
@@ -95,9 +95,10 @@
     let matches = options(table).parse(args).map_err(|source| BadFlag::Usage { source })?;
     let mut given = Given { values: IndexMap::new(), free: matches.free.clone() };
     for flag in table {
-        let said = match flag.is_switch() {
-            true => matches.opt_present(flag.name).then(|| "true".to_owned()),
-            false => matches.opt_str(flag.name),
+        let said = if flag.is_switch() {
+            matches.opt_present(flag.name).then(|| "true".to_owned())
+        } else {
+            matches.opt_str(flag.name)
         };
         let value = match (said, env(&flag.variable())) {
             (Some(value), _) => (value, Source::Flag),
@@ -112,10 +113,11 @@
 fn options(table: &[Flag]) -> Options {
     let mut options = Options::new();
     for flag in table {
-        match flag.is_switch() {
-            true => options.optflag("", flag.name, flag.help),
-            false => options.optopt("", flag.name, flag.help, flag.value),
-        };
+        if flag.is_switch() {
+            options.optflag("", flag.name, flag.help);
+        } else {
+            options.optopt("", flag.name, flag.help, flag.value);
+        }
     }
     options
 }
@@ -133,11 +135,12 @@
     for flag in table {
         if flag.group != group {
             group = flag.group;
-            text.push_str(&format!("\n{group}\n"));
+            text.extend(["\n", group, "\n"]);
         }
         let head = format!("--{} {}", flag.name, flag.value);
         let default = if flag.default.is_empty() { String::new() } else { format!(" [default: {}]", flag.default) };
-        text.push_str(&format!("  {head:<30} {}{default}\n", flag.help));
+        let line = format!("  {head:<30} {}{default}\n", flag.help);
+        text.push_str(&line);
     }
     text
 }
--- a/crates/mangogwd/src/node.rs
+++ b/crates/mangogwd/src/node.rs
@@ -60,7 +60,7 @@
 
     /// Takes no new work; what was taken goes on.
     pub fn drain(self: &Arc<Self>) {
-        self.step(|host, now| host.on_drain(now));
+        self.step(Host::on_drain);
     }
 
     /// True if nothing is waiting or running.
--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -24,6 +24,8 @@
 const UNACKED: Duration = Duration::from_secs(1);
 /// How long a connection may be idle before it is closed.
 const IDLE: Duration = Duration::from_secs(10);
+/// How long an answer is awaited past its deadline, so that the host decides what a passed deadline means.
+const GRACE: Duration = Duration::from_millis(100);
 /// Idle connections kept for one target.
 const MAX_IDLE: usize = 64;
 
@@ -71,9 +73,9 @@
 }
 
 impl Pool {
-    /// Sends a task to its target and waits for the whole answer until `deadline`.
+    /// Sends a task to its target and waits for the whole answer; `left` is the time to its deadline.
     pub async fn start(&self, start: &Start, left: Duration) -> Seen {
-        let sent = timeout(left, self.exchange(start, left)).await;
+        let sent = timeout(left + GRACE, self.exchange(start, left)).await;
         match sent {
             Ok(seen) => seen,
             Err(_elapsed) => {
--- a/crates/mangogwd/src/server.rs
+++ b/crates/mangogwd/src/server.rs
@@ -89,8 +89,7 @@
 
     /// Stops taking traffic, waits for what is in flight, and ends.
     pub async fn stop(self) {
-        // The serving task may have ended by itself.
-        drop(self.stop.send(true));
+        self.stop.send_replace(true);
         if let Err(error) = self.serving.await {
             log::error!(error:%; "server: ended badly");
         }
