--- a/crates/dispatch/src/action.rs
+++ b/crates/dispatch/src/action.rs
@@ -37,6 +37,13 @@
         /// Where it runs.
         target: TargetKey,
     },
+    /// Tell the target to go on with an attempt that was slowed down or set aside. This is no second start.
+    Resume {
+        /// The id of the try.
+        attempt: AttemptId,
+        /// Where it is.
+        target: TargetKey,
+    },
     /// The task has ended; its key is no longer valid.
     End {
         /// The task.
@@ -85,4 +92,10 @@
     NotStarted,
     /// It may have started and nothing more is known.
     Lost,
+    /// The target has slowed it down, as told by [`Action::Throttle`].
+    Throttled,
+    /// The target has written its state down and set it aside, as told by [`Action::Checkpoint`].
+    Checkpointed,
+    /// The target can't slow it down or set it aside; it runs on as before.
+    Declined,
 }
--- /dev/null
+++ b/crates/dispatch/src/announce.rs
@@ -0,0 +1,221 @@
+//! What targets say: announcements, heartbeats, leaving, usage; and the end of leases.
+
+use crate::targets::TargetRow;
+use crate::timers::Timer;
+use crate::{Dispatch, EntryKey, Report, TargetKey};
+use mangogw_model::{Announcement, Code, Incarnation, TargetName, Time, Usage};
+use std::time::Duration;
+
+/// How long a silent target is remembered after its lease.
+const FORGET: Duration = Duration::from_mins(5);
+
+impl Dispatch {
+    /// Takes an announcement: a new target, or a later word of a known one. A new life loses what the old one ran.
+    ///
+    /// # Errors
+    /// [`Code::StaleIncarnation`] if a later life of the target is known.
+    pub fn announce(&mut self, now: Time, said: &Announcement) -> Result<TargetKey, Code> {
+        let key = match self.targets.names.get(&said.name).copied() {
+            Some(key) if self.targets.rows[key].said.incarnation > said.incarnation => {
+                return Err(Code::StaleIncarnation);
+            }
+            Some(key) if self.targets.rows[key].said.incarnation == said.incarnation => {
+                self.again(now, key, said);
+                key
+            }
+            Some(key) => {
+                self.reborn(now, key);
+                self.meet(now, said)
+            }
+            None => self.meet(now, said),
+        };
+        self.fill(now, key);
+        self.welcome(now, key);
+        Ok(key)
+    }
+
+    /// Renews the lease of a target.
+    ///
+    /// # Errors
+    /// [`Code::UnknownTarget`] or [`Code::StaleIncarnation`].
+    pub fn heartbeat(&mut self, now: Time, name: &TargetName, life: Incarnation) -> Result<(), Code> {
+        let lease = now + self.settings.lease;
+        let key = self.named(name)?;
+        let row = &mut self.targets.rows[key];
+        if row.said.incarnation != life {
+            return Err(Code::StaleIncarnation);
+        }
+        let lapsed = row.lease <= now;
+        row.lease = lease;
+        if lapsed {
+            self.stale(key);
+            self.timers.push(lease, Timer::Lease(key));
+            self.fill(now, key);
+            self.welcome(now, key);
+        }
+        Ok(())
+    }
+
+    /// Gives a target no more work.
+    ///
+    /// # Errors
+    /// [`Code::UnknownTarget`].
+    pub fn leave(&mut self, now: Time, name: &TargetName) -> Result<(), Code> {
+        let key = self.named(name)?;
+        self.targets.rows[key].leaving = true;
+        self.unreserve(now, key);
+        self.targets.refresh(now, key);
+        self.stale(key);
+        Ok(())
+    }
+
+    /// Takes a usage report, dated back by its age. One older than the last, or of another life, is dropped.
+    ///
+    /// # Errors
+    /// [`Code::UnknownTarget`] or [`Code::StaleIncarnation`].
+    pub fn usage(&mut self, now: Time, name: &TargetName, usage: &Usage) -> Result<(), Code> {
+        let key = self.named(name)?;
+        let row = &mut self.targets.rows[key];
+        if row.said.incarnation != usage.incarnation {
+            return Err(Code::StaleIncarnation);
+        }
+        let age = Duration::from_millis(usage.age_ms);
+        let at = Time::from_micros(now.as_micros().saturating_sub(age.as_micros() as u64));
+        if row.usage.as_ref().is_none_or(|(last, _)| *last < at) {
+            row.usage = Some((at, usage.clone()));
+        }
+        Ok(())
+    }
+
+    fn named(&self, name: &TargetName) -> Result<TargetKey, Code> {
+        self.targets.names.get(name).copied().ok_or(Code::UnknownTarget)
+    }
+
+    /// A target that was not known.
+    fn meet(&mut self, now: Time, said: &Announcement) -> TargetKey {
+        let lease = now + self.settings.lease;
+        let (id, rack) = (self.targets.number(), self.targets.rack(&said.rack));
+        let row = TargetRow::open_with(said, id, rack, now, lease);
+        let key = self.targets.insert(row);
+        self.timers.push(lease, Timer::Lease(key));
+        self.serve_all(now, key);
+        key
+    }
+
+    /// A later word of the same life.
+    fn again(&mut self, now: Time, key: TargetKey, said: &Announcement) {
+        let lease = now + self.settings.lease;
+        let row = &mut self.targets.rows[key];
+        let lapsed = row.lease <= now;
+        let moved = row.said.entries != said.entries || row.said.zone != said.zone;
+        row.limit = if row.said.capacity.slots == said.capacity.slots { row.limit } else { said.capacity.slots };
+        let rack = std::mem::replace(&mut row.said, said.clone()).rack;
+        row.lease = lease;
+        row.leaving = false;
+        let (old, out) = (row.rack, u32::from(row.health.probing()));
+        if rack != said.rack {
+            let fresh = self.targets.rack(&said.rack);
+            self.targets.rows[key].rack = fresh;
+            self.targets.racks[old as usize].targets -= 1;
+            self.targets.racks[old as usize].ejected -= out;
+            self.targets.racks[fresh as usize].ejected += out;
+        }
+        if lapsed {
+            self.timers.push(lease, Timer::Lease(key));
+        }
+        if moved {
+            self.serve_all(now, key);
+        }
+        self.stale(key);
+    }
+
+    /// The process of a target started anew: what the old one ran is lost.
+    fn reborn(&mut self, now: Time, key: TargetKey) {
+        self.targets.rows[key].leaving = true;
+        self.targets.refresh(now, key);
+        let lost = self.targets.rows[key].attempts.clone();
+        for serial in lost {
+            self.close(now, serial, Report::Lost);
+        }
+        self.forget(now, key);
+    }
+
+    /// Takes a target out of every table.
+    fn forget(&mut self, now: Time, key: TargetKey) {
+        self.unreserve(now, key);
+        let Some(row) = self.targets.remove(key) else { return };
+        self.targets.racks[row.rack as usize].ejected -= u32::from(row.health.probing());
+        for entry in row.entries {
+            let entry = &mut self.entries[entry];
+            entry.speeds.remove(row.id);
+            entry.supply.stale = true;
+        }
+    }
+
+    /// Matches a target with the entries it serves.
+    fn serve_all(&mut self, now: Time, key: TargetKey) {
+        let row = &mut self.targets.rows[key];
+        let (id, old) = (row.id, std::mem::take(&mut row.entries));
+        let names = row.said.entries.clone();
+        let fresh: Vec<_> = names.iter().filter_map(|name| self.names.get(name).copied()).collect();
+        for entry in old {
+            self.entries[entry].speeds.remove(id);
+            self.entries[entry].supply.stale = true;
+        }
+        for entry in fresh {
+            self.serve(now, key, entry);
+        }
+        self.scattered = true;
+    }
+
+    /// Notes that a target serves an entry.
+    pub(crate) fn serve(&mut self, now: Time, key: TargetKey, entry: EntryKey) {
+        let row = &mut self.targets.rows[key];
+        if row.entries.contains(&entry) {
+            return;
+        }
+        row.entries.push(entry);
+        let near = self.settings.zone.as_str().is_empty() || row.said.zone == self.settings.zone;
+        let flavour = u8::from(!near) * 2 + u8::from(row.said.capacity.accelerators > 0);
+        let entry = &mut self.entries[entry];
+        row.repeatable |= entry.entry.repeatable;
+        entry.saw(&row.said.capacity);
+        entry.speeds.insert(row.id, flavour, row.speed.value);
+        entry.supply.stale = true;
+        self.targets.refresh(now, key);
+    }
+
+    /// The lease of a target may have ended.
+    pub(crate) fn lapse(&mut self, now: Time, key: TargetKey) {
+        let Some(row) = self.targets.get(key) else { return };
+        let (lease, held) = (row.lease, row.attempts.len());
+        match () {
+            () if lease > now => self.timers.push(lease, Timer::Lease(key)),
+            () if now - lease >= FORGET && held == 0 => self.forget(now, key),
+            () => {
+                self.targets.refresh(now, key);
+                self.unreserve(now, key);
+                self.stale(key);
+                self.rescue(now, key);
+                self.timers.push(now + FORGET, Timer::Lease(key));
+            }
+        }
+    }
+
+    /// Notes that the supply of a target's entries has changed.
+    pub(crate) fn stale(&mut self, key: TargetKey) {
+        let Some(row) = self.targets.rows.get(key) else { return };
+        for &entry in &row.entries {
+            self.entries[entry].supply.stale = true;
+        }
+    }
+
+    /// Offers a target with room to entries whose tasks wait for another reason than a lack of it.
+    fn welcome(&mut self, now: Time, key: TargetKey) {
+        let Some(row) = self.targets.get(key) else { return };
+        let waiting: Vec<_> = row.entries.iter().copied().filter(|&entry| self.entries[entry].waiting > 0).collect();
+        for entry in waiting {
+            self.settle(now, entry);
+        }
+    }
+}
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -1,74 +1,82 @@
-//! The core: tables of entries, targets and tasks, and the systems that run over them.
-
-use crate::{Action, End, EntryKey, Refusal, Repeat, Report, TargetKey, TaskKey, Work};
+//! The core: its tables, and the calls that touch only them.
+
+use crate::entries::EntryRow;
+use crate::queue::Queue;
+use crate::targets::Targets;
+use crate::tasks::{AttemptRow, TaskRow};
+use crate::timers::{Timer, Timers};
+use crate::{Action, EntryKey, Settings, Share, TargetKey, TaskKey, Waste};
 use indexmap::IndexMap;
-use mangogw_model::{
-    Announcement, AttemptId, Class, Code, Entry, EntryName, HostId, Incarnation, TargetName, Time, Usage,
-};
+use mangogw_model::{Announcement, Entry, EntryName, Owner, Time};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use slotmap::SlotMap;
-use std::collections::VecDeque;
+use smallvec::SmallVec;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// What a core is opened with.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// The host it runs on.
-    pub host: HostId,
-    /// The life of the host.
-    pub incarnation: Incarnation,
-    /// The seed of every draw it makes.
-    pub seed: u64,
-    /// How long a target is trusted after a heartbeat.
-    pub lease: Duration,
-}
+/// How often the systems that keep tables small and scales centred run.
+const UPKEEP: Duration = Duration::from_secs(1);
+/// Timers above this are looked through for dead ones.
+const TIMERS: usize = 4096;
 
-impl Default for Settings {
-    fn default() -> Self {
-        Self { host: HostId(1), incarnation: Incarnation(1), seed: 1, lease: Duration::from_secs(4) }
-    }
-}
+/// Where the running tasks of a job stand, by place.
+pub(crate) type JobRow = SmallVec<[(u32, u32); 8]>;
 
+/// The decision core of one host.
 #[derive(Debug)]
-struct EntryRow {
-    name: EntryName,
-    entry: Entry,
+pub struct Dispatch {
+    pub(crate) settings: Settings,
+    pub(crate) entries: SlotMap<EntryKey, EntryRow>,
+    pub(crate) names: IndexMap<EntryName, EntryKey>,
+    pub(crate) owners: IndexMap<Owner, ()>,
+    pub(crate) pools: Vec<Pool>,
+    pub(crate) targets: Targets,
+    pub(crate) tasks: SlotMap<TaskKey, TaskRow>,
+    pub(crate) attempts: IndexMap<u64, AttemptRow, foldhash::fast::FixedState>,
+    pub(crate) jobs: IndexMap<u64, JobRow, foldhash::fast::FixedState>,
+    pub(crate) queue: Queue,
+    pub(crate) timers: Timers,
+    pub(crate) actions: Vec<Action>,
+    pub(crate) waste: Waste,
+    pub(crate) draw: Pcg64Mcg,
+    pub(crate) serial: u64,
+    /// Where the search for a target starts, so that equal ones take turns.
+    pub(crate) cursor: u32,
+    pub(crate) reserved: u32,
+    /// True while the pools are out of date.
+    pub(crate) scattered: bool,
+    kept: Time,
 }
 
-#[derive(Debug)]
-struct TargetRow {
-    said: Announcement,
-    lease: Time,
-    leaving: bool,
-    running: u32,
+/// Entries that share targets.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Pool {
+    /// Waiting work by class, in microseconds at speed 1.
+    pub(crate) work: [f64; 3],
+    /// Work started of late by class, fading.
+    pub(crate) flow: [Flow; 3],
 }
 
-#[derive(Debug)]
-struct TaskRow {
-    work: Work,
-    tries: u32,
-    attempt: Option<AttemptId>,
+/// A rate that fades over [`Flow::SPAN`].
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Flow {
+    sum: f64,
+    at: Time,
 }
 
-#[derive(Debug)]
-struct AttemptRow {
-    task: TaskKey,
-    target: TargetKey,
-}
+impl Flow {
+    const SPAN: f64 = 1.0;
 
-/// The decision core of one host.
-#[derive(Debug)]
-pub struct Dispatch {
-    settings: Settings,
-    entries: SlotMap<EntryKey, EntryRow>,
-    names: IndexMap<EntryName, EntryKey>,
-    targets: SlotMap<TargetKey, TargetRow>,
-    targets_by_name: IndexMap<TargetName, TargetKey>,
-    tasks: SlotMap<TaskKey, TaskRow>,
-    attempts: IndexMap<AttemptId, AttemptRow>,
-    queues: [VecDeque<TaskKey>; 3],
-    actions: Vec<Action>,
-    serial: u64,
+    pub(crate) fn push(&mut self, now: Time, amount: f64) {
+        self.sum = self.rate(now) * Self::SPAN + amount;
+        self.at = now;
+    }
+
+    /// A second.
+    pub(crate) fn rate(&self, now: Time) -> f64 {
+        self.sum / Self::SPAN * (-(now - self.at).as_secs_f64() / Self::SPAN).exp()
+    }
 }
 
 impl Dispatch {
@@ -79,31 +87,27 @@
     /// assert!(Dispatch::open(Settings::default()).targets().next().is_none());
     /// ```
     pub fn open(settings: Settings) -> Self {
+        let draw = Pcg64Mcg::seed_from_u64(settings.seed);
         Self {
             settings,
             entries: SlotMap::with_key(),
             names: IndexMap::new(),
-            targets: SlotMap::with_key(),
-            targets_by_name: IndexMap::new(),
+            owners: IndexMap::new(),
+            pools: Vec::new(),
+            targets: Targets::default(),
             tasks: SlotMap::with_key(),
-            attempts: IndexMap::new(),
-            queues: [VecDeque::new(), VecDeque::new(), VecDeque::new()],
+            attempts: IndexMap::default(),
+            jobs: IndexMap::default(),
+            queue: Queue::default(),
+            timers: Timers::default(),
             actions: Vec::new(),
+            waste: Waste::default(),
+            draw,
             serial: 0,
-        }
-    }
-
-    /// Makes `entries` the catalogue in force. Entries that are gone take no more work; tasks of theirs go on.
-    pub fn install(&mut self, _now: Time, entries: &IndexMap<EntryName, Entry>) {
-        self.names.retain(|name, _| entries.contains_key(name));
-        for (name, entry) in entries {
-            match self.names.get(name) {
-                Some(&key) => self.entries[key].entry = entry.clone(),
-                None => {
-                    let key = self.entries.insert(EntryRow { name: name.clone(), entry: entry.clone() });
-                    self.names.insert(name.clone(), key);
-                }
-            }
+            cursor: 0,
+            reserved: 0,
+            scattered: false,
+            kept: Time::ZERO,
         }
     }
 
@@ -125,124 +129,34 @@
 
     /// Every target, in the order in which they first announced themselves.
     pub fn targets(&self) -> impl Iterator<Item = &Announcement> {
-        self.targets.values().map(|row| &row.said)
-    }
-
-    /// Takes an announcement: a new target, or a later word of a known one.
-    ///
-    /// # Errors
-    /// [`Code::StaleIncarnation`] if a later life of the target is known.
-    pub fn announce(&mut self, now: Time, said: &Announcement) -> Result<TargetKey, Code> {
-        let lease = now + self.settings.lease;
-        match self.targets_by_name.get(&said.name) {
-            Some(&key) if self.targets[key].said.incarnation > said.incarnation => Err(Code::StaleIncarnation),
-            Some(&key) => {
-                let row = &mut self.targets[key];
-                row.said = said.clone();
-                row.lease = lease;
-                row.leaving = false;
-                self.place(now);
-                Ok(key)
-            }
-            None => {
-                let row = TargetRow { said: said.clone(), lease, leaving: false, running: 0 };
-                let key = self.targets.insert(row);
-                self.targets_by_name.insert(said.name.clone(), key);
-                self.place(now);
-                Ok(key)
-            }
-        }
+        self.targets.names.values().map(|&key| &self.targets.rows[key].said)
     }
 
-    /// Renews the lease of a target.
-    ///
-    /// # Errors
-    /// [`Code::UnknownTarget`] or [`Code::StaleIncarnation`].
-    pub fn heartbeat(&mut self, now: Time, name: &TargetName, life: Incarnation) -> Result<(), Code> {
-        let lease = now + self.settings.lease;
-        let row = self.row(name)?;
-        if row.said.incarnation != life {
-            return Err(Code::StaleIncarnation);
-        }
-        row.lease = lease;
-        Ok(())
-    }
-
-    /// Gives a target no more work.
-    ///
-    /// # Errors
-    /// [`Code::UnknownTarget`].
-    pub fn leave(&mut self, _now: Time, name: &TargetName) -> Result<(), Code> {
-        self.row(name)?.leaving = true;
-        Ok(())
-    }
-
-    /// Takes a usage report.
-    ///
-    /// # Errors
-    /// [`Code::UnknownTarget`].
-    pub fn usage(&mut self, _now: Time, name: &TargetName, _usage: &Usage) -> Result<(), Code> {
-        self.row(name).map(|_| ())
+    /// Sets the part of an entry's limits that this host may use.
+    pub fn set_share(&mut self, now: Time, entry: EntryKey, share: Share) {
+        let Some(row) = self.entries.get_mut(entry) else { return };
+        row.share = share;
+        self.settle(now, entry);
     }
 
-    /// Takes a task on, or refuses it at once.
-    ///
-    /// # Errors
-    /// A [`Refusal`] whose outcome is always `not-run`.
-    pub fn admit(&mut self, now: Time, work: Work) -> Result<TaskKey, Refusal> {
-        let row = self.entries.get(work.entry).ok_or(Code::UnknownEntry)?;
-        let queue = &mut self.queues[row.entry.class.index()];
-        if work.deadline <= now {
-            return Err(Code::Expired.into());
-        }
-        if queue.len() >= row.entry.limits.queue as usize {
-            return Err(Refusal { code: Code::QueueFull, wait: Some(Duration::from_secs(1)) });
-        }
-        let key = self.tasks.insert(TaskRow { work, tries: 0, attempt: None });
-        queue.push_back(key);
-        self.place(now);
-        Ok(key)
-    }
-
-    /// Cancels a task. One that is running is told to stop.
-    pub fn cancel(&mut self, _now: Time, task: TaskKey) {
-        let Some(row) = self.tasks.get(task) else { return };
-        match row.attempt.and_then(|attempt| self.attempts.get(&attempt).map(|row| (attempt, row.target))) {
-            Some((attempt, target)) => {
-                self.actions.push(Action::Stop { attempt, target });
-                self.end(task, End::Refused(Code::CancelledRunning.into()));
-            }
-            None => self.end(task, End::Refused(Code::Cancelled.into())),
+    /// Runs the systems that depend on time.
+    pub fn tick(&mut self, now: Time) {
+        if self.scattered {
+            self.group();
         }
-    }
-
-    /// Takes what the shell saw of an attempt.
-    pub fn report(&mut self, now: Time, attempt: AttemptId, report: Report) {
-        let Some(row) = self.attempts.swap_remove(&attempt) else { return };
-        if let Some(target) = self.targets.get_mut(row.target) {
-            target.running -= 1;
+        while let Some(timer) = self.timers.pop(now) {
+            self.fire(now, timer);
         }
-        if let Some(task) = self.tasks.get_mut(row.task).filter(|task| task.attempt == Some(attempt)) {
-            task.attempt = None;
-            let entry = &self.entries[task.work.entry].entry;
-            let again = task.work.repeat == Repeat::Allowed && task.tries < entry.retry.tries;
-            match report {
-                Report::Answered => self.end(row.task, End::Answered(attempt)),
-                Report::NotStarted => self.queues[entry.class.index()].push_front(row.task),
-                _ if again => self.queues[entry.class.index()].push_front(row.task),
-                Report::Failed => self.end(row.task, End::Refused(Code::TargetFailed.into())),
-                Report::Cut => self.end(row.task, End::Refused(Code::AnswerCut.into())),
-                Report::TooLarge => self.end(row.task, End::Refused(Code::AnswerTooLarge.into())),
-                Report::Lost => self.end(row.task, End::Refused(Code::TargetLost.into())),
-            }
+        if now - self.kept >= UPKEEP {
+            self.kept = now;
+            self.upkeep();
+            self.sweep(now);
         }
-        self.place(now);
     }
 
-    /// Runs the systems that depend on time.
-    pub fn tick(&mut self, now: Time) {
-        self.expire(now);
-        self.place(now);
+    /// When [`Dispatch::tick`] has something to do next, if no event comes before.
+    pub fn wake(&self) -> Option<Time> {
+        self.timers.next()
     }
 
     /// What is to be done since the last call.
@@ -250,53 +164,44 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn row(&mut self, name: &TargetName) -> Result<&mut TargetRow, Code> {
-        let key = *self.targets_by_name.get(name).ok_or(Code::UnknownTarget)?;
-        Ok(&mut self.targets[key])
+    /// A draw from 0 to 1.
+    pub(crate) fn chance(&mut self) -> f64 {
+        self.draw.random::<f64>()
     }
 
-    fn expire(&mut self, now: Time) {
-        let late: Vec<_> = self.tasks.iter().filter(|(_, row)| row.work.deadline <= now).map(|(key, _)| key).collect();
-        for task in late {
-            let code = self.tasks[task].attempt.map_or(Code::Expired, |_| Code::DeadlinePassed);
-            self.end(task, End::Refused(code.into()));
+    fn fire(&mut self, now: Time, timer: Timer) {
+        match timer {
+            Timer::Clear(key, task) => self.end_clear(now, key, task),
+            Timer::Lease(key) => self.lapse(now, key),
+            Timer::Probe(key) => self.fill(now, key),
+            Timer::Ghost(serial) => self.give_up(now, serial),
+            Timer::Deadline(key) => self.expire(now, key),
+            Timer::Overdue(serial) => self.overdue(now, serial),
+            Timer::Patience(key) => self.impatient(now, key),
         }
     }
 
-    fn place(&mut self, now: Time) {
-        for class in Class::ALL {
-            while let Some(&task) = self.queues[class.index()].front() {
-                let Some(row) = self.tasks.get(task) else {
-                    self.queues[class.index()].pop_front();
-                    continue;
-                };
-                let name = &self.entries[row.work.entry].name;
-                let free = |row: &TargetRow| !row.leaving && row.lease > now && row.running < row.said.capacity.slots;
-                let target = self
-                    .targets
-                    .iter()
-                    .find(|(_, row)| free(row) && row.said.entries.contains(name))
-                    .map(|(key, _)| key);
-                let Some(target) = target else { break };
-                self.queues[class.index()].pop_front();
-                self.start(task, target);
-            }
+    /// Keeps tables small and the scale of speeds centred.
+    fn upkeep(&mut self) {
+        if self.timers.len() > TIMERS.max(4 * (self.tasks.len() + self.attempts.len())) {
+            let (tasks, attempts, targets) = (&self.tasks, &self.attempts, &self.targets);
+            self.timers.prune(|timer| match timer {
+                Timer::Deadline(key) | Timer::Patience(key) => tasks.contains_key(*key),
+                Timer::Overdue(serial) | Timer::Ghost(serial) => attempts.contains_key(serial),
+                Timer::Lease(key) | Timer::Probe(key) | Timer::Clear(key, _) => targets.get(*key).is_some(),
+            });
         }
+        if self.queue.lines.len() > 4 * self.entries.len() + 64 {
+            self.queue.prune();
+        }
+        self.centre();
     }
 
-    fn start(&mut self, task: TaskKey, target: TargetKey) {
-        self.serial += 1;
-        let attempt = AttemptId::new(self.settings.host, self.settings.incarnation, self.serial);
-        self.targets[target].running += 1;
-        let row = &mut self.tasks[task];
-        row.tries += 1;
-        row.attempt = Some(attempt);
-        self.attempts.insert(attempt, AttemptRow { task, target });
-        self.actions.push(Action::Start { task, attempt, target });
-    }
-
-    fn end(&mut self, task: TaskKey, end: End) {
-        self.tasks.remove(task);
-        self.actions.push(Action::End { task, end });
+    /// Offers every free place to what waits.
+    fn sweep(&mut self, now: Time) {
+        let keys: Vec<_> = self.targets.rows.keys().collect();
+        for key in keys {
+            self.fill(now, key);
+        }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,7 +1,8 @@
 //! The decision core: which task starts where, when, and what is refused.
 //!
 //! [`Dispatch`] does no I/O and reads no clock: time, identity and seed are passed in, and what is to be done comes
-//! out as [`Action`]s.
+//! out as [`Action`]s. Its tables are entries, targets, tasks and attempts; its systems run over them when an event
+//! comes in, and on [`Dispatch::tick`] when [`Dispatch::wake`] says that something is due.
 //!
 //! ```
 //! use mangogw_dispatch::{Dispatch, Settings};
@@ -13,9 +14,32 @@
 //! ```
 
 mod action;
+mod admit;
+mod announce;
+mod bits;
 mod dispatch;
+mod eject;
+mod entries;
+mod expire;
+mod hedge;
+mod install;
+mod limits;
+mod place;
+mod preempt;
+mod queue;
+mod report;
+mod settings;
+mod speed;
+mod targets;
+mod tasks;
+mod timers;
+mod view;
 mod work;
 
 pub use action::{Action, End, Refusal, Report};
-pub use dispatch::{Dispatch, Settings};
+pub use dispatch::Dispatch;
+pub use eject::Reason;
+pub use limits::Share;
+pub use settings::Settings;
+pub use view::{EntryView, State, TargetView, Waste};
 pub use work::{EntryKey, Repeat, TargetKey, TaskKey, Work};
--- /dev/null
+++ b/crates/dispatch/src/place.rs
@@ -0,0 +1,369 @@
+//! Placement: the best free target for a task, and the best waiting task for a free target.
+
+use crate::limits::blocked;
+use crate::queue::LineKey;
+use crate::speed::{FLAVOURS, speed_of};
+use crate::targets::TargetRow;
+use crate::tasks::{AttemptRow, Phase};
+use crate::timers::Timer;
+use crate::{Action, Dispatch, EntryKey, Repeat, TargetKey, TaskKey};
+use mangogw_model::{AttemptId, Class, Needs, Time};
+use std::time::Duration;
+
+/// What a task without accelerators pays on a target that has some.
+const MISUSE: f32 = 1.5;
+/// Equal targets looked at to spread the tasks of a job.
+const CHOICES: usize = 4;
+/// How old a sum of supply may get, and how old it must be before it is summed up anew.
+const OLD: Duration = Duration::from_millis(500);
+/// How long a sum of supply stands although it is out of date.
+const SOON: Duration = Duration::from_millis(20);
+/// A queue that takes more than so many run times counts as long: then the first in line takes any target.
+const LONG: f64 = 2.0;
+/// How long a task that fits nowhere waits before a target is kept clear for it.
+const CLEARING: Duration = Duration::from_millis(200);
+
+/// What is looked for.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Seek {
+    pub(crate) entry: EntryKey,
+    pub(crate) needs: Needs,
+    pub(crate) size: f32,
+    pub(crate) repeat: Repeat,
+    pub(crate) job: u64,
+    pub(crate) avoid: Option<TargetKey>,
+}
+
+impl Dispatch {
+    /// What `task` looks for.
+    pub(crate) fn seek(&self, task: TaskKey) -> Seek {
+        let row = &self.tasks[task];
+        Seek {
+            entry: row.work.entry,
+            needs: row.work.needs,
+            size: row.size,
+            repeat: row.work.repeat,
+            job: row.work.job,
+            avoid: row.avoid,
+        }
+    }
+
+    /// The free target on which it would end first.
+    pub(crate) fn best(&self, now: Time, seek: &Seek) -> Option<TargetKey> {
+        let speeds = &self.entries[seek.entry].speeds;
+        let room = self.targets.with_room(seek.needs.cores);
+        let mut best: Option<(f32, TargetKey)> = None;
+        for flavour in 0..FLAVOURS {
+            if seek.needs.accelerators > 0 && flavour & 1 == 0 {
+                continue;
+            }
+            for step in crate::bits::ones(speeds.used[flavour]) {
+                let cost = self.cost(seek, flavour, speed_of(step as usize));
+                if best.is_some_and(|(least, _)| least <= cost) {
+                    break;
+                }
+                let set = speeds.set(flavour, step as usize);
+                let (mut found, mut least, mut tried) = (None, u32::MAX, 0);
+                let _ = set.find_both(room, self.cursor, |id| match self.targets.by_id(id) {
+                    Some((key, row)) if suits(now, row, key, seek) => {
+                        let crowd = if seek.job == 0 { 0 } else { self.crowd(seek.job, row) };
+                        if crowd < least {
+                            (found, least) = (Some(key), crowd);
+                        }
+                        tried += 1;
+                        crowd == 0 || tried >= CHOICES
+                    }
+                    _ => false,
+                });
+                if let Some(key) = found {
+                    best = Some((cost, key));
+                    break;
+                }
+            }
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// The expected run time in microseconds, and what the flavour of the target adds to it.
+    fn cost(&self, seek: &Seek, flavour: usize, speed: f32) -> f32 {
+        let run = (seek.size - speed).exp2();
+        let misuse = if flavour & 1 == 1 && seek.needs.accelerators == 0 { MISUSE } else { 1.0 };
+        let distance = if flavour & 2 == 2 { self.settings.distance.as_micros() as f32 } else { 0.0 };
+        run * misuse + distance
+    }
+
+    /// The tasks of a job that run where a target stands.
+    fn crowd(&self, job: u64, row: &TargetRow) -> u32 {
+        let place = place_of(row);
+        let rows = self.jobs.get(&job).into_iter().flatten();
+        rows.filter(|(at, _)| *at == place).map(|(_, count)| *count).sum()
+    }
+
+    /// True if a task should start on a free target now rather than wait for a faster one, with `ahead` microseconds of
+    /// work before it in the queue.
+    pub(crate) fn worth(&self, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
+        let row = &self.entries[entry];
+        let here = (size - row.speeds.speed(id)).exp2();
+        let own = row.speeds.step(id);
+        let used = row.speeds.used.iter().fold(0, |all, steps| all | steps);
+        let faster = used & ((1u64 << own) - 1);
+        let ahead = ahead as f32 + size.exp2();
+        crate::bits::ones(faster).all(|step| {
+            let supply = row.supply.upto[step as usize];
+            supply <= 0.0 || ahead / supply + (size - speed_of(step as usize)).exp2() >= here
+        })
+    }
+
+    /// Starts a task that came or came back, if there is a target for it now.
+    pub(crate) fn offer(&mut self, now: Time, task: TaskKey) -> bool {
+        let seek = self.seek(task);
+        let row = &self.entries[seek.entry];
+        if blocked(&row.entry, &row.share, &row.held, &seek.needs).is_some() {
+            return false;
+        }
+        if self.tasks[task].work.deadline <= now {
+            return false;
+        }
+        let Some(target) = self.best(now, &seek) else { return false };
+        let row = &self.entries[seek.entry];
+        let ahead: f64 = self.pools[row.pool].work[..=row.entry.class.index()].iter().sum();
+        let id = self.targets.rows[target].id;
+        if self.worth(seek.entry, seek.size, id, ahead) {
+            self.start(now, task, target, false);
+            return true;
+        }
+        let here = (seek.size - self.entries[seek.entry].speeds.speed(id)).exp2();
+        self.timers.push(now + Duration::from_micros(here as u64), Timer::Patience(task));
+        false
+    }
+
+    /// A task has waited long enough for a better target; it takes any.
+    pub(crate) fn impatient(&mut self, now: Time, task: TaskKey) {
+        let Some(row) = self.tasks.get(task).filter(|row| row.line.is_some() && row.work.deadline > now) else {
+            return;
+        };
+        let needs = row.work.needs;
+        let seek = Seek { avoid: None, ..self.seek(task) };
+        let entry = &self.entries[seek.entry];
+        let again = now + CLEARING;
+        match self.best(now, &seek) {
+            _ if blocked(&entry.entry, &entry.share, &entry.held, &needs).is_some() => {}
+            Some(target) => return self.start(now, task, target, false),
+            None if needs.cores > 1 || needs.accelerators > 0 => self.reserve(now, task),
+            None => return,
+        }
+        self.timers.push(again, Timer::Patience(task));
+    }
+
+    /// Starts what waits of an entry on what is free, after one of its bounds was eased.
+    pub(crate) fn settle(&mut self, now: Time, entry: EntryKey) {
+        self.supply(now, entry);
+        let row = &self.entries[entry];
+        if row.waiting == 0 {
+            return;
+        }
+        let share = &self.queue.ranks[row.entry.class.index()].shares[row.owner];
+        let lines: Vec<_> = share.lines.iter().copied().filter(|&line| self.queue.lines[line].entry == entry).collect();
+        for line in lines {
+            while let Some(&(_, task)) = self.queue.lines.get(line).and_then(|line| line.tasks.first()) {
+                if !self.offer(now, task) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Gives a target what waits, as long as it has room.
+    pub(crate) fn fill(&mut self, now: Time, target: TargetKey) {
+        self.targets.refresh(now, target);
+        self.clear(now, target);
+        while self.targets.get(target).is_some_and(|row| row.open(now)) {
+            let Some(task) = self.pick(now, target) else { break };
+            self.start(now, task, target, false);
+        }
+        self.restore(now, target);
+    }
+
+    /// The task that a free target takes next.
+    fn pick(&mut self, now: Time, target: TargetKey) -> Option<TaskKey> {
+        for class in self.queue.order() {
+            if self.queue.ranks[class.index()].waiting == 0 {
+                continue;
+            }
+            while let Some(line) = self.first(now, target, class) {
+                let head = self.queue.lines[line].tasks.first().map(|&(_, task)| task)?;
+                if self.drop_hopeless(now, head) {
+                    continue;
+                }
+                match self.choose(now, target, class, line) {
+                    None => break,
+                    found => return found,
+                }
+            }
+        }
+        None
+    }
+
+    /// The line of a class that a target serves next: of the owner served least, the one with the earliest deadline.
+    fn first(&self, now: Time, target: TargetKey, class: Class) -> Option<LineKey> {
+        let rank = &self.queue.ranks[class.index()];
+        let row = &self.targets.rows[target];
+        rank.active.iter().find_map(|&(_, owner)| {
+            let lines = rank.shares[owner].lines.iter().copied();
+            lines
+                .filter_map(|key| {
+                    let line = &self.queue.lines[key];
+                    let entry = &self.entries[line.entry];
+                    let &(deadline, task) = line.tasks.first()?;
+                    let seek = Seek { avoid: None, ..self.seek(task) };
+                    let fit = entry.speeds.serves(row.id)
+                        && suits(now, row, target, &seek)
+                        && blocked(&entry.entry, &entry.share, &entry.held, &seek.needs).is_none();
+                    fit.then_some((deadline, key))
+                })
+                .min()
+                .map(|(_, key)| key)
+        })
+    }
+
+    /// The first or the last of a line, or none if all of them do better to wait.
+    fn choose(&mut self, now: Time, target: TargetKey, class: Class, line: LineKey) -> Option<TaskKey> {
+        let entry = self.queue.lines[line].entry;
+        self.supply(now, entry);
+        let row = &self.entries[entry];
+        let tasks = &self.queue.lines[line].tasks;
+        let (&(_, first), &(_, last)) = (tasks.first()?, tasks.last()?);
+        let id = self.targets.rows[target].id;
+        let work = &self.pools[row.pool].work;
+        let above: f64 = work[..class.index()].iter().sum();
+        let whole = above + work[class.index()];
+        let size = |task: TaskKey| self.tasks[task].size;
+        match () {
+            () if self.worth(entry, size(first), id, above) => Some(first),
+            () if !self.worth(entry, size(last), id, whole) => None,
+            () if self.worth(entry, size(first), id, whole / LONG) => Some(first),
+            () => {
+                let seek = self.seek(last);
+                suits(now, &self.targets.rows[target], target, &seek).then_some(last)
+            }
+        }
+    }
+
+    /// Sends a task to a target.
+    pub(crate) fn start(&mut self, now: Time, task: TaskKey, target: TargetKey, hedge: bool) {
+        self.unqueue(task);
+        self.serial += 1;
+        let serial = self.serial;
+        let attempt = AttemptId::new(self.settings.host, self.settings.incarnation, serial);
+        let row = &mut self.tasks[task];
+        row.tries = row.tries.saturating_add(1);
+        row.attempts.push(serial);
+        let (work, size, charge) = (row.work, row.size, row.weight);
+        let entry = &mut self.entries[work.entry];
+        let (owner, class) = (entry.owner, entry.entry.class);
+        entry.held.add(&work.needs);
+        self.pools[entry.pool].flow[class.index()].push(now, f64::from(charge));
+        self.queue.charge(class, owner, f64::from(charge));
+        self.queue.served(class, owner);
+        let to = &mut self.targets.rows[target];
+        to.held.add(&work.needs);
+        to.attempts.push(serial);
+        if let Some(out) = to.health.out.as_mut() {
+            out.probe = Some(serial);
+            self.waste.probes += 1;
+        }
+        if work.job != 0 {
+            crowd_in(self.jobs.entry(work.job).or_default(), place_of(to));
+        }
+        self.cursor = to.id + 1;
+        if class == Class::Batch {
+            self.targets.count_batch(target, true);
+        }
+        let to = &self.targets.rows[target];
+        let late = entry.sizes.spread.quantile(entry.entry.hedge.quantile, DOUBLED);
+        let usual = (size + late - entry.speeds.speed(to.id)).exp2();
+        self.timers.push(now + Duration::from_micros(usual as u64), Timer::Overdue(serial));
+        self.attempts.insert(
+            serial,
+            AttemptRow {
+                task,
+                target,
+                entry: work.entry,
+                owner,
+                class,
+                job: work.job,
+                place: place_of(to),
+                needs: work.needs,
+                full: work.needs,
+                hint: work.needs.estimate_ms,
+                size,
+                charge,
+                started: now,
+                phase: Phase::Running,
+                hedge,
+                overdue: false,
+                aside: false,
+                disturbed: false,
+            },
+        );
+        self.targets.refresh(now, target);
+        self.actions.push(Action::Start { task, attempt, target });
+    }
+
+    /// Sums up what the targets of an entry can do, unless that was done of late.
+    pub(crate) fn supply(&mut self, now: Time, entry: EntryKey) {
+        let row = &mut self.entries[entry];
+        let age = now - row.supply.at;
+        if row.supply.at != Time::ZERO && age < if row.supply.stale { SOON } else { OLD } {
+            return;
+        }
+        let (mut sum, mut slots) = (0.0, 0);
+        for step in 0..crate::speed::SPEEDS {
+            for flavour in 0..FLAVOURS {
+                if row.speeds.used[flavour] >> step & 1 == 0 {
+                    continue;
+                }
+                for id in row.speeds.set(flavour, step).iter() {
+                    let Some((_, target)) = self.targets.by_id(id) else { continue };
+                    let held = if target.usable(now) { row.places(target) } else { 0.0 };
+                    if held > 0.0 && slots == 0 {
+                        row.supply.fastest = row.speeds.speed(id);
+                    }
+                    sum += held * row.speeds.speed(id).exp2();
+                    slots += held.ceil() as u32;
+                }
+            }
+            row.supply.upto[step] = sum;
+        }
+        row.supply.slots = slots;
+        row.supply.stale = false;
+        row.supply.at = now.max(Time::from_micros(1));
+    }
+}
+
+/// How far above its prediction a task is late before anything was learned.
+const DOUBLED: f32 = 4.0;
+
+/// True if a target with room can take what is looked for.
+fn suits(now: Time, row: &TargetRow, key: TargetKey, seek: &Seek) -> bool {
+    let probe = row.health.probing();
+    row.lease > now
+        && row.fits(&seek.needs)
+        && seek.avoid != Some(key)
+        && (!probe || seek.repeat == Repeat::Allowed || !row.repeatable)
+}
+
+/// What tasks of a job are spread over: racks, or targets that stand in none.
+pub(crate) fn place_of(row: &TargetRow) -> u32 {
+    match row.said.rack.as_str() {
+        "" => row.id | 1 << 31,
+        _ => row.rack,
+    }
+}
+
+fn crowd_in(rows: &mut crate::dispatch::JobRow, place: u32) {
+    match rows.iter_mut().find(|(at, _)| *at == place) {
+        Some((_, count)) => *count += 1,
+        None => rows.push((place, 1)),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/report.rs
@@ -0,0 +1,373 @@
+//! What came of attempts: room is given back, speeds are learned, targets are judged, tasks end or go on.
+
+use crate::eject::Reason;
+use crate::hedge::Second;
+use crate::speed::Centre;
+use crate::tasks::{AttemptRow, Phase};
+use crate::timers::Timer;
+use crate::{Action, Dispatch, End, EntryKey, Refusal, Repeat, Report, TargetKey, TaskKey};
+use mangogw_model::{AttemptId, Code, Time};
+use std::time::Duration;
+
+/// Sends of one task that targets may turn down.
+const SENDS: u8 = 16;
+/// The share of failures above which they are laid to the entry, not to targets.
+const POISON: f32 = 0.5;
+/// How many answers that share looks back on, about.
+const LOOK_BACK: f32 = 32.0;
+/// Samples after which the speed of late is compared with the learned one.
+const WINDOW: u32 = 48;
+/// Doublings by which a speed must have changed to be learned anew.
+const CHANGED: f32 = 0.7;
+/// Doublings by which a target must have slowed down to be given fewer tasks at once.
+const SLOWED: f32 = 1.0;
+/// The part of its slots that a slow target keeps at least.
+const KEPT: u32 = 4;
+/// How long a task waits for another target than the one that turned it down.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+impl Dispatch {
+    /// Takes what the shell saw of an attempt. A second report on one attempt, or one of another host, is dropped.
+    pub fn report(&mut self, now: Time, attempt: AttemptId, report: Report) {
+        if attempt.host() != self.settings.host || attempt.incarnation() != self.settings.incarnation {
+            self.waste.crossed += 1;
+            return;
+        }
+        match report {
+            Report::Throttled | Report::Checkpointed | Report::Declined => {
+                self.adjusted(now, attempt.serial(), report);
+            }
+            _ => self.close(now, attempt.serial(), report),
+        }
+    }
+
+    /// Cancels a task. One that may be running is told to stop; one that was not started costs no message.
+    pub fn cancel(&mut self, now: Time, task: TaskKey) {
+        let Some(row) = self.tasks.get(task) else { return };
+        let started = !row.attempts.is_empty() || row.ran.is_some();
+        let code = if started { Code::CancelledRunning } else { Code::Cancelled };
+        self.end(now, task, End::Refused(code.into()));
+    }
+
+    /// Cancels many tasks, each at constant cost.
+    pub fn cancel_all(&mut self, now: Time, tasks: impl IntoIterator<Item = TaskKey>) {
+        for task in tasks {
+            self.cancel(now, task);
+        }
+    }
+
+    /// Ends an attempt.
+    pub(crate) fn close(&mut self, now: Time, serial: u64, report: Report) {
+        let Some(row) = self.attempts.swap_remove(&serial) else {
+            self.waste.late += u64::from(report == Report::Answered);
+            return;
+        };
+        self.release(now, serial, &row);
+        self.learn(now, &row, report);
+        self.judge(now, serial, &row, report);
+        let mine = self.tasks.get_mut(row.task).is_some_and(|task| {
+            let before = task.attempts.len();
+            task.attempts.retain(|other| *other != serial);
+            task.attempts.len() < before
+        });
+        if mine {
+            self.resolve(now, serial, &row, report);
+        } else {
+            self.waste.late += u64::from(report == Report::Answered);
+        }
+        self.fill(now, row.target);
+        self.ease(now, row.entry);
+    }
+
+    /// Starts what waited for a bound of an entry.
+    pub(crate) fn ease(&mut self, now: Time, entry: EntryKey) {
+        let bound = self.entries.get(entry).is_some_and(|row| {
+            let quota = &row.entry.quota;
+            row.waiting > 0
+                && (row.entry.limits.concurrency > 0
+                    || quota.cores > 0
+                    || quota.memory_mb > 0
+                    || quota.accelerators > 0)
+        });
+        if bound {
+            self.settle(now, entry);
+        }
+    }
+
+    /// Ends a task: it leaves the queue, and what runs of it is stopped.
+    pub(crate) fn end(&mut self, now: Time, task: TaskKey, end: End) {
+        self.unqueue(task);
+        let Some(row) = self.tasks.remove(task) else { return };
+        self.entries[row.work.entry].tasks -= 1;
+        for serial in row.attempts {
+            self.stop(now, serial);
+        }
+        self.actions.push(Action::End { task, end });
+    }
+
+    /// Tells the target of an attempt to stop it. It keeps its room until it is heard of, or the lease time is over.
+    pub(crate) fn stop(&mut self, now: Time, serial: u64) {
+        let Some(row) = self.attempts.get_mut(&serial) else { return };
+        let target = row.target;
+        row.aside |= row.phase == Phase::Parked;
+        row.phase = Phase::Stopping;
+        let attempt = self.id(serial);
+        self.actions.push(Action::Stop { attempt, target });
+        self.waste.stops += 1;
+        self.timers.push(now + self.settings.lease, Timer::Ghost(serial));
+    }
+
+    /// The id of an attempt of this core.
+    pub(crate) fn id(&self, serial: u64) -> AttemptId {
+        AttemptId::new(self.settings.host, self.settings.incarnation, serial)
+    }
+
+    /// Gives back what an attempt held.
+    fn release(&mut self, now: Time, serial: u64, row: &AttemptRow) {
+        let holds = row.phase != Phase::Parked && !row.aside;
+        let entry = &mut self.entries[row.entry];
+        if holds {
+            entry.held.sub(&row.needs);
+        }
+        self.thin_out(row);
+        let Some(target) = self.targets.get_mut(row.target) else { return };
+        if holds {
+            target.held.sub(&row.needs);
+        }
+        target.attempts.retain(|other| *other != serial);
+        target.parked.retain(|other| *other != serial);
+        if let Some(out) = target.health.out.as_mut().filter(|out| out.probe == Some(serial)) {
+            // Judged below if it failed or was answered; a probe that came to nothing frees the way for the next.
+            out.until = out.until.max(now);
+        }
+        if row.class == mangogw_model::Class::Batch {
+            self.targets.count_batch(row.target, false);
+        }
+    }
+
+    /// Takes an attempt out of the count of its job.
+    fn thin_out(&mut self, row: &AttemptRow) {
+        let place = row.place;
+        if let Some(places) = self.jobs.get_mut(&row.job) {
+            places.iter_mut().filter(|(at, _)| *at == place).for_each(|(_, count)| *count = count.saturating_sub(1));
+            places.retain(|(_, count)| *count > 0);
+            if places.is_empty() {
+                self.jobs.swap_remove(&row.job);
+            }
+        }
+    }
+
+    /// Learns from an answer; a failure, however fast, teaches nothing of speed.
+    fn learn(&mut self, now: Time, row: &AttemptRow, report: Report) {
+        let Some(target) = self.targets.rows.get_mut(row.target) else { return };
+        let entry = &mut self.entries[row.entry];
+        let ran = ((now - row.started).as_micros().max(1) as f32).log2();
+        if !entry.speeds.serves(target.id) || row.disturbed {
+            return;
+        }
+        let speed = entry.speeds.speed(target.id);
+        let sample = row.size - ran;
+        match row.phase {
+            // It ran at least so long: that can only show that the target is slower than thought.
+            Phase::Stopping if sample < speed => {}
+            Phase::Running if report == Report::Answered => entry.sizes.push(row.hint, ran + speed),
+            _ => return,
+        }
+        target.recent.push(sample);
+        let turn = target.recent.count >= WINDOW;
+        let drift = target.recent.value - target.speed.value;
+        let forget = turn && drift.abs() > CHANGED && target.speed.count > 2 * WINDOW;
+        if turn {
+            target.limit = adapted(target.limit, target.said.capacity.slots, if forget { drift } else { 0.0 });
+            target.recent = Centre::default();
+        }
+        if forget {
+            target.speed.count = target.speed.count.min(WINDOW / 2);
+        }
+        entry.speeds.push(target.id, sample, target.speed, forget);
+        target.speed.push(sample);
+    }
+
+    /// Charges the owner for what ran, and judges the target.
+    fn judge(&mut self, now: Time, serial: u64, row: &AttemptRow, report: Report) {
+        let draw = self.chance();
+        let entry = &mut self.entries[row.entry];
+        let unsent = report == Report::NotStarted;
+        if let Some(target) = self.targets.get(row.target) {
+            let speed = if entry.speeds.serves(target.id) { entry.speeds.speed(target.id) } else { 0.0 };
+            let real = (now - row.started).as_micros() as f64 * f64::from(speed.exp2());
+            let owed = if unsent { 0.0 } else { real };
+            self.queue.charge(row.class, row.owner, owed - f64::from(row.charge));
+        }
+        let bad = matches!(report, Report::Failed | Report::Cut);
+        if bad || report == Report::Answered {
+            entry.failing += (f32::from(u8::from(bad)) - entry.failing) / LOOK_BACK;
+        }
+        let blameless = row.phase == Phase::Stopping && report != Report::Lost || bad && entry.failing > POISON;
+        let Some(target) = self.targets.get_mut(row.target) else { return };
+        match report {
+            Report::Answered | Report::TooLarge => {
+                if target.health.answered(now, serial) {
+                    self.readmit(row.target);
+                }
+            }
+            _ if blameless => target.health.neither(now, serial),
+            _ => {
+                if target.health.failed(now, serial, draw) {
+                    self.eject(now, row.target, Reason::Failing);
+                } else if let Some(out) = target.health.out {
+                    self.timers.push(out.until, Timer::Probe(row.target));
+                }
+            }
+        }
+    }
+
+    /// Decides what a closed attempt means for its task.
+    fn resolve(&mut self, now: Time, serial: u64, row: &AttemptRow, report: Report) {
+        let task = row.task;
+        let state = &mut self.tasks[task];
+        if report == Report::Answered {
+            self.waste.lost_hedges += u64::from(row.hedge || !state.attempts.is_empty());
+            return self.end(now, task, End::Answered(self.id(serial)));
+        }
+        let code = match report {
+            Report::Cut => Some(Code::AnswerCut),
+            Report::TooLarge => Some(Code::AnswerTooLarge),
+            Report::Lost => Some(Code::TargetLost),
+            Report::NotStarted => None,
+            _ => Some(Code::TargetFailed),
+        };
+        state.ran = code.or(state.ran);
+        state.avoid = Some(row.target);
+        match code {
+            _ if !state.attempts.is_empty() && report != Report::TooLarge => {}
+            None if state.ran.is_none() => {
+                self.waste.unsent += 1;
+                if state.tries < SENDS {
+                    self.retry(now, task);
+                } else {
+                    self.end(now, task, End::Refused(Code::NoCapacity.into()));
+                }
+            }
+            _ if report != Report::TooLarge && self.may_retry(task) => {
+                self.waste.retries += 1;
+                self.retry(now, task);
+            }
+            code => {
+                let code = code.or(self.tasks[task].ran).unwrap_or(Code::TargetFailed);
+                self.end(now, task, End::Refused(Refusal::from(code)));
+            }
+        }
+    }
+
+    /// True if one more try is allowed; it is then paid for.
+    fn may_retry(&mut self, task: TaskKey) -> bool {
+        let row = &self.tasks[task];
+        let entry = &mut self.entries[row.work.entry];
+        row.work.repeat == Repeat::Allowed && u32::from(row.tries) < entry.entry.retry.tries && entry.retries.spend()
+    }
+
+    /// Puts a task up for another target.
+    fn retry(&mut self, now: Time, task: TaskKey) {
+        if !self.offer(now, task) {
+            self.enqueue(task);
+            self.timers.push(now + ELSEWHERE, Timer::Patience(task));
+        }
+    }
+
+    /// Takes a target out, unless too many are out already.
+    pub(crate) fn eject(&mut self, now: Time, key: TargetKey, why: Reason) {
+        let draw = self.chance();
+        let spared = !self.spares(now, key);
+        let row = &mut self.targets.rows[key];
+        if spared {
+            return row.health.spare(now);
+        }
+        row.health.eject(now, why, draw);
+        let until = row.health.out.map_or(now, |out| out.until);
+        let rack = row.rack as usize;
+        self.targets.racks[rack].ejected += 1;
+        self.timers.push(until, Timer::Probe(key));
+        self.waste.ejections += 1;
+        self.unreserve(now, key);
+        self.targets.refresh(now, key);
+        self.stale(key);
+        self.rescue(now, key);
+        self.eject_rack(now, rack, why);
+    }
+
+    /// Takes the rest of a rack out once most of it is.
+    fn eject_rack(&mut self, now: Time, rack: usize, why: Reason) {
+        let Some((name, row)) = self.targets.racks.get_index(rack) else { return };
+        if why == Reason::Rack || name.as_str().is_empty() || row.targets < 3 || row.ejected * 2 < row.targets {
+            return;
+        }
+        let rest: Vec<_> = self
+            .targets
+            .rows
+            .iter()
+            .filter(|(_, row)| row.rack as usize == rack && row.health.suspect())
+            .map(|(key, _)| key)
+            .collect();
+        for key in rest {
+            self.eject(now, key, Reason::Rack);
+        }
+    }
+
+    /// True if every entry that a target serves keeps at least half of its targets without it.
+    fn spares(&self, now: Time, key: TargetKey) -> bool {
+        self.targets.rows[key].entries.iter().all(|&entry| {
+            let (mut all, mut out) = (0, 1);
+            for (_, row) in self.targets.rows.iter().filter(|(_, row)| row.entries.contains(&entry)) {
+                if !row.leaving && row.lease > now {
+                    all += 1;
+                    out += u32::from(row.health.probing());
+                }
+            }
+            out * 2 <= all
+        })
+    }
+
+    fn readmit(&mut self, key: TargetKey) {
+        let rack = self.targets.rows[key].rack as usize;
+        self.targets.racks[rack].ejected -= 1;
+        self.stale(key);
+    }
+
+    /// Tries the tasks that run on a target that is lost or silent elsewhere, where they may be.
+    pub(crate) fn rescue(&mut self, now: Time, key: TargetKey) {
+        let serials = self.targets.rows[key].attempts.clone();
+        for serial in serials {
+            if self.second(now, serial) == Second::NoRoom {
+                self.timers.push(now + ELSEWHERE, Timer::Overdue(serial));
+            }
+        }
+    }
+
+    /// Brings the learned speeds back around 1, so that sizes and speeds can't drift apart together.
+    pub(crate) fn centre(&mut self) {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for row in self.targets.rows.values().filter(|row| row.speed.count > 0) {
+            sum += row.speed.value;
+            count += 1.0;
+        }
+        let shift: f32 = if count > 0.0 { -sum / count } else { 0.0 };
+        if shift.abs() < 0.25 {
+            return;
+        }
+        self.targets.rows.values_mut().filter(|row| row.speed.count > 0).for_each(|row| row.speed.value += shift);
+        for row in self.entries.values_mut() {
+            row.speeds.shift(shift);
+            row.sizes.shift(shift);
+            row.supply.stale = true;
+        }
+    }
+}
+
+/// The tasks a target may hold at once, after its speed has changed by `drift` doublings.
+fn adapted(limit: u32, slots: u32, drift: f32) -> u32 {
+    match drift {
+        _ if drift < -SLOWED => (limit * 3 / 4).max(slots.div_ceil(KEPT)),
+        _ => (limit + 1).min(slots),
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/speed.rs
@@ -0,0 +1,288 @@
+//! What is learned from tasks that ran: sizes, the worth of declared times, and the speed of targets.
+//!
+//! All of it is kept as base-2 logarithms: the size of a task is `log2` of its run time in microseconds on a target of
+//! speed 1, the speed of a target is `log2` of how much faster than that it is.
+
+use crate::bits::Bits;
+
+/// Speed steps for each doubling.
+const STEPS: f32 = 8.0;
+/// Speeds told apart: from 16 times faster to 16 times slower than average.
+pub(crate) const SPEEDS: usize = 64;
+/// The step of a target that is not in the index.
+const ABSENT: u8 = u8::MAX;
+/// The size of a task of which nothing is known: 0.3 s.
+const UNKNOWN_SIZE: f32 = 18.2;
+/// The smallest weight of a new sample, so that old ones fade.
+const FADE: f32 = 0.005;
+/// The furthest a sample may pull, in doublings.
+const PULL: f32 = 2.0;
+
+/// A robust running centre of samples: each pulls by a bounded amount.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Centre {
+    /// Where it stands.
+    pub(crate) value: f32,
+    /// Samples seen since it was last told to forget.
+    pub(crate) count: u32,
+}
+
+impl Centre {
+    /// Takes a sample.
+    pub(crate) fn push(&mut self, sample: f32) {
+        self.count = self.count.saturating_add(1);
+        let weight = (1.0 / self.count as f32).max(FADE);
+        self.value += weight * (sample - self.value).clamp(-PULL, PULL);
+    }
+}
+
+/// Quarter doublings of a [`Spread`], from `2^-8` to `2^8`.
+const CELLS: usize = 64;
+/// Samples after which the older ones count half.
+const HALVE: f32 = 4096.0;
+/// Samples below which quantiles are not trusted.
+const TRUST: f32 = 32.0;
+
+/// The distribution of actual over predicted sizes.
+#[derive(Debug, Clone)]
+pub(crate) struct Spread {
+    cells: [f32; CELLS],
+    total: f32,
+}
+
+impl Default for Spread {
+    fn default() -> Self {
+        Self { cells: [0.0; CELLS], total: 0.0 }
+    }
+}
+
+impl Spread {
+    fn push(&mut self, log: f32) {
+        let cell = ((log + 8.0) * 4.0).clamp(0.0, (CELLS - 1) as f32) as usize;
+        self.cells[cell] += 1.0;
+        self.total += 1.0;
+        if self.total >= HALVE {
+            self.cells.iter_mut().for_each(|count| *count /= 2.0);
+            self.total /= 2.0;
+        }
+    }
+
+    /// The logarithm of the ratio below which a share `q` of tasks stay; `fallback` until enough was seen.
+    pub(crate) fn quantile(&self, q: f64, fallback: f32) -> f32 {
+        if self.total < TRUST {
+            return fallback;
+        }
+        let goal = self.total * q as f32;
+        let mut sum = 0.0;
+        let cell = self.cells.iter().position(|count| {
+            sum += count;
+            sum >= goal
+        });
+        (cell.unwrap_or(CELLS - 1) + 1) as f32 / 4.0 - 8.0
+    }
+}
+
+/// The sizes of the tasks of one entry, and how far declared times can be believed.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Sizes {
+    plain: Centre,
+    weight: f32,
+    hint: f32,
+    size: f32,
+    square: f32,
+    cross: f32,
+    mean: f32,
+    /// Actual over predicted.
+    pub(crate) spread: Spread,
+}
+
+impl Sizes {
+    /// The predicted size of a task with a declared time of `hint` milliseconds (0: none).
+    pub(crate) fn predict(&self, hint: u64) -> f32 {
+        match (hint, self.plain.count) {
+            (0, 0) => UNKNOWN_SIZE,
+            (_, 0) => log_millis(hint),
+            (0, _) => self.plain.value,
+            _ => self.line(log_millis(hint)),
+        }
+    }
+
+    /// True once enough tasks were seen to go by.
+    pub(crate) fn known(&self) -> bool {
+        self.plain.count as f32 >= TRUST
+    }
+
+    /// The mean of actual over predicted run times.
+    pub(crate) fn excess(&self) -> f32 {
+        if self.weight < TRUST { 1.0 } else { self.mean.clamp(0.25, 16.0) }
+    }
+
+    /// Takes the size of a task that ran to its end.
+    pub(crate) fn push(&mut self, hint: u64, size: f32) {
+        let predicted = self.predict(hint);
+        let error = size - predicted;
+        self.spread.push(error);
+        self.plain.push(size);
+        if hint > 0 {
+            let x = log_millis(hint);
+            let y = predicted + error.clamp(-2.0 * PULL, 2.0 * PULL);
+            let keep = (self.weight / (self.weight + 1.0)).min(1.0 - FADE / 4.0);
+            self.weight = self.weight * keep + 1.0;
+            let share = 1.0 / self.weight;
+            self.hint += share * (x - self.hint);
+            self.size += share * (y - self.size);
+            self.square += share * (x * x - self.square);
+            self.cross += share * (x * y - self.cross);
+        } else {
+            self.weight = (self.weight + 1.0).min(1.0 / FADE);
+        }
+        let share = (1.0 / self.weight.max(1.0)).max(FADE / 4.0);
+        self.mean += share * (error.exp2().min(64.0) - self.mean);
+    }
+
+    /// Moves every size by `shift` doublings.
+    pub(crate) fn shift(&mut self, shift: f32) {
+        self.plain.value += shift;
+        self.cross += shift * self.hint;
+        self.size += shift;
+    }
+
+    /// The regression of sizes on declared times, with a slope between "worthless" and "exact".
+    fn line(&self, x: f32) -> f32 {
+        if self.weight < TRUST {
+            return f32::midpoint(x, self.plain.value);
+        }
+        let variance = self.square - self.hint * self.hint;
+        let slope = if variance < 0.01 { 0.0 } else { (self.cross - self.hint * self.size) / variance };
+        self.size + slope.clamp(0.0, 1.0) * (x - self.hint)
+    }
+}
+
+/// The targets that serve one entry, by learned speed.
+#[derive(Debug, Clone)]
+pub(crate) struct Speeds {
+    steps: Vec<u8>,
+    flavours: Vec<u8>,
+    pairs: Vec<Centre>,
+    sets: [Vec<Bits>; FLAVOURS],
+    /// For each flavour, the steps that have members.
+    pub(crate) used: [u64; FLAVOURS],
+}
+
+/// Kinds of targets that are searched apart: in this zone or another, without or with accelerators.
+pub(crate) const FLAVOURS: usize = 4;
+
+impl Default for Speeds {
+    fn default() -> Self {
+        let sets = || vec![Bits::default(); SPEEDS];
+        Self {
+            steps: Vec::new(),
+            flavours: Vec::new(),
+            pairs: Vec::new(),
+            sets: [sets(), sets(), sets(), sets()],
+            used: [0; FLAVOURS],
+        }
+    }
+}
+
+impl Speeds {
+    /// True if target `id` serves the entry.
+    pub(crate) fn serves(&self, id: u32) -> bool {
+        self.steps.get(id as usize).is_some_and(|&step| step != ABSENT)
+    }
+
+    /// Adds a target with what is known of its speed.
+    pub(crate) fn insert(&mut self, id: u32, flavour: u8, speed: f32) {
+        let at = id as usize;
+        if at >= self.steps.len() {
+            self.steps.resize(at + 1, ABSENT);
+            self.flavours.resize(at + 1, 0);
+            self.pairs.resize(at + 1, Centre::default());
+        }
+        self.place(id, ABSENT);
+        self.flavours[at] = flavour;
+        self.pairs[at] = Centre { value: speed, count: 0 };
+        self.place(id, step(speed));
+    }
+
+    /// Takes a target out.
+    pub(crate) fn remove(&mut self, id: u32) {
+        if self.serves(id) {
+            self.place(id, ABSENT);
+        }
+    }
+
+    /// The learned speed.
+    pub(crate) fn speed(&self, id: u32) -> f32 {
+        self.pairs[id as usize].value
+    }
+
+    /// The step of a target; 0 is the fastest.
+    pub(crate) fn step(&self, id: u32) -> usize {
+        usize::from(self.steps[id as usize])
+    }
+
+    /// The targets of a flavour in a step.
+    pub(crate) fn set(&self, flavour: usize, step: usize) -> &Bits {
+        &self.sets[flavour][step]
+    }
+
+    /// Takes a sample of a target's speed; `forget` makes it count as if little was known.
+    pub(crate) fn push(&mut self, id: u32, sample: f32, prior: Centre, forget: bool) {
+        let pair = &mut self.pairs[id as usize];
+        if pair.count == 0 {
+            // What other entries taught about the target counts for a few samples.
+            *pair = Centre { value: prior.value, count: prior.count.min(8) };
+        }
+        if forget {
+            pair.count = pair.count.min(8);
+        }
+        pair.push(sample);
+        let fresh = step(pair.value);
+        if fresh != self.steps[id as usize] {
+            self.place(id, fresh);
+        }
+    }
+
+    /// Moves every speed by `shift` doublings.
+    pub(crate) fn shift(&mut self, shift: f32) {
+        for id in 0..self.steps.len() as u32 {
+            if self.serves(id) {
+                self.pairs[id as usize].value += shift;
+                self.place(id, step(self.pairs[id as usize].value));
+            }
+        }
+    }
+
+    fn place(&mut self, id: u32, fresh: u8) {
+        let at = id as usize;
+        let flavour = usize::from(self.flavours[at]);
+        if self.steps[at] != ABSENT {
+            let old = usize::from(self.steps[at]);
+            self.sets[flavour][old].set(id, false);
+            if self.sets[flavour][old].is_empty() {
+                self.used[flavour] &= !(1 << old);
+            }
+        }
+        self.steps[at] = fresh;
+        if fresh != ABSENT {
+            self.sets[flavour][usize::from(fresh)].set(id, true);
+            self.used[flavour] |= 1 << fresh;
+        }
+    }
+}
+
+/// The step of a speed.
+fn step(speed: f32) -> u8 {
+    ((SPEEDS as f32 / 2.0 - speed * STEPS).round()).clamp(0.0, (SPEEDS - 1) as f32) as u8
+}
+
+/// The speed in the middle of a step.
+pub(crate) fn speed_of(step: usize) -> f32 {
+    (SPEEDS as f32 / 2.0 - step as f32) / STEPS
+}
+
+/// The size of so many milliseconds at speed 1.
+fn log_millis(millis: u64) -> f32 {
+    (millis as f32 * 1000.0).log2()
+}
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -113,6 +113,11 @@
     pub const fn incarnation(self) -> Incarnation {
         self.incarnation
     }
+
+    /// The position among the attempts of that life.
+    pub const fn serial(self) -> u64 {
+        self.serial
+    }
 }
 
 impl fmt::Display for AttemptId {
