--- /dev/null
+++ b/crates/store/src/files.rs
@@ -0,0 +1,177 @@
+//! The files of a data folder: their names, and how each is written so that a crash leaves the old or the new.
+
+use crate::disk::{Disk, DiskFile};
+use crate::error::{DamagedSnafu, FormatSnafu, IoSnafu};
+use crate::frame::{FORMAT, long, word};
+use crate::{Birth, Index, Snapshot, SnapshotMeta, StoreError};
+use mangogw_model::HostId;
+use snafu::ResultExt;
+use std::collections::BTreeMap;
+
+const IDENTITY: &str = "identity";
+const IDENTITY_MAGIC: &[u8; 8] = b"mgwhost\n";
+const IDENTITY_BYTES: usize = 32;
+const SNAPSHOT_MAGIC: &[u8; 8] = b"mgwsnap\n";
+/// Bytes before the meta data of a snapshot.
+const SNAPSHOT_HEADER: usize = 20;
+const UNFINISHED: &str = ".tmp";
+const SEGMENT: &str = ".log";
+const SNAPSHOT: &str = ".snap";
+
+/// Whose folder it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Identity {
+    pub(crate) host: HostId,
+    pub(crate) birth: Birth,
+}
+
+pub(crate) fn segment_name(number: u64) -> String {
+    format!("{number:012}{SEGMENT}")
+}
+
+pub(crate) fn remove<D: Disk>(disk: &D, name: &str) -> Result<(), StoreError> {
+    disk.remove(name).context(IoSnafu { what: "remove", file: name })
+}
+
+/// Writes a file aside, syncs it, gives it its name, and syncs the folder.
+pub(crate) fn write_aside<D: Disk>(disk: &D, name: &str, bytes: &[u8]) -> Result<D::File, StoreError> {
+    let aside = format!("{name}{UNFINISHED}");
+    let mut file = disk.create(&aside).context(IoSnafu { what: "create", file: &aside })?;
+    file.append(bytes).context(IoSnafu { what: "write", file: &aside })?;
+    file.sync().context(IoSnafu { what: "sync", file: &aside })?;
+    disk.rename(&aside, name).context(IoSnafu { what: "rename", file: &aside })?;
+    disk.sync_folder().context(IoSnafu { what: "sync", file: "the folder" })?;
+    Ok(file)
+}
+
+fn list<D: Disk>(disk: &D) -> Result<Vec<String>, StoreError> {
+    let mut names = disk.list().context(IoSnafu { what: "list", file: "the folder" })?;
+    names.sort_unstable();
+    Ok(names)
+}
+
+/// Removes files that a crash left unfinished.
+pub(crate) fn remove_unfinished<D: Disk>(disk: &D) -> Result<(), StoreError> {
+    for name in list(disk)?.iter().filter(|name| name.ends_with(UNFINISHED)) {
+        remove(disk, name)?;
+    }
+    Ok(())
+}
+
+/// The numbers of all log segments, in order.
+pub(crate) fn list_segments<D: Disk>(disk: &D) -> Result<Vec<u64>, StoreError> {
+    let number = |name: &String| name.strip_suffix(SEGMENT)?.parse().ok();
+    Ok(list(disk)?.iter().filter_map(number).collect())
+}
+
+/// The snapshot files, by the last entry in them.
+pub(crate) fn list_snapshots<D: Disk>(disk: &D) -> Result<BTreeMap<Index, String>, StoreError> {
+    let index = |name: String| Some((Index(name.strip_suffix(SNAPSHOT)?.parse().ok()?), name));
+    Ok(list(disk)?.into_iter().filter_map(index).collect())
+}
+
+/// Refuses a folder that holds a log but no identity: a folder is new only if nothing was ever committed to it.
+pub(crate) fn refuse_orphans<D: Disk>(disk: &D) -> Result<(), StoreError> {
+    let segments = list_segments(disk)?;
+    let grown = match segments.as_slice() {
+        [] => false,
+        // Written whole and before the identity, by a creation that did not end.
+        [1] => long(&read(disk, &segment_name(1))?, 16) != 1 || list_snapshots(disk)?.len() > 1,
+        _ => true,
+    };
+    if grown {
+        return DamagedSnafu { file: IDENTITY, offset: 0u64, what: "the folder holds a log but no identity" }.fail();
+    }
+    Ok(())
+}
+
+/// Removes what a creation left that did not end.
+pub(crate) fn clear_unfinished<D: Disk>(disk: &D) -> Result<(), StoreError> {
+    refuse_orphans(disk)?;
+    remove_unfinished(disk)?;
+    for number in list_segments(disk)? {
+        remove(disk, &segment_name(number))?;
+    }
+    for name in list_snapshots(disk)?.values() {
+        remove(disk, name)?;
+    }
+    Ok(())
+}
+
+fn read<D: Disk>(disk: &D, name: &str) -> Result<Vec<u8>, StoreError> {
+    disk.read(name).context(IoSnafu { what: "read", file: name })
+}
+
+pub(crate) fn write_identity<D: Disk>(disk: &D, identity: Identity) -> Result<(), StoreError> {
+    let mut bytes = IDENTITY_MAGIC.to_vec();
+    bytes.extend_from_slice(&FORMAT.to_le_bytes());
+    bytes.extend_from_slice(&identity.host.0.to_le_bytes());
+    bytes.extend_from_slice(&identity.birth.0.to_le_bytes());
+    let crc = crc32fast::hash(&bytes);
+    bytes.extend_from_slice(&crc.to_le_bytes());
+    write_aside(disk, IDENTITY, &bytes).map(drop)
+}
+
+pub(crate) fn read_identity<D: Disk>(disk: &D) -> Result<Option<Identity>, StoreError> {
+    if !list(disk)?.iter().any(|name| name == IDENTITY) {
+        return Ok(None);
+    }
+    let bytes = read(disk, IDENTITY)?;
+    check_format(IDENTITY, &bytes, *IDENTITY_MAGIC)?;
+    if bytes.len() != IDENTITY_BYTES || crc32fast::hash(&bytes[..28]) != word(&bytes, 28) {
+        return DamagedSnafu { file: IDENTITY, offset: 0u64, what: "the checksum does not match" }.fail();
+    }
+    Ok(Some(Identity { host: HostId(long(&bytes, 12)), birth: Birth(long(&bytes, 20)) }))
+}
+
+fn check_format(file: &str, bytes: &[u8], magic: [u8; 8]) -> Result<(), StoreError> {
+    match bytes {
+        _ if bytes.len() < 12 || bytes[..8] != magic => {
+            DamagedSnafu { file, offset: 0u64, what: "the header is not valid" }.fail()
+        }
+        _ if word(bytes, 8) != FORMAT => FormatSnafu { file, found: word(bytes, 8), known: FORMAT }.fail(),
+        _ => Ok(()),
+    }
+}
+
+/// The bytes of a snapshot file.
+pub(crate) fn encode_snapshot(snapshot: &Snapshot) -> Vec<u8> {
+    let meta = postcard::to_stdvec(&snapshot.meta).expect("meta data always encodes");
+    let mut bytes = SNAPSHOT_MAGIC.to_vec();
+    bytes.extend_from_slice(&FORMAT.to_le_bytes());
+    bytes.extend_from_slice(&(meta.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&meta).to_le_bytes());
+    bytes.extend_from_slice(&meta);
+    bytes.extend_from_slice(&snapshot.data);
+    bytes
+}
+
+/// The snapshot in the bytes of the file `file`.
+pub(crate) fn decode_snapshot(file: &str, bytes: Vec<u8>) -> Result<Snapshot, StoreError> {
+    check_format(file, &bytes, *SNAPSHOT_MAGIC)?;
+    let damaged = |offset: usize, what: &str| DamagedSnafu { file, offset: offset as u64, what }.fail();
+    if bytes.len() < SNAPSHOT_HEADER {
+        return damaged(12, "the header is cut");
+    }
+    let end = SNAPSHOT_HEADER + word(&bytes, 12) as usize;
+    let meta = bytes.get(SNAPSHOT_HEADER..end).filter(|meta| crc32fast::hash(meta) == word(&bytes, 16));
+    let Some(meta) = meta.and_then(|meta| postcard::from_bytes::<SnapshotMeta>(meta).ok()) else {
+        return damaged(SNAPSHOT_HEADER, "the meta data is not valid");
+    };
+    let snapshot = Snapshot { meta, data: bytes::Bytes::from(bytes).slice(end..) };
+    if !snapshot.whole() {
+        return damaged(end, "the checksum of the state does not match");
+    }
+    Ok(snapshot)
+}
+
+/// Writes a snapshot file and returns its name.
+pub(crate) fn write_snapshot<D: Disk>(disk: &D, snapshot: &Snapshot) -> Result<String, StoreError> {
+    let name = format!("{:020}{SNAPSHOT}", snapshot.meta.id.index.0);
+    write_aside(disk, &name, &encode_snapshot(snapshot))?;
+    Ok(name)
+}
+
+pub(crate) fn read_snapshot<D: Disk>(disk: &D, name: &str) -> Result<Snapshot, StoreError> {
+    decode_snapshot(name, read(disk, name)?)
+}
--- /dev/null
+++ b/crates/store/src/folder.rs
@@ -0,0 +1,283 @@
+//! The durable store: one data folder with the identity, log segments and snapshots of one host.
+
+use crate::disk::{Disk, DiskFile, FolderDisk};
+use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, StoppedSnafu, TakenSnafu};
+use crate::files::{self, Identity};
+use crate::frame::{Record, frame, read_segment, segment_header};
+use crate::replay::Replay;
+use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write};
+use snafu::{ResultExt, ensure};
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Bytes after which a new log segment is begun.
+const SEGMENT_BYTES: usize = 4 * 1024 * 1024;
+/// Snapshots kept: the newest, and the one before until the next is proven.
+const SNAPSHOTS_KEPT: usize = 2;
+
+/// One data folder, open for writing.
+///
+/// All calls block on the file system; run them on a thread of their own.
+#[derive(Debug)]
+pub struct Folder<D: Disk = FolderDisk> {
+    disk: D,
+    identity: Identity,
+    file: D::File,
+    /// The newest segment.
+    number: u64,
+    /// Bytes in it.
+    length: usize,
+    /// The number of the next frame.
+    next: u64,
+    state: HardState,
+    /// The last entry that each segment holds.
+    segments: BTreeMap<u64, Index>,
+    /// Snapshot files by their last entry.
+    snapshots: BTreeMap<Index, String>,
+    failed: bool,
+}
+
+impl Folder {
+    /// Opens the data folder at `path`.
+    ///
+    /// ```
+    /// use mangogw_model::HostId;
+    /// use mangogw_store::{Birth, Folder, FolderDisk, Stored};
+    ///
+    /// let temp = tempfile::tempdir()?;
+    /// assert!(Folder::open(temp.path()).unwrap_err().is_empty());
+    /// let stored = Stored::joining(HostId(4), Birth(0x5eed));
+    /// drop(Folder::create(FolderDisk::open(temp.path())?, &stored)?);
+    /// let (folder, again) = Folder::open(temp.path())?;
+    /// assert_eq!(again, stored);
+    /// # drop(folder);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    ///
+    /// # Errors
+    /// [`StoreError::Empty`] if the folder is new: then pick [`Stored::joining`] under a new host id, or
+    /// [`Stored::founding`], and call [`Folder::create`]. Any other error needs a person.
+    pub fn open(path: impl AsRef<Path>) -> Result<(Self, Stored), StoreError> {
+        Self::open_on(FolderDisk::open(path)?)
+    }
+}
+
+impl<D: Disk> Folder<D> {
+    /// Gives the folder to the host of `stored`, once and for all.
+    ///
+    /// # Errors
+    /// [`StoreError::Taken`] if it belongs to a host already; [`StoreError::Damaged`] if it holds a log without an
+    /// identity.
+    pub fn create(disk: D, stored: &Stored) -> Result<Self, StoreError> {
+        match files::read_identity(&disk)? {
+            Some(identity) => return TakenSnafu { host: identity.host.0 }.fail(),
+            None => files::clear_unfinished(&disk)?,
+        }
+        let identity = Identity { host: stored.host, birth: stored.birth };
+        let mut snapshots = BTreeMap::new();
+        if let Some(snapshot) = &stored.snapshot {
+            snapshots.insert(snapshot.meta.id.index, files::write_snapshot(&disk, snapshot)?);
+        }
+        let (name, tail) = (files::segment_name(1), stored.entries.last());
+        let records = records_of(stored);
+        let bytes = [segment_header(1, stored.birth, 1), frame(1, stored.birth, &records)].concat();
+        let file = files::write_aside(&disk, &name, &bytes)?;
+        files::write_identity(&disk, identity)?;
+        let segments = BTreeMap::from([(1, tail.map_or(Index(0), |entry| entry.id.index))]);
+        let (length, state) = (bytes.len(), stored.state);
+        Ok(Self { disk, identity, file, number: 1, length, next: 2, state, segments, snapshots, failed: false })
+    }
+
+    /// Opens the folder on `disk`. A torn tail of the log is cut; damage elsewhere is refused.
+    ///
+    /// # Errors
+    /// As [`Folder::open`].
+    pub fn open_on(disk: D) -> Result<(Self, Stored), StoreError> {
+        let Some(identity) = files::read_identity(&disk)? else {
+            files::refuse_orphans(&disk)?;
+            return EmptySnafu.fail();
+        };
+        files::remove_unfinished(&disk)?;
+        let snapshots = files::list_snapshots(&disk)?;
+        let snapshot = match snapshots.last_key_value() {
+            Some((_, name)) => Some(files::read_snapshot(&disk, name)?),
+            None => None,
+        };
+        let log = read_log(&disk, identity)?;
+        let newest = log.newest;
+        let (state, entries) = match log.replay.finish(snapshot.as_ref()) {
+            Ok(found) => found,
+            Err(what) => return DamagedSnafu { file: files::segment_name(newest.number), offset: 0u64, what }.fail(),
+        };
+        // What the newest segment was seen to hold may not be durable, if a sync failed before. Write it anew.
+        let name = files::segment_name(newest.number);
+        let file = files::write_aside(&disk, &name, &newest.bytes)?;
+        let folder = Self {
+            file,
+            identity,
+            number: newest.number,
+            length: newest.bytes.len(),
+            next: newest.next,
+            state,
+            segments: log.segments,
+            snapshots,
+            failed: false,
+            disk,
+        };
+        let stored = Stored { host: identity.host, birth: identity.birth, state, snapshot, entries };
+        Ok((folder, stored))
+    }
+
+    /// Writes and syncs all operations of `writes`, in order, with as few syncs as can be.
+    ///
+    /// # Errors
+    /// On any error the disk may hold all, some or nothing of the writes. The folder refuses all later writes until
+    /// it is opened again; tell the state machine by `on_failed`.
+    pub fn write(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        ensure!(!self.failed, StoppedSnafu);
+        let done = self.write_all(writes);
+        self.failed = done.is_err();
+        done
+    }
+
+    fn write_all(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        let mut records = Vec::new();
+        for op in writes.iter().flat_map(|write| &write.ops) {
+            match op {
+                Op::State(state) => records.push(Record::State(*state)),
+                Op::Truncate(from) => records.push(Record::Truncate(*from)),
+                Op::Append(entries) => records.push(Record::Append(entries.clone())),
+                Op::Compact(snapshot) => {
+                    self.commit(&std::mem::take(&mut records))?;
+                    self.keep(snapshot)?;
+                }
+                Op::Install(snapshot) => {
+                    self.commit(&std::mem::take(&mut records))?;
+                    self.keep(snapshot)?;
+                    records.push(Record::Reset(snapshot.meta.id));
+                }
+            }
+        }
+        self.commit(&records)
+    }
+
+    /// Appends one frame and syncs it.
+    fn commit(&mut self, records: &[Record]) -> Result<(), StoreError> {
+        if records.is_empty() {
+            return Ok(());
+        }
+        if self.length >= SEGMENT_BYTES {
+            self.rotate()?;
+        }
+        let bytes = frame(self.next, self.identity.birth, records);
+        let file = files::segment_name(self.number);
+        self.file.append(&bytes).context(IoSnafu { what: "append to", file: &file })?;
+        self.file.sync().context(IoSnafu { what: "sync", file: &file })?;
+        self.length += bytes.len();
+        self.next += 1;
+        self.note(records);
+        Ok(())
+    }
+
+    fn note(&mut self, records: &[Record]) {
+        let last = self.segments.entry(self.number).or_default();
+        for record in records {
+            match record {
+                Record::State(state) => self.state = *state,
+                Record::Append(entries) => {
+                    *last = (*last).max(entries.last().map_or(Index(0), |entry| entry.id.index));
+                }
+                Record::Truncate(_) | Record::Reset(_) => {}
+            }
+        }
+    }
+
+    /// Begins a new segment. It repeats the hard state, so that older segments can be removed.
+    fn rotate(&mut self) -> Result<(), StoreError> {
+        let (number, birth) = (self.number + 1, self.identity.birth);
+        let head = frame(self.next, birth, &[Record::State(self.state)]);
+        let bytes = [segment_header(number, birth, self.next), head].concat();
+        self.file = files::write_aside(&self.disk, &files::segment_name(number), &bytes)?;
+        self.number = number;
+        self.length = bytes.len();
+        self.next += 1;
+        self.segments.insert(number, Index(0));
+        Ok(())
+    }
+
+    /// Keeps a snapshot, proves it by reading it back, then drops what only older ones need.
+    fn keep(&mut self, snapshot: &Snapshot) -> Result<(), StoreError> {
+        let name = files::write_snapshot(&self.disk, snapshot)?;
+        files::read_snapshot(&self.disk, &name)?;
+        self.snapshots.insert(snapshot.meta.id.index, name);
+        while self.snapshots.len() > SNAPSHOTS_KEPT {
+            let Some((_, old)) = self.snapshots.pop_first() else { break };
+            files::remove(&self.disk, &old)?;
+        }
+        let kept = self.snapshots.first_key_value().map_or(Index(0), |(index, _)| *index);
+        while let Some(oldest) = self.segments.first_entry() {
+            if *oldest.key() == self.number || *oldest.get() > kept {
+                break;
+            }
+            files::remove(&self.disk, &files::segment_name(*oldest.key()))?;
+            oldest.remove();
+        }
+        self.disk.sync_folder().context(IoSnafu { what: "sync", file: "the folder" })
+    }
+
+    /// The file operations that the folder was opened on.
+    pub fn into_disk(self) -> D {
+        self.disk
+    }
+}
+
+fn records_of(stored: &Stored) -> Vec<Record> {
+    let entries: Vec<LogEntry> = stored.entries.clone();
+    vec![Record::Append(entries), Record::State(stored.state)]
+}
+
+/// The newest segment as read back.
+#[derive(Debug)]
+struct Newest {
+    number: u64,
+    next: u64,
+    bytes: Vec<u8>,
+}
+
+/// All segments as read back.
+#[derive(Debug)]
+struct ReadLog {
+    replay: Replay,
+    segments: BTreeMap<u64, Index>,
+    newest: Newest,
+}
+
+fn read_log<D: Disk>(disk: &D, identity: Identity) -> Result<ReadLog, StoreError> {
+    let numbers = files::list_segments(disk)?;
+    let mut replay = Replay::default();
+    let mut segments = BTreeMap::new();
+    let mut newest: Option<Newest> = None;
+    for number in &numbers {
+        let name = files::segment_name(*number);
+        let bytes = disk.read(&name).context(IoSnafu { what: "read", file: &name })?;
+        let segment = read_segment(&name, &bytes, identity.birth, Some(number) == numbers.last())?;
+        let expected = newest.as_ref().map(|before| before.next);
+        let found = segment.next - segment.frames.len() as u64;
+        if expected.is_some_and(|expected| expected != found) {
+            let what = format!("it begins with frame {found}; the segment before ends elsewhere");
+            return DamagedSnafu { file: name, offset: 0u64, what }.fail();
+        }
+        for record in segment.frames.into_iter().flatten() {
+            if let Err(what) = replay.push(record) {
+                return DamagedSnafu { file: name, offset: 0u64, what }.fail();
+            }
+        }
+        segments.insert(*number, replay.last());
+        let bytes = bytes[..segment.end].to_vec();
+        newest = Some(Newest { number: *number, next: segment.next, bytes });
+    }
+    match newest {
+        Some(newest) => Ok(ReadLog { replay, segments, newest }),
+        None => DamagedSnafu { file: files::segment_name(1), offset: 0u64, what: "no log segment is left" }.fail(),
+    }
+}
--- /dev/null
+++ b/crates/store/src/frame.rs
@@ -0,0 +1,142 @@
+//! The bytes of a log segment: a header, then one frame for each group commit.
+//!
+//! `docs/design/store-format.md` has the layout.
+
+use crate::error::{DamagedSnafu, FormatSnafu};
+use crate::{Birth, HardState, Index, LogEntry, LogId, StoreError};
+use serde::{Deserialize, Serialize};
+
+/// The version of all files of the folder.
+pub(crate) const FORMAT: u32 = 1;
+/// Bytes of a segment header.
+pub(crate) const SEGMENT_HEADER: usize = 32;
+/// Bytes of a frame header.
+pub(crate) const FRAME_HEADER: usize = 24;
+
+const SEGMENT_MAGIC: &[u8; 8] = b"mgwlog\r\n";
+const FRAME_MAGIC: &[u8; 4] = b"mgwf";
+
+/// One operation in a frame.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Record {
+    /// Replaces the hard state.
+    State(HardState),
+    /// Drops the entries from here on.
+    Truncate(Index),
+    /// Appends entries.
+    Append(Vec<LogEntry>),
+    /// Drops all entries; the log goes on after this one.
+    Reset(LogId),
+}
+
+/// The header of segment `number`, whose first frame has number `first`.
+pub(crate) fn segment_header(number: u64, birth: Birth, first: u64) -> Vec<u8> {
+    let mut bytes = Vec::with_capacity(SEGMENT_HEADER);
+    bytes.extend_from_slice(SEGMENT_MAGIC);
+    bytes.extend_from_slice(&FORMAT.to_le_bytes());
+    bytes.extend_from_slice(&(number as u32).to_le_bytes());
+    bytes.extend_from_slice(&first.to_le_bytes());
+    let crc = salted(&bytes, birth);
+    bytes.extend_from_slice(&crc.to_le_bytes());
+    bytes.resize(SEGMENT_HEADER, 0);
+    bytes
+}
+
+/// A frame: header and payload.
+pub(crate) fn frame(number: u64, birth: Birth, records: &[Record]) -> Vec<u8> {
+    let payload = postcard::to_stdvec(records).expect("records always encode");
+    let mut bytes = Vec::with_capacity(FRAME_HEADER + payload.len());
+    bytes.extend_from_slice(FRAME_MAGIC);
+    bytes.extend_from_slice(&number.to_le_bytes());
+    bytes.extend_from_slice(&(payload.len() as u32).to_le_bytes());
+    bytes.extend_from_slice(&crc32fast::hash(&payload).to_le_bytes());
+    let crc = salted(&bytes, birth);
+    bytes.extend_from_slice(&crc.to_le_bytes());
+    bytes.extend_from_slice(&payload);
+    bytes
+}
+
+/// A segment as read back.
+#[derive(Debug)]
+pub(crate) struct Segment {
+    /// The records of its frames.
+    pub(crate) frames: Vec<Vec<Record>>,
+    /// The number of the frame that would follow.
+    pub(crate) next: u64,
+    /// Bytes up to the end of the last whole frame.
+    pub(crate) end: usize,
+}
+
+/// Reads a segment. Only the tail of the newest one may be torn: a segment gets its name once its header and first
+/// frame are synced.
+pub(crate) fn read_segment(file: &str, bytes: &[u8], birth: Birth, newest: bool) -> Result<Segment, StoreError> {
+    let damaged = |offset: usize, what: &str| DamagedSnafu { file, offset: offset as u64, what }.fail();
+    let first = match parse_header(bytes, birth) {
+        Some(first) => first,
+        None if bytes.len() >= 12 && &bytes[..8] == SEGMENT_MAGIC && word(bytes, 8) != FORMAT => {
+            return FormatSnafu { file, found: word(bytes, 8), known: FORMAT }.fail();
+        }
+        None => return damaged(0, "the header is not valid"),
+    };
+    let mut segment = Segment { frames: Vec::new(), next: first, end: SEGMENT_HEADER };
+    while segment.end < bytes.len() {
+        match parse_frame(&bytes[segment.end..], birth) {
+            Some((number, records, size)) if number == segment.next => {
+                segment.frames.push(records);
+                segment.next += 1;
+                segment.end += size;
+            }
+            Some(_) => return damaged(segment.end, "a frame is out of order"),
+            // The last group commit was not synced, so nothing was acknowledged on the strength of it.
+            None if newest && !segment.frames.is_empty() && !frame_follows(&bytes[segment.end..], birth) => break,
+            None => return damaged(segment.end, "a frame is not valid, and it is not the last"),
+        }
+    }
+    if segment.frames.is_empty() {
+        return damaged(SEGMENT_HEADER, "the first frame is missing");
+    }
+    Ok(segment)
+}
+
+fn parse_header(bytes: &[u8], birth: Birth) -> Option<u64> {
+    let header = bytes.get(..SEGMENT_HEADER)?;
+    let whole =
+        &header[..8] == SEGMENT_MAGIC && word(header, 8) == FORMAT && word(header, 24) == salted(&header[..24], birth);
+    whole.then(|| long(header, 16))
+}
+
+fn parse_frame(bytes: &[u8], birth: Birth) -> Option<(u64, Vec<Record>, usize)> {
+    let header = bytes.get(..FRAME_HEADER)?;
+    if &header[..4] != FRAME_MAGIC || word(header, 20) != salted(&header[..20], birth) {
+        return None;
+    }
+    let size = FRAME_HEADER + word(header, 12) as usize;
+    let payload = bytes.get(FRAME_HEADER..size)?;
+    if crc32fast::hash(payload) != word(header, 16) {
+        return None;
+    }
+    let records = postcard::from_bytes(payload).ok()?;
+    Some((long(header, 4), records, size))
+}
+
+/// True if a whole frame begins anywhere after the first byte. Frames are synced one at a time, so the frame before
+/// it was synced once.
+fn frame_follows(bytes: &[u8], birth: Birth) -> bool {
+    let starts = bytes.windows(FRAME_MAGIC.len()).enumerate().skip(1).filter(|(_, window)| *window == FRAME_MAGIC);
+    starts.into_iter().any(|(start, _)| parse_frame(&bytes[start..], birth).is_some())
+}
+
+fn salted(bytes: &[u8], birth: Birth) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&birth.0.to_le_bytes());
+    hasher.update(bytes);
+    hasher.finalize()
+}
+
+pub(crate) fn word(bytes: &[u8], at: usize) -> u32 {
+    u32::from_le_bytes(bytes[at..at + 4].try_into().expect("four bytes"))
+}
+
+pub(crate) fn long(bytes: &[u8], at: usize) -> u64 {
+    u64::from_le_bytes(bytes[at..at + 8].try_into().expect("eight bytes"))
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,1 +1,89 @@
-//! Placeholder.
+//! The replicated log of the control group: the published Raft as a state machine without I/O, and its durable store.
+//!
+//! # Shape
+//!
+//! - [`Raft`] decides. Inputs: [`Raft::on_message`], [`Raft::on_tick`], [`Raft::on_synced`], [`Raft::on_failed`],
+//!   [`Raft::propose`], [`Raft::read`], [`Raft::change`], [`Raft::transfer`], [`Raft::compact`]. After each input, or
+//!   after a batch of them, [`Raft::drain`] gives the [`Output`]s to carry out in order.
+//! - [`Folder`] keeps [`Write`]s. It blocks, so it runs on a thread of its own: take all writes that wait, call
+//!   [`Folder::write`] once, then hand the id of the last one to [`Raft::on_synced`], or call [`Raft::on_failed`].
+//! - Messages ([`Message`]) are plain data for `serde`. They may be lost, delayed, doubled and reordered.
+//!
+//! What a caller must keep to:
+//!
+//! - Outputs of one drain are carried out in order; [`Output::Send`] need not wait for [`Output::Write`].
+//! - [`Output::Restore`] replaces the applied state; [`Output::Apply`] adds to it. A proposal is answered when its
+//!   [`Tag`] comes back in an [`Applied`], or by [`Output::Refused`].
+//! - [`Refusal::Unsure`] is not a "no": the proposal may still take hold. The applied state tells duplicates by the
+//!   idempotency key in the command.
+//! - On [`Output::Compact`] hand the applied state, with the index it stands at, to [`Raft::compact`].
+//! - A host whose folder is [`StoreError::Empty`] joins by [`Stored::joining`] under a host id that was never used.
+//!   The group knows members by id and [`Birth`]; a lost folder under an old id is not heard.
+//!
+//! # Example
+//!
+//! A group of one voter, on a real folder:
+//!
+//! ```
+//! use mangogw_model::{HostId, Time};
+//! use mangogw_store::{Birth, Folder, FolderDisk, GroupId, Members, Output, Raft, Settings, Stored, Tag};
+//!
+//! let temp = tempfile::tempdir()?;
+//! let (host, birth) = (HostId(1), Birth(0x1234));
+//! let stored = Stored::founding(host, birth, GroupId(77), Members::of([(host, birth)]), Default::default());
+//! let mut folder = Folder::create(FolderDisk::open(temp.path())?, &stored)?;
+//! let mut raft = Raft::open(Settings::default(), stored, Time::ZERO);
+//!
+//! let mut state = Vec::new();
+//! for step in 1..10 {
+//!     let now = Time::from_millis(step * 10);
+//!     raft.on_tick(now);
+//!     if step == 5 {
+//!         raft.propose(now, "set limit 7".into(), Tag(1));
+//!     }
+//!     for output in raft.drain() {
+//!         match output {
+//!             Output::Write(write) => {
+//!                 folder.write(std::slice::from_ref(&write))?;
+//!                 raft.on_synced(now, write.id);
+//!             }
+//!             Output::Apply { entries } => state.extend(entries.iter().filter_map(|entry| entry.command().cloned())),
+//!             _ => {}
+//!         }
+//!     }
+//! }
+//! assert_eq!(state, ["set limit 7"]);
+//!
+//! drop(folder);
+//! let (_, stored) = Folder::open(temp.path())?;
+//! assert_eq!(stored.entries.len(), 2, "the leader's blank entry and the command");
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod disk;
+mod error;
+mod files;
+mod folder;
+mod frame;
+mod log;
+mod members;
+mod message;
+mod output;
+mod progress;
+mod raft;
+mod replay;
+mod settings;
+mod stored;
+mod types;
+
+pub use disk::{Disk, DiskFile, FolderDisk};
+pub use error::StoreError;
+pub use folder::Folder;
+pub use log::{LogEntry, Payload};
+pub use members::{Change, MAX_VOTERS, Members};
+pub use message::{Body, Message, Snapshot, SnapshotMeta};
+pub use output::{Applied, HardState, Op, Output, Refusal, Role, Write};
+pub use raft::{PeerStatus, Raft, Status};
+pub use settings::Settings;
+pub use stored::Stored;
+pub use types::{Birth, GroupId, Index, LogId, Tag, Term, WriteId};
--- /dev/null
+++ b/crates/store/src/raft.rs
@@ -0,0 +1,352 @@
+//! The state machine: its state, its inputs and its outputs.
+//!
+//! Each part of the protocol is a module of this folder; all of them are methods of [`Raft`].
+
+mod change;
+mod commit;
+mod election;
+mod hold;
+mod read;
+mod replicate;
+mod snapshot;
+mod status;
+mod transfer;
+
+pub use status::{PeerStatus, Status};
+
+use crate::log::Log;
+use crate::progress::Progress;
+use crate::{
+    Birth, Body, GroupId, HardState, Index, LogEntry, LogId, Members, Message, Op, Output, Payload, Refusal, Role,
+    Settings, Snapshot, Stored, Tag, Term, Write, WriteId,
+};
+use bytes::Bytes;
+use hold::Hold;
+use mangogw_model::{HostId, Time};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use read::Reads;
+use snapshot::Incoming;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// One member of the group, without I/O.
+///
+/// Inputs are the methods that take `now`; after each of them call [`Raft::drain`] and carry out the outputs in
+/// order. The crate root shows a whole loop.
+#[derive(Debug)]
+pub struct Raft {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    host: HostId,
+    birth: Birth,
+    now: Time,
+
+    group: GroupId,
+    term: Term,
+    vote: Option<HostId>,
+    log: Log,
+    snapshot: Option<Snapshot>,
+    /// The members as of each entry that changed them; the last holds now.
+    history: Vec<(Index, Members)>,
+    commit: Index,
+    applied: Index,
+
+    role: Role,
+    leader: Option<HostId>,
+    /// When the leader was last heard from.
+    heard: Time,
+    /// When a follower or candidate campaigns next.
+    deadline: Time,
+    /// Who granted the vote or pre-vote in hand.
+    granted: BTreeSet<HostId>,
+
+    progress: BTreeMap<HostId, Progress>,
+    /// When a leader sends its next heartbeats.
+    beat: Time,
+    /// The first entry of this leadership.
+    first: Index,
+    /// The last entry of this host's own log that is synced.
+    own: Index,
+    tags: VecDeque<(Index, Tag)>,
+    /// Bytes proposed and not yet committed, by entry.
+    pending: VecDeque<(Index, usize)>,
+    pending_bytes: usize,
+    handover: Option<transfer::Handover>,
+    reads: Reads,
+    incoming: Option<Incoming>,
+    compacting: bool,
+
+    hold: Hold,
+    ops: Vec<Op>,
+    state_dirty: bool,
+    saved_commit: Index,
+    outputs: Vec<Output>,
+    strangers: u64,
+}
+
+impl Raft {
+    /// Opens a member on its durable state. Its first drain restores the applied state.
+    ///
+    /// ```
+    /// use mangogw_model::{HostId, Time};
+    /// use mangogw_store::{Birth, Output, Raft, Settings, Stored};
+    ///
+    /// let mut raft = Raft::open(Settings::default(), Stored::joining(HostId(4), Birth(1)), Time::ZERO);
+    /// assert!(raft.drain().iter().all(|output| matches!(output, Output::Role { .. })));
+    /// ```
+    pub fn open(settings: Settings, stored: Stored, now: Time) -> Self {
+        let base = stored.base();
+        let mut history = vec![(base.index, stored.members())];
+        history.extend(stored.entries.iter().filter_map(members_of));
+        let log = Log::new(base, stored.entries);
+        let commit = stored.state.commit.clamp(base.index, log.last().index);
+        let mut raft = Self {
+            rng: Pcg64Mcg::seed_from_u64(settings.seed ^ stored.birth.0),
+            settings,
+            host: stored.host,
+            birth: stored.birth,
+            now,
+            group: stored.state.group,
+            term: stored.state.term,
+            vote: stored.state.vote,
+            own: log.last().index,
+            log,
+            history,
+            commit,
+            applied: base.index,
+            role: Role::Follower,
+            leader: None,
+            heard: now,
+            deadline: now,
+            granted: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            beat: now,
+            first: Index(0),
+            tags: VecDeque::new(),
+            pending: VecDeque::new(),
+            pending_bytes: 0,
+            handover: None,
+            reads: Reads::default(),
+            incoming: None,
+            compacting: false,
+            hold: Hold::default(),
+            ops: Vec::new(),
+            state_dirty: false,
+            saved_commit: commit,
+            outputs: Vec::new(),
+            strangers: 0,
+            snapshot: stored.snapshot,
+        };
+        raft.outputs.extend(raft.snapshot.clone().map(Output::Restore));
+        raft.apply();
+        raft.report_role();
+        raft.reset_deadline();
+        if raft.members().voters.len() == 1 {
+            raft.deadline = now;
+        }
+        raft
+    }
+
+    /// Takes in a message of another host.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        self.advance(now);
+        if !self.admits(from, &message) {
+            return;
+        }
+        let Message { term, body, group, .. } = message;
+        match body {
+            Body::PreVote { last } => return self.on_pre_vote(from, term, last),
+            Body::PreVoteAnswer { granted: true } => return self.on_pre_vote_granted(from, term),
+            Body::Vote { transfer: false, .. } if self.in_lease() => return,
+            _ => {}
+        }
+        if term > self.term {
+            self.become_follower(term, None);
+        }
+        if term < self.term {
+            return self.on_late(from, &body);
+        }
+        match body {
+            Body::Vote { last, .. } => self.on_vote(from, last),
+            Body::VoteAnswer { granted } => self.on_vote_answer(from, granted),
+            Body::Append { prev, commit, entries } => {
+                self.follow(from, group);
+                self.on_append(from, prev, commit, entries);
+            }
+            Body::Heartbeat { commit, round } => {
+                self.follow(from, group);
+                self.on_heartbeat(from, commit, round);
+            }
+            Body::Chunk { meta, offset, data } => {
+                self.follow(from, group);
+                self.on_chunk(from, meta, offset, &data);
+            }
+            Body::TimeoutNow => self.on_timeout_now(from),
+            Body::Matched { index } => self.on_matched(from, index),
+            Body::Rejected { prev, hint } => self.on_rejected(from, prev, hint),
+            Body::HeartbeatAnswer { round } => self.on_heartbeat_answer(from, round),
+            Body::ChunkAnswer { id, offset } => self.on_chunk_answer(from, id, offset),
+            Body::PreVote { .. } | Body::PreVoteAnswer { .. } => {}
+        }
+    }
+
+    /// Lets time pass. Call it every 10 to 20 ms.
+    pub fn on_tick(&mut self, now: Time) {
+        self.advance(now);
+        match self.role {
+            Role::Failed => {}
+            Role::Leader => self.tick_leader(),
+            _ if self.now >= self.deadline && self.members().votes(self.host) => self.campaign(),
+            _ => {}
+        }
+    }
+
+    /// The write `id`, and all before it, are synced.
+    pub fn on_synced(&mut self, now: Time, id: WriteId) {
+        self.advance(now);
+        if self.role == Role::Failed {
+            return;
+        }
+        for held in self.hold.release(id) {
+            self.on_held(held);
+        }
+    }
+
+    /// A write failed, and no later one will succeed: this host steps down and takes no part until it is opened
+    /// again. Nothing that waited for the write is ever acknowledged.
+    pub fn on_failed(&mut self, now: Time) {
+        self.advance(now);
+        self.refuse_all(Refusal::Failed);
+        self.role = Role::Failed;
+        self.leader = None;
+        self.hold = Hold::default();
+        self.ops.clear();
+        self.state_dirty = false;
+        self.progress.clear();
+        self.incoming = None;
+        log::error!(host = self.host.0, term = self.term.0; "store: the disk failed; this voter takes no part");
+        self.report_role();
+    }
+
+    /// Proposes a command. It is answered by an `Apply` that carries `tag`, or by `Refused`.
+    pub fn propose(&mut self, now: Time, command: Bytes, tag: Tag) {
+        self.advance(now);
+        match self.role {
+            Role::Leader if self.handover.is_some() => self.refuse(tag, Refusal::Transferring),
+            Role::Leader if self.pending_bytes >= self.settings.pending_bytes => self.refuse(tag, Refusal::Busy),
+            Role::Leader => self.lead_entry(Payload::Command(command), Some(tag)),
+            _ => self.refuse_role(tag),
+        }
+    }
+
+    /// The outputs since the last drain. Everything proposed between two drains travels and is synced together.
+    pub fn drain(&mut self) -> Vec<Output> {
+        if self.role == Role::Leader {
+            self.flush_reads();
+            self.flush();
+        }
+        self.flush_write();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// The members as of the last entry of the log.
+    pub fn members(&self) -> &Members {
+        &self.history.last().expect("the history starts with the base").1
+    }
+
+    fn advance(&mut self, now: Time) {
+        self.now = self.now.max(now);
+    }
+
+    /// True if the message is of this group and of the data folder that the group knows.
+    fn admits(&mut self, from: HostId, message: &Message) -> bool {
+        let other = self.group != GroupId(0) && message.group != GroupId(0) && self.group != message.group;
+        let unborn = self.group == GroupId(0) && message.group == GroupId(0);
+        let replaced = self.members().birth(from).is_some_and(|birth| birth != message.birth);
+        let admitted = self.role != Role::Failed && !other && !unborn && !replaced;
+        if replaced {
+            log::warn!(from = from.0; "store: message of a replaced data folder dropped; add the host under a new id");
+        }
+        if !admitted {
+            self.strangers += 1;
+        }
+        admitted
+    }
+
+    fn send(&mut self, to: HostId, body: Body) {
+        self.send_as(to, self.term, body);
+    }
+
+    fn send_as(&mut self, to: HostId, term: Term, body: Body) {
+        let message = Message { group: self.group, birth: self.birth, term, body };
+        self.outputs.push(Output::Send { to, message });
+    }
+
+    fn flush_write(&mut self) {
+        if self.ops.is_empty() && !self.state_dirty {
+            return;
+        }
+        let mut ops = std::mem::take(&mut self.ops);
+        if self.state_dirty || self.commit > self.saved_commit {
+            let state = HardState { group: self.group, term: self.term, vote: self.vote, commit: self.commit };
+            // Last, so that the commit index never passes the log that was written before it.
+            ops.push(Op::State(state));
+            self.saved_commit = self.commit;
+            self.state_dirty = false;
+        }
+        self.outputs.push(Output::Write(Write { id: self.hold.issue(), ops }));
+    }
+
+    fn report_role(&mut self) {
+        let output = Output::Role { role: self.role, term: self.term, leader: self.leader };
+        self.outputs.push(output);
+    }
+
+    fn refuse(&mut self, tag: Tag, why: Refusal) {
+        self.outputs.push(Output::Refused { tag, why, leader: self.leader });
+    }
+
+    fn refuse_role(&mut self, tag: Tag) {
+        let why = if self.role == Role::Failed { Refusal::Failed } else { Refusal::NotLeader };
+        self.refuse(tag, why);
+    }
+
+    /// Refuses everything that waits, since this host leads no more.
+    fn refuse_all(&mut self, why: Refusal) {
+        let tags: Vec<_> = self.tags.drain(..).map(|(_, tag)| tag).collect();
+        for tag in tags {
+            self.refuse(tag, why);
+        }
+        for tag in self.reads.clear() {
+            self.refuse(tag, Refusal::NotLeader);
+        }
+        self.pending.clear();
+        self.pending_bytes = 0;
+        self.handover = None;
+    }
+}
+
+/// The position and the members, if `entry` changes them.
+fn members_of(entry: &LogEntry) -> Option<(Index, Members)> {
+    match &entry.payload {
+        Payload::Members(members) => Some((entry.id.index, members.clone())),
+        _ => None,
+    }
+}
+
+/// The index that a quorum of `values`, one for each voter, has reached.
+fn quorum_value<T: Ord + Copy>(mut values: Vec<T>, quorum: usize) -> Option<T> {
+    values.sort_unstable_by(|a, b| b.cmp(a));
+    values.get(quorum - 1).copied()
+}
+
+impl Raft {
+    fn random_timeout(&mut self) -> std::time::Duration {
+        let shortest = self.settings.election.as_micros() as u64;
+        std::time::Duration::from_micros(self.rng.random_range(shortest..2 * shortest))
+    }
+
+    fn last_id(&self) -> LogId {
+        self.log.last()
+    }
+}
--- /dev/null
+++ b/crates/store/src/raft/commit.rs
@@ -0,0 +1,60 @@
+//! Commit and apply.
+
+use super::{Raft, quorum_value};
+use crate::{Applied, Index, Output, Role, Tag};
+
+impl Raft {
+    /// Commits what a quorum of voters has synced, if it ends in an entry of this term.
+    pub(super) fn advance_commit(&mut self) {
+        let synced = |host| match host {
+            _ if host == self.host => self.own,
+            _ => self.progress.get(&host).map_or(Index(0), |progress| progress.matched),
+        };
+        let values = self.members().voters.keys().copied().map(synced).collect();
+        match quorum_value(values, self.members().quorum()) {
+            Some(index) if index >= self.first => self.commit_to(index),
+            _ => {}
+        }
+    }
+
+    pub(super) fn commit_to(&mut self, index: Index) {
+        let index = index.min(self.last_id().index);
+        if index <= self.commit {
+            return;
+        }
+        self.commit = index;
+        while let Some((_, size)) = self.pending.pop_front_if(|(at, _)| *at <= index) {
+            self.pending_bytes -= size;
+        }
+        self.apply();
+        if self.role == Role::Leader {
+            self.ready_reads();
+        }
+    }
+
+    /// Hands out the committed entries that were not handed out yet.
+    pub(super) fn apply(&mut self) {
+        // A leader's snapshot that is still being written comes first.
+        if self.applied < self.log.base().index {
+            return;
+        }
+        let entries: Vec<_> = self.log.range(self.applied.next(), self.commit).cloned().collect();
+        let Some(last) = entries.last() else { return };
+        self.applied = last.id.index;
+        let entries = entries
+            .into_iter()
+            .map(|entry| Applied { id: entry.id, payload: entry.payload, tag: self.take_tag(entry.id.index) })
+            .collect();
+        self.outputs.push(Output::Apply { entries });
+        self.ask_compact();
+    }
+
+    fn take_tag(&mut self, index: Index) -> Option<Tag> {
+        self.tags.pop_front_if(|(at, _)| *at == index).map(|(_, tag)| tag)
+    }
+
+    /// True once this leader has committed an entry of its own term: it then knows all that is committed.
+    pub(super) fn settled(&self) -> bool {
+        self.role == Role::Leader && self.commit >= self.first
+    }
+}
--- /dev/null
+++ b/crates/store/src/raft/election.rs
@@ -0,0 +1,164 @@
+//! Elections: pre-vote, vote, and the lease that shields a live leader.
+
+use super::Raft;
+use super::hold::Held;
+use crate::progress::Progress;
+use crate::{Body, GroupId, LogId, Payload, Refusal, Role, Term};
+use mangogw_model::HostId;
+use std::collections::BTreeMap;
+
+impl Raft {
+    /// Asks the voters whether a campaign could win, without raising the term.
+    pub(super) fn campaign(&mut self) {
+        self.enter(Role::PreCandidate, None);
+        self.granted.clear();
+        let last = self.last_id();
+        for peer in self.voting_peers() {
+            self.send_as(peer, self.term.next(), Body::PreVote { last });
+        }
+        self.on_pre_vote_granted(self.host, self.term.next());
+    }
+
+    pub(super) fn on_pre_vote(&mut self, from: HostId, term: Term, last: LogId) {
+        let granted = term > self.term && last >= self.last_id() && !self.in_lease();
+        let answer = if granted { term } else { self.term };
+        self.send_as(from, answer, Body::PreVoteAnswer { granted });
+    }
+
+    pub(super) fn on_pre_vote_granted(&mut self, from: HostId, term: Term) {
+        if self.role == Role::PreCandidate && term == self.term.next() && self.grant(from) {
+            self.stand(false);
+        }
+    }
+
+    /// Campaigns in the next term. The requests leave once the own vote is synced.
+    pub(super) fn stand(&mut self, transfer: bool) {
+        self.term = self.term.next();
+        self.vote = Some(self.host);
+        self.state_dirty = true;
+        self.granted.clear();
+        self.enter(Role::Candidate, None);
+        let last = self.last_id();
+        for peer in self.voting_peers() {
+            self.send_synced(peer, Body::Vote { last, transfer });
+        }
+        self.after_sync(Held::OwnVote(self.term));
+    }
+
+    pub(super) fn on_vote(&mut self, from: HostId, last: LogId) {
+        let free = self.vote.is_none() && self.leader.is_none() || self.vote == Some(from);
+        let granted = free && last >= self.last_id() && matches!(self.role, Role::Follower | Role::PreCandidate);
+        if granted && self.vote.is_none() {
+            self.vote = Some(from);
+            self.state_dirty = true;
+        }
+        if granted {
+            self.reset_deadline();
+        }
+        self.send_synced(from, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn on_vote_answer(&mut self, from: HostId, granted: bool) {
+        if granted && self.role == Role::Candidate {
+            self.count_vote(from);
+        }
+    }
+
+    pub(super) fn count_vote(&mut self, from: HostId) {
+        if self.grant(from) {
+            self.lead();
+        }
+    }
+
+    /// Counts a grant. True once a quorum has granted.
+    fn grant(&mut self, from: HostId) -> bool {
+        if self.members().votes(from) {
+            self.granted.insert(from);
+        }
+        self.granted.len() >= self.members().quorum()
+    }
+
+    fn lead(&mut self) {
+        let next = self.last_id().index.next();
+        self.progress = self.peers().into_iter().map(|peer| (peer, Progress::new(next, self.now))).collect();
+        self.first = next;
+        // Synced entries of earlier terms count once the blank entry is synced after them.
+        self.own = self.log.base().index;
+        self.beat = self.now;
+        self.enter(Role::Leader, Some(self.host));
+        self.lead_entry(Payload::Blank, None);
+    }
+
+    /// Follows `leader` in the term at hand.
+    pub(super) fn follow(&mut self, leader: HostId, group: GroupId) {
+        if self.group == GroupId(0) {
+            self.group = group;
+            self.state_dirty = true;
+        }
+        if self.role != Role::Follower || self.leader != Some(leader) {
+            self.enter(Role::Follower, Some(leader));
+        }
+        self.heard = self.now;
+        self.reset_deadline();
+    }
+
+    pub(super) fn become_follower(&mut self, term: Term, leader: Option<HostId>) {
+        if term > self.term {
+            self.term = term;
+            self.vote = None;
+            self.state_dirty = true;
+        }
+        self.enter(Role::Follower, leader);
+    }
+
+    fn enter(&mut self, role: Role, leader: Option<HostId>) {
+        if self.role == Role::Leader && role != Role::Leader {
+            self.progress = BTreeMap::new();
+            self.leader = leader;
+            self.refuse_all(Refusal::Unsure);
+        }
+        self.role = role;
+        self.leader = leader;
+        self.reset_deadline();
+        self.report_role();
+    }
+
+    pub(super) fn reset_deadline(&mut self) {
+        self.deadline = self.now + self.random_timeout();
+    }
+
+    /// True while a leader was heard from within the shortest election timeout.
+    pub(super) fn in_lease(&self) -> bool {
+        match self.role {
+            Role::Leader => true,
+            _ => self.leader.is_some() && self.now - self.heard < self.settings.election,
+        }
+    }
+
+    /// Answers a message of an earlier term, so that its sender learns the term.
+    pub(super) fn on_late(&mut self, from: HostId, body: &Body) {
+        match body {
+            Body::Append { .. } | Body::Heartbeat { .. } | Body::Chunk { .. } => {
+                self.send_synced(from, Body::HeartbeatAnswer { round: 0 });
+            }
+            Body::Vote { .. } => self.send_synced(from, Body::VoteAnswer { granted: false }),
+            _ => {}
+        }
+    }
+
+    /// A leader that hears from no quorum within the election timeout steps down.
+    pub(super) fn check_quorum(&mut self) {
+        if self.live_voters(self.members()) < self.members().quorum() {
+            log::warn!(host = self.host.0, term = self.term.0; "store: no quorum answers; stepping down");
+            self.enter(Role::Follower, None);
+        }
+    }
+
+    pub(super) fn voting_peers(&self) -> Vec<HostId> {
+        self.members().voters.keys().copied().filter(|host| *host != self.host).collect()
+    }
+
+    pub(super) fn peers(&self) -> Vec<HostId> {
+        self.members().peers(self.host).collect()
+    }
+}
--- /dev/null
+++ b/crates/store/src/raft/snapshot.rs
@@ -0,0 +1,148 @@
+//! Snapshots: made here, or taken over from the leader in pieces.
+
+use super::Raft;
+use super::hold::Held;
+use crate::progress::Flow;
+use crate::{Body, Index, LogId, Members, Op, Output, Snapshot, SnapshotMeta};
+use bytes::Bytes;
+use mangogw_model::{HostId, Time};
+
+/// A snapshot of the leader that has arrived in part.
+#[derive(Debug)]
+pub(super) struct Incoming {
+    meta: SnapshotMeta,
+    data: Vec<u8>,
+    /// True once it is whole and being written.
+    writing: bool,
+}
+
+impl Raft {
+    /// Takes in the applied state as of `index`, so that the log before it can be dropped. Ignored if it is not news.
+    pub fn compact(&mut self, now: Time, index: Index, data: Bytes) {
+        self.advance(now);
+        self.compacting = false;
+        let news = index > self.snapshot_index() && index <= self.applied;
+        let Some(term) = self.log.term(index).filter(|_| news) else { return };
+        let snapshot = Snapshot::new(LogId { term, index }, self.members_at(index), data);
+        self.ops.push(Op::Compact(snapshot.clone()));
+        self.snapshot = Some(snapshot);
+        self.trim_log(Index(index.0.saturating_sub(self.settings.log_tail)));
+    }
+
+    fn snapshot_index(&self) -> Index {
+        self.snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.meta.id.index)
+    }
+
+    /// The members as of `index`.
+    fn members_at(&self, index: Index) -> Members {
+        let found = self.history.iter().rev().find(|(at, _)| *at <= index);
+        found.map(|(_, members)| members.clone()).unwrap_or_default()
+    }
+
+    fn trim_log(&mut self, index: Index) {
+        self.log.trim(index);
+        let base = self.log.base().index;
+        let keep = self.history.iter().rposition(|(at, _)| *at <= base).unwrap_or(0);
+        self.history.drain(..keep);
+    }
+
+    /// Asks for a snapshot once the log has grown long.
+    pub(super) fn ask_compact(&mut self) {
+        let fresh = self.applied.0.saturating_sub(self.snapshot_index().0);
+        let long = self.log.bytes() >= self.settings.log_bytes && fresh > self.settings.log_tail / 2;
+        if long && !self.compacting {
+            self.compacting = true;
+            self.outputs.push(Output::Compact { index: self.applied });
+        }
+    }
+
+    /// Starts to send the snapshot to a member whose log ends before ours begins.
+    pub(super) fn start_snapshot(&mut self, peer: HostId) {
+        let (now, patience) = (self.now, self.settings.election);
+        let Some(progress) = self.progress.get_mut(&peer) else { return };
+        match (&progress.flow, &self.snapshot) {
+            (Flow::Snapshot { .. }, _) => {}
+            (_, Some(snapshot)) if now - progress.heard < patience => {
+                progress.flow = Flow::Snapshot { snapshot: snapshot.clone(), offset: 0 };
+                progress.inflight.clear();
+                self.send_chunk(peer);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn send_chunk(&mut self, peer: HostId) {
+        let now = self.now;
+        let size = self.settings.chunk_bytes as u64;
+        let Some(progress) = self.progress.get_mut(&peer) else { return };
+        let Flow::Snapshot { snapshot, offset } = &progress.flow else { return };
+        let end = (offset + size).min(snapshot.meta.bytes);
+        let data = snapshot.data.slice(*offset as usize..end as usize);
+        let body = Body::Chunk { meta: snapshot.meta.clone(), offset: *offset, data };
+        progress.moved = now;
+        self.send(peer, body);
+    }
+
+    pub(super) fn on_chunk(&mut self, from: HostId, meta: SnapshotMeta, offset: u64, data: &Bytes) {
+        let id = meta.id;
+        // The log already agrees with the leader up to there.
+        if id.index <= self.commit || self.log.term(id.index) == Some(id.term) {
+            self.commit_to(id.index);
+            return self.send_synced(from, Body::Matched { index: id.index });
+        }
+        let same = self.incoming.as_ref().is_some_and(|incoming| incoming.meta == meta);
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if same => incoming,
+            _ => Incoming { meta, data: Vec::new(), writing: false },
+        };
+        if offset == incoming.data.len() as u64 {
+            incoming.data.extend_from_slice(data);
+        }
+        let held = incoming.data.len() as u64;
+        if held == incoming.meta.bytes && !incoming.writing {
+            return self.install(from, incoming);
+        }
+        self.incoming = Some(incoming);
+        self.send(from, Body::ChunkAnswer { id, offset: held });
+    }
+
+    fn install(&mut self, from: HostId, mut incoming: Incoming) {
+        let snapshot = Snapshot { meta: incoming.meta.clone(), data: std::mem::take(&mut incoming.data).into() };
+        if !snapshot.whole() {
+            log::error!(from = from.0; "store: a snapshot arrived damaged; asking for it again");
+            return self.send(from, Body::ChunkAnswer { id: snapshot.meta.id, offset: 0 });
+        }
+        let id = snapshot.meta.id;
+        self.log.reset(id);
+        self.history = vec![(id.index, snapshot.meta.members.clone())];
+        self.commit = id.index;
+        self.ops.push(Op::Install(snapshot.clone()));
+        self.snapshot = Some(snapshot.clone());
+        self.after_sync(Held::Restore(snapshot));
+        self.send_synced(from, Body::Matched { index: id.index });
+    }
+
+    /// The leader's snapshot is synced: the applied state may move on to it.
+    pub(super) fn on_installed(&mut self, snapshot: Snapshot) {
+        if snapshot.meta.id.index > self.applied {
+            self.applied = snapshot.meta.id.index;
+            self.outputs.push(Output::Restore(snapshot));
+        }
+        self.apply();
+    }
+
+    pub(super) fn on_chunk_answer(&mut self, from: HostId, id: LogId, held: u64) {
+        let Some(progress) = self.heard_from(from) else { return };
+        match &mut progress.flow {
+            Flow::Snapshot { snapshot, offset } if snapshot.meta.id == id && held <= snapshot.meta.bytes => {
+                // An answer that tells nothing new is to a chunk that came twice.
+                let news = *offset != held;
+                *offset = held;
+                if news {
+                    self.send_chunk(from);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/raft/status.rs
@@ -0,0 +1,91 @@
+//! What operators and the shell see of a member.
+
+use super::Raft;
+use crate::{Birth, GroupId, Index, Members, Role, Term};
+use mangogw_model::HostId;
+
+/// The state of this member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// This host.
+    pub host: HostId,
+    /// The birth of its data folder.
+    pub birth: Birth,
+    /// Its group, or 0.
+    pub group: GroupId,
+    /// Its role.
+    pub role: Role,
+    /// Its term.
+    pub term: Term,
+    /// The leader it knows.
+    pub leader: Option<HostId>,
+    /// The last entry of its log.
+    pub last: Index,
+    /// The last entry it knows to be committed.
+    pub commit: Index,
+    /// The last entry handed out.
+    pub applied: Index,
+    /// The last entry of its snapshot.
+    pub snapshot: Index,
+    /// Bytes of log in memory.
+    pub bytes: usize,
+    /// Messages dropped since they came from another group or a replaced data folder.
+    pub strangers: u64,
+    /// The members.
+    pub members: Members,
+    /// The other members, if this host leads.
+    pub peers: Vec<PeerStatus>,
+}
+
+/// What a leader knows of another member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// The member.
+    pub host: HostId,
+    /// Its synced log agrees up to here.
+    pub matched: Index,
+    /// True if it answers within the election timeout.
+    pub alive: bool,
+    /// True if it could be made a voter now.
+    pub ready: bool,
+}
+
+impl Raft {
+    /// The state of this member.
+    ///
+    /// ```
+    /// use mangogw_model::{HostId, Time};
+    /// use mangogw_store::{Birth, Raft, Role, Settings, Stored};
+    ///
+    /// let raft = Raft::open(Settings::default(), Stored::joining(HostId(4), Birth(1)), Time::ZERO);
+    /// assert_eq!(raft.status().role, Role::Follower);
+    /// ```
+    pub fn status(&self) -> Status {
+        Status {
+            host: self.host,
+            birth: self.birth,
+            group: self.group,
+            role: self.role,
+            term: self.term,
+            leader: self.leader,
+            last: self.last_id().index,
+            commit: self.commit,
+            applied: self.applied,
+            snapshot: self.snapshot.as_ref().map(|snapshot| snapshot.meta.id.index).unwrap_or_default(),
+            bytes: self.log.bytes(),
+            strangers: self.strangers,
+            members: self.members().clone(),
+            peers: self.progress.keys().map(|host| self.peer_status(*host)).collect(),
+        }
+    }
+
+    fn peer_status(&self, host: HostId) -> PeerStatus {
+        let progress = &self.progress[&host];
+        PeerStatus {
+            host,
+            matched: progress.matched,
+            alive: self.now - progress.heard < self.settings.election,
+            ready: self.caught_up(host),
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/raft/transfer.rs
@@ -0,0 +1,60 @@
+//! Handing over leadership.
+
+use super::Raft;
+use crate::{Body, Output, Refusal, Role, Tag};
+use mangogw_model::{HostId, Time};
+
+/// A transfer of leadership under way.
+#[derive(Debug)]
+pub(super) struct Handover {
+    to: HostId,
+    tag: Tag,
+    until: Time,
+    sent: bool,
+}
+
+impl Raft {
+    /// Hands leadership over to the voter `to`. Proposals are refused meanwhile; after an election timeout without a
+    /// new leader the transfer is given up and `tag` refused.
+    pub fn transfer(&mut self, now: Time, to: HostId, tag: Tag) {
+        self.advance(now);
+        match self.role {
+            Role::Leader if self.handover.is_some() => self.refuse(tag, Refusal::Transferring),
+            Role::Leader if to == self.host || !self.members().votes(to) => self.refuse(tag, Refusal::BadChange),
+            Role::Leader => {
+                let until = self.now + self.settings.election;
+                self.handover = Some(Handover { to, tag, until, sent: false });
+                self.try_handover();
+            }
+            _ => self.refuse_role(tag),
+        }
+    }
+
+    /// Tells the target to campaign once its log is whole.
+    pub(super) fn try_handover(&mut self) {
+        let last = self.last_id().index;
+        let whole = |to| self.progress.get(&to).is_some_and(|progress| progress.matched == last);
+        match &mut self.handover {
+            Some(Handover { to, tag, sent, .. }) if !*sent && whole(*to) => {
+                *sent = true;
+                let (to, tag) = (*to, *tag);
+                self.send(to, Body::TimeoutNow);
+                self.outputs.push(Output::Transferred { tag });
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn tick_handover(&mut self) {
+        let ended = self.handover.take_if(|handover| self.now >= handover.until);
+        if let Some(Handover { tag, sent: false, .. }) = ended {
+            self.refuse(tag, Refusal::NotCaughtUp);
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self, from: HostId) {
+        if self.leader == Some(from) && self.members().votes(self.host) {
+            self.stand(true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/settings.rs
@@ -0,0 +1,52 @@
+//! Settings of the consensus.
+
+use std::time::Duration;
+
+/// Settings of the consensus; the same on every host of the group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Settings {
+    /// How often a leader says that it is alive.
+    pub heartbeat: Duration,
+    /// The shortest election timeout; each is drawn between this and twice this. A leader that hears from no quorum
+    /// for this long steps down.
+    pub election: Duration,
+    /// How long the leader waits for an answer before it sends entries or a chunk again.
+    pub retry: Duration,
+    /// Bytes of entries in one message.
+    pub message_bytes: usize,
+    /// Messages in flight to one host.
+    pub window: usize,
+    /// Bytes that may wait to be committed.
+    pub pending_bytes: usize,
+    /// Reads that may wait for their round.
+    pub pending_reads: usize,
+    /// Bytes of one piece of a snapshot.
+    pub chunk_bytes: usize,
+    /// Bytes of log after which a snapshot is due.
+    pub log_bytes: usize,
+    /// Entries kept in memory behind a snapshot, for hosts that are a little late.
+    pub log_tail: u64,
+    /// Entries a learner may be behind when it is made a voter.
+    pub learner_lag: u64,
+    /// The seed of the election timeouts; differs on every host.
+    pub seed: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(400),
+            retry: Duration::from_millis(200),
+            message_bytes: 256 * 1024,
+            window: 64,
+            pending_bytes: 16 * 1024 * 1024,
+            pending_reads: 10_000,
+            chunk_bytes: 256 * 1024,
+            log_bytes: 16 * 1024 * 1024,
+            log_tail: 10_000,
+            learner_lag: 100,
+            seed: 0,
+        }
+    }
+}
