Replicated control state: changes, shifts, tokens, idempotency, audit

Change: Control applies typed commands: If-Match, Idempotency-Key, shift, roles, whole sets, rollback; the audit trail is a bounded hash chain and is the history that rollback and deltas read. Catalogue: print, diff, digest, delta, install. Conclusion: the interface stands for the log and the spread to build on.

--- a/crates/catalogue/src/catalogue.rs
+++ b/crates/catalogue/src/catalogue.rs
@@ -1,9 +1,12 @@
 //! The catalogue: every entry and every owner, versioned as one.
 
+use crate::delta::Edit;
+use crate::digest::Digest;
 use crate::fault::{Fault, Faults};
 use crate::{json, read, toml_text};
 use indexmap::IndexMap;
 use mangogw_model::{Entry, EntryName, Owner, Team, Version};
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
 /// The most entries a catalogue holds.
@@ -16,11 +19,32 @@
 pub const MAX_TEXT_BYTES: usize = 16 * 1024 * 1024;
 
 /// Every entry and every owner, versioned as one and ordered by name.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "Parts")]
 pub struct Catalogue {
     pub(crate) version: Version,
     pub(crate) owners: IndexMap<Owner, Team>,
     pub(crate) entries: IndexMap<EntryName, Arc<Entry>>,
+    #[serde(skip)]
+    digest: Digest,
+}
+
+/// A catalogue as it comes from bytes, before it is checked.
+#[derive(Debug, Deserialize)]
+struct Parts {
+    version: Version,
+    owners: IndexMap<Owner, Team>,
+    entries: IndexMap<EntryName, Arc<Entry>>,
+}
+
+impl TryFrom<Parts> for Catalogue {
+    type Error = Faults;
+
+    fn try_from(parts: Parts) -> Result<Self, Faults> {
+        let catalogue = Self::from_parts(parts.version, parts.owners, parts.entries);
+        catalogue.check()?;
+        Ok(catalogue)
+    }
 }
 
 impl Catalogue {
@@ -85,16 +109,54 @@
         self.owners.get(name)
     }
 
+    /// The digest of the contents; the version is no part of it.
+    pub const fn digest(&self) -> Digest {
+        self.digest
+    }
+
     pub(crate) fn from_parts(
         version: Version,
-        owners: impl Iterator<Item = (Owner, Team)>,
-        entries: impl Iterator<Item = (EntryName, Entry)>,
+        mut owners: IndexMap<Owner, Team>,
+        mut entries: IndexMap<EntryName, Arc<Entry>>,
     ) -> Self {
-        let mut owners = owners.collect::<IndexMap<_, _>>();
-        let mut entries = entries.map(|(name, entry)| (name, Arc::new(entry))).collect::<IndexMap<_, _>>();
-        owners.sort_keys();
-        entries.sort_keys();
-        Self { version, owners, entries }
+        owners.sort_unstable_keys();
+        entries.sort_unstable_keys();
+        let mut digest = Digest::default();
+        owners.iter().for_each(|(name, team)| digest.add(name.as_str(), team));
+        entries.iter().for_each(|(name, entry)| digest.add(name.as_str(), entry.as_ref()));
+        Self { version, owners, entries, digest }
+    }
+
+    /// Puts or removes an entry; the result undoes it.
+    pub(crate) fn set_entry(&mut self, edit: &Edit<EntryName, Arc<Entry>>) -> Edit<EntryName, Arc<Entry>> {
+        let name = edit.name.clone();
+        let old = match &edit.value {
+            Some(entry) => {
+                self.digest.add(name.as_str(), entry.as_ref());
+                self.entries.insert_sorted(name.clone(), Arc::clone(entry)).1
+            }
+            None => self.entries.shift_remove(&name),
+        };
+        if let Some(old) = &old {
+            self.digest.remove(name.as_str(), old.as_ref());
+        }
+        Edit { name, value: old }
+    }
+
+    /// Puts or removes an owner; the result undoes it.
+    pub(crate) fn set_owner(&mut self, edit: &Edit<Owner, Team>) -> Edit<Owner, Team> {
+        let name = edit.name.clone();
+        let old = match &edit.value {
+            Some(team) => {
+                self.digest.add(name.as_str(), team);
+                self.owners.insert_sorted(name.clone(), team.clone()).1
+            }
+            None => self.owners.shift_remove(&name),
+        };
+        if let Some(old) = &old {
+            self.digest.remove(name.as_str(), old);
+        }
+        Edit { name, value: old }
     }
 }
 
--- /dev/null
+++ b/crates/catalogue/src/chain.rs
@@ -0,0 +1,74 @@
+//! Verifies an exported audit trail without the state it came from.
+
+use crate::audit::{Break, ChainHash};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// What a whole and unchanged export holds.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Export {
+    /// The position of the first record; 0 if there is none.
+    pub first: u64,
+    /// The position of the last record; 0 if there is none.
+    pub last: u64,
+    /// The hash of the record before the first, as hexadecimal digits.
+    pub prev: String,
+    /// The hash of the last record, as hexadecimal digits; compare it with the head of the control group.
+    pub hash: String,
+}
+
+/// One line as it stands; the record stays text, since the hash runs over its bytes.
+#[derive(Deserialize)]
+struct RawLine<'a> {
+    prev: String,
+    hash: String,
+    #[serde(borrow)]
+    record: &'a RawValue,
+}
+
+/// The part of a record that the chain needs.
+#[derive(Deserialize)]
+struct Position {
+    seq: u64,
+}
+
+/// Checks an export of JSON lines without filters: no record is missing between the first and the last, none is
+/// changed.
+///
+/// # Errors
+///
+/// The first line that does not follow from the one before it.
+///
+/// ```
+/// use mangogw_catalogue::verify_export;
+///
+/// assert_eq!(verify_export("").expect("nothing is whole").last, 0);
+/// assert!(verify_export("{}").is_err());
+/// ```
+pub fn verify_export(text: &str) -> Result<Export, Break> {
+    let mut export = Export::default();
+    for (number, line) in (1..).zip(text.lines()) {
+        let fault = |reason: &str| Break { line: number, reason: reason.to_owned() };
+        let raw = serde_json::from_str::<RawLine<'_>>(line).map_err(|error| fault(&error.to_string()))?;
+        let seq = serde_json::from_str::<Position>(raw.record.get()).map_err(|error| fault(&error.to_string()))?.seq;
+        let prev = hash(&raw.prev).ok_or_else(|| fault("the hash before it is no hash"))?;
+        if number == 1 {
+            export = Export { first: seq, last: seq.wrapping_sub(1), prev: raw.prev.clone(), hash: raw.prev.clone() };
+        }
+        match () {
+            () if seq != export.last.wrapping_add(1) => return Err(fault("records are missing before it")),
+            () if raw.prev != export.hash => return Err(fault("it does not follow from the record before it")),
+            () if prev.next(raw.record.get()).to_string() != raw.hash => return Err(fault("the record was changed")),
+            () => {}
+        }
+        export.last = seq;
+        export.hash = raw.hash;
+    }
+    Ok(export)
+}
+
+fn hash(text: &str) -> Option<ChainHash> {
+    let mut bytes = [0; 32];
+    hex::decode_to_slice(text, &mut bytes).ok()?;
+    Some(ChainHash::from_bytes(bytes))
+}
--- /dev/null
+++ b/crates/catalogue/src/control.rs
@@ -0,0 +1,351 @@
+//! The state that the control group replicates: what the commands of the log make of it.
+
+use crate::answers::{Answers, Seen};
+use crate::audit::{AuditQuery, AuditRecord, Break, Head, Line, Trail};
+use crate::catalogue::Catalogue;
+use crate::change::Change;
+use crate::command::{self, Action, Caller, Command, DecodeError, Reply};
+use crate::delta::{Delta, Edit};
+use crate::gate::Gate;
+use crate::plan::{Plan, Refusal};
+use crate::token::{self, Principal, Role, Session, Shift, Stored, TokenId, TokenView};
+use indexmap::IndexMap;
+use mangogw_model::{Code, Version};
+use serde::{Deserialize, Serialize};
+
+/// The format of a snapshot; it stands before each.
+const FORMAT: u8 = 1;
+
+/// The longest snapshot, in bytes.
+pub const MAX_SNAPSHOT_BYTES: usize = 256 * 1024 * 1024;
+
+/// The longest idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 128;
+
+/// The longest detail of an answer, in bytes; a longer one is cut, since answers are kept.
+const MAX_DETAIL_BYTES: usize = 1_024;
+
+/// The principal of a host that issues the first token.
+pub(crate) const BOOTSTRAP: &str = "bootstrap";
+
+/// The principal of a try without a valid token.
+pub(crate) const NOBODY: &str = "nobody";
+
+/// How much the state keeps. It is part of the state, so that every replica keeps the same.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Bounds {
+    /// Audit records.
+    pub records: usize,
+    /// Changes in all audit records together; a whole set may hold many.
+    pub changes: u64,
+    /// Answers under idempotency keys.
+    pub answers: usize,
+    /// How long an answer is kept, in milliseconds.
+    pub age_ms: u64,
+    /// Tokens, the expired and revoked ones included.
+    pub tokens: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { records: 50_000, changes: 100_000, answers: 50_000, age_ms: 24 * 3_600_000, tokens: 4_096 }
+    }
+}
+
+/// The replicated state. Equal logs make equal states, byte for byte.
+///
+/// ```
+/// use mangogw_catalogue::{Action, Caller, Command, Control, Role, Token};
+/// use mangogw_model::Code;
+///
+/// let mut control = Control::default();
+/// let token = Token::from_random(1, [7; 32]);
+/// let (id, hash) = (token.id(), token.hash());
+/// let issue = Action::Issue { id, hash, name: "ana".into(), role: Role::Administrator, expires_ms: 9_000 };
+/// let reply = control.apply(1, &Command::new(1_000, Caller::Bootstrap, issue));
+/// assert_eq!(reply.code, Code::Answered);
+/// assert_eq!(control.authenticate(&token.to_text(), 2_000).expect("it is live").principal.name, "ana");
+/// ```
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Control {
+    pub(crate) bounds: Bounds,
+    index: u64,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) shift: Shift,
+    pub(crate) tokens: IndexMap<TokenId, Stored>,
+    answers: Answers,
+    pub(crate) trail: Trail,
+    gates: IndexMap<String, Gate>,
+}
+
+impl Control {
+    /// An empty state that keeps as much as `bounds` says.
+    pub fn new(bounds: Bounds) -> Self {
+        Self { bounds, ..Self::default() }
+    }
+
+    /// Applies the command at `index` of the log. An index that was applied before changes nothing.
+    pub fn apply(&mut self, index: u64, command: &Command) -> Reply {
+        if index <= self.index {
+            return self.reply(Code::Internal, "this index of the log was applied before");
+        }
+        self.index = index;
+        self.answers.expire(command.at_ms, self.bounds.age_ms);
+        let Some(principal) = self.principal(command) else {
+            return self.reject(command);
+        };
+        match self.seen(&principal, command) {
+            Ok(Some(reply)) => reply,
+            Ok(None) => {
+                let result = self.plan(&principal, command);
+                self.finish(&principal, command, result)
+            }
+            Err(refusal) => self.refuse(&principal, command, &refusal),
+        }
+    }
+
+    /// The holder of a bearer token.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthorized` if it is malformed, unknown, expired or revoked.
+    pub fn authenticate(&self, text: &str, now_ms: u64) -> Result<Session, Code> {
+        token::authenticate(&self.tokens, text, now_ms)
+    }
+
+    /// The catalogue in force.
+    pub const fn catalogue(&self) -> &Catalogue {
+        &self.catalogue
+    }
+
+    /// The state of the shift.
+    pub const fn shift(&self) -> &Shift {
+        &self.shift
+    }
+
+    /// The index of the last applied command.
+    pub const fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// How much the state keeps.
+    pub const fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    /// Every token, oldest first.
+    pub fn tokens(&self) -> impl Iterator<Item = (TokenId, &TokenView)> {
+        self.tokens.iter().map(|(id, stored)| (*id, &stored.view))
+    }
+
+    /// The catalogue as it was at `version`, if the trail still holds every change since.
+    pub fn catalogue_at(&self, version: Version) -> Option<Catalogue> {
+        let changes = self.trail.changes_since(version, self.catalogue.version())?;
+        let mut catalogue = self.catalogue.clone();
+        for change in changes.into_iter().rev() {
+            catalogue.make(&change.reversed());
+        }
+        catalogue.version = version;
+        Some(catalogue)
+    }
+
+    /// What leads from version `from` to the current one; a whole one if the trail no longer reaches back.
+    pub fn delta(&self, from: Version) -> Delta {
+        match self.trail.changes_since(from, self.catalogue.version()) {
+            Some(changes) => Delta::merge(from, &changes, &self.catalogue),
+            None => Delta::whole(&self.catalogue),
+        }
+    }
+
+    /// The records that made versions, newest first.
+    pub fn history(&self) -> impl Iterator<Item = AuditRecord> {
+        self.trail.edits()
+    }
+
+    /// The audit records that `query` asks for, oldest first, with their links.
+    pub fn audit<'a>(&'a self, query: &'a AuditQuery) -> impl Iterator<Item = Line> + 'a {
+        self.trail.find(query)
+    }
+
+    /// The newest audit record.
+    pub fn audit_head(&self) -> Head {
+        self.trail.head()
+    }
+
+    /// The number of audit records and of remembered answers.
+    pub fn kept(&self) -> (usize, usize) {
+        (self.trail.len(), self.answers.len())
+    }
+
+    /// Checks the whole hash chain of the audit trail.
+    ///
+    /// # Errors
+    ///
+    /// The first record that does not fit.
+    pub fn verify_audit(&self) -> Result<Head, Break> {
+        self.trail.verify()
+    }
+
+    /// Refused tries that are counted and not yet told by a record.
+    pub fn skipped(&self) -> u64 {
+        self.gates.values().map(Gate::skipped).sum()
+    }
+
+    /// The bytes of the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        command::encode(FORMAT, self)
+    }
+
+    /// The state of these bytes.
+    ///
+    /// # Errors
+    ///
+    /// Why they are no state.
+    ///
+    /// ```
+    /// use mangogw_catalogue::Control;
+    ///
+    /// let control = Control::default();
+    /// assert_eq!(Control::decode(&control.encode()).expect("they are whole"), control);
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        command::decode(FORMAT, MAX_SNAPSHOT_BYTES, bytes)
+    }
+
+    fn principal(&self, command: &Command) -> Option<Principal> {
+        match command.caller {
+            Caller::Nobody => None,
+            Caller::Bootstrap => Some(Principal { name: BOOTSTRAP.to_owned(), role: Role::Administrator }),
+            Caller::Token(id) => {
+                let stored = self.tokens.get(&id)?;
+                stored.view.is_live(command.at_ms).then(|| stored.view.principal.clone())
+            }
+        }
+    }
+
+    /// The first answer to a command that was sent again.
+    fn seen(&self, principal: &Principal, command: &Command) -> Result<Option<Reply>, Refusal> {
+        let Some(key) = &command.key else { return Ok(None) };
+        if !(1..=MAX_KEY_BYTES).contains(&key.as_str().len()) {
+            return Err(Refusal::new(Code::BadHeader, format!("Idempotency-Key has 1 to {MAX_KEY_BYTES} bytes")));
+        }
+        match self.answers.find(&principal.name, key, command) {
+            Seen::New => Ok(None),
+            Seen::Same(reply) => Ok(Some(reply.clone())),
+            Seen::Other => Err(Refusal::new(Code::KeyReused, "another change was sent under this key")),
+        }
+    }
+
+    fn finish(&mut self, principal: &Principal, command: &Command, result: Result<Plan, Refusal>) -> Reply {
+        let reply = match result {
+            Ok(plan) => self.commit(principal, command, plan),
+            Err(refusal) => self.refuse(principal, command, &refusal),
+        };
+        match &command.key {
+            Some(key) if reply.code != Code::Forbidden => {
+                self.answers.put(&principal.name, key, command, &reply, self.bounds.answers);
+            }
+            _ => {}
+        }
+        reply
+    }
+
+    fn commit(&mut self, principal: &Principal, command: &Command, plan: Plan) -> Reply {
+        for change in &plan.changes {
+            self.make(change, command);
+        }
+        let edit = command.action.edits();
+        self.catalogue.version.0 += u64::from(edit);
+        let reply = self.reply(Code::Answered, &plan.detail);
+        let skipped = self.gates.get_mut(&principal.name).map_or(0, Gate::take_skipped);
+        let record = record(principal, command, &reply, skipped, plan.changes);
+        self.trail.push(record, edit);
+        self.trail.trim(self.bounds.records, self.bounds.changes);
+        reply
+    }
+
+    fn make(&mut self, change: &Change, command: &Command) {
+        match (change, &command.action) {
+            (Change::Entry { .. } | Change::Owner { .. }, _) => self.catalogue.make(change),
+            (Change::Shift { after, .. }, _) => self.shift = after.clone(),
+            (Change::Token { id, after: Some(view), .. }, Action::Issue { hash, .. }) => {
+                self.tokens.insert(*id, Stored { hash: *hash, view: view.clone() });
+            }
+            (Change::Token { id, after: Some(view), .. }, _) => {
+                self.tokens.entry(*id).and_modify(|stored| stored.view = view.clone());
+            }
+            (Change::Token { id, after: None, .. }, _) => self.forget(*id),
+        }
+    }
+
+    /// Drops a token, and the count of refused tries of a principal that has no other.
+    fn forget(&mut self, id: TokenId) {
+        self.tokens.shift_remove(&id);
+        let tokens = &self.tokens;
+        let named = |name: &String| tokens.values().any(|stored| stored.view.principal.name == *name);
+        self.gates.retain(|name, _| name == NOBODY || name == BOOTSTRAP || named(name));
+    }
+
+    /// Answers a try without a valid token.
+    fn reject(&mut self, command: &Command) -> Reply {
+        let nobody = Principal { name: NOBODY.to_owned(), role: Role::Viewer };
+        let refusal = match &command.action {
+            Action::Refused { code, what, .. } => Refusal::new(*code, what.clone()),
+            _ => Refusal::new(Code::Unauthorized, "the token is unknown, expired or revoked"),
+        };
+        self.refuse(&nobody, command, &refusal)
+    }
+
+    fn refuse(&mut self, principal: &Principal, command: &Command, refusal: &Refusal) -> Reply {
+        let reply = self.reply(refusal.code, &refusal.detail);
+        let gate = self.gates.entry(principal.name.clone()).or_default();
+        if let Action::Refused { skipped, .. } = command.action {
+            gate.skip(skipped);
+        }
+        if gate.admit(command.at_ms) {
+            let skipped = gate.take_skipped();
+            let record = record(principal, command, &reply, skipped, Vec::new());
+            self.trail.push(record, false);
+            self.trail.trim(self.bounds.records, self.bounds.changes);
+        }
+        reply
+    }
+
+    fn reply(&self, code: Code, detail: &str) -> Reply {
+        let detail = detail[..detail.floor_char_boundary(MAX_DETAIL_BYTES)].to_owned();
+        Reply { code, version: self.catalogue.version(), detail }
+    }
+}
+
+impl Catalogue {
+    /// Makes a change of an entry or an owner; any other is none of the catalogue's.
+    fn make(&mut self, change: &Change) {
+        match change {
+            Change::Entry { name, after, .. } => {
+                self.set_entry(&Edit { name: name.clone(), value: after.clone() });
+            }
+            Change::Owner { name, after, .. } => {
+                self.set_owner(&Edit { name: name.clone(), value: after.clone() });
+            }
+            Change::Shift { .. } | Change::Token { .. } => {}
+        }
+    }
+}
+
+fn record(principal: &Principal, command: &Command, reply: &Reply, skipped: u64, changes: Vec<Change>) -> AuditRecord {
+    AuditRecord {
+        seq: 0,
+        at_ms: command.at_ms,
+        who: principal.name.clone(),
+        role: if principal.name == NOBODY { String::new() } else { principal.role.to_string() },
+        from: command.from.clone(),
+        verb: command.action.verb().to_owned(),
+        target: command.action.target(),
+        key: command.key.as_ref().map_or_else(String::new, ToString::to_string),
+        code: reply.code,
+        version: reply.version,
+        detail: reply.detail.clone(),
+        skipped,
+        changes,
+    }
+}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -20,18 +20,40 @@
 //! assert_eq!(faults.to_string().lines().count(), 2, "no owner, and no time");
 //! ```
 
+mod answers;
+mod audit;
 mod catalogue;
+mod chain;
+mod change;
 mod check;
+mod command;
+mod control;
+mod delta;
+mod digest;
 mod fault;
 mod field;
+mod gate;
 mod json;
 mod name;
 mod node;
+mod plan;
+mod print;
 mod read;
 mod tables;
+mod token;
 mod toml_text;
 
+pub use audit::{AuditQuery, AuditRecord, Break, ChainHash, Head, Line};
 pub use catalogue::{Catalogue, MAX_ENTRIES, MAX_OWNERS, MAX_TEXT_BYTES, parse_entry, parse_entry_json};
+pub use chain::{Export, verify_export};
+pub use change::{Change, Diff};
+pub use command::{Action, Caller, Command, DecodeError, MAX_COMMAND_BYTES, Reply};
+pub use control::{Bounds, Control, MAX_KEY_BYTES, MAX_SNAPSHOT_BYTES};
+pub use delta::{Delta, Edit, InstallError, Installed};
+pub use digest::Digest;
 pub use fault::{Fault, Faults};
 pub use field::{FieldInfo, entry_fields, owner_fields};
+pub use gate::Gate;
 pub use name::{MAX_NAME_BYTES, NAME_RULE, valid_name};
+pub use print::print_entry;
+pub use token::{BadToken, Principal, Role, Session, Shift, Token, TokenHash, TokenId, TokenView};
--- a/crates/catalogue/src/read.rs
+++ b/crates/catalogue/src/read.rs
@@ -8,6 +8,7 @@
 use crate::node::{Flaw, Member, Node, Value};
 use indexmap::IndexMap;
 use mangogw_model::{Entry, EntryName, Owner, Team, Version};
+use std::sync::Arc;
 
 /// A record that was read, and the offset of its name.
 struct Found<T> {
@@ -69,8 +70,8 @@
             self.owned(name, found, &owners);
         }
         let owners = owners.into_iter().map(|(name, found)| (Owner::from(name), found.record));
-        let entries = entries.into_iter().map(|(name, found)| (EntryName::from(name), found.record));
-        Catalogue::from_parts(version, owners, entries)
+        let entries = entries.into_iter().map(|(name, found)| (EntryName::from(name), Arc::new(found.record)));
+        Catalogue::from_parts(version, owners.collect(), entries.collect())
     }
 
     fn owned(&mut self, name: &str, found: &Found<Entry>, owners: &IndexMap<String, Found<Team>>) {
@@ -139,7 +140,8 @@
                 set(record, *number);
             }
             (Rule::Ratio { min, max, set, .. }, Value::Ratio(number)) if (min..=max).contains(&number) => {
-                set(record, *number);
+                // The sum of -0.0 and 0.0 is 0.0, so that equal fractions have equal bytes.
+                set(record, *number + 0.0);
             }
             (Rule::Ratio { min, max, set, .. }, Value::Count(number)) if (min..=max).contains(&&(*number as f64)) => {
                 set(record, *number as f64);
--- /dev/null
+++ b/crates/catalogue/src/token.rs
@@ -0,0 +1,251 @@
+//! Bearer tokens, roles, and the state of the shift.
+
+use mangogw_model::{Code, Owner};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt;
+use std::str::FromStr;
+use subtle::ConstantTimeEq;
+
+/// What every token text begins with.
+const PREFIX: &str = "mgw";
+
+/// Keeps digests of tokens apart from digests of anything else.
+const DOMAIN: &[u8] = b"mangogw token 1";
+
+/// The public part of a token; random, never used twice, and the salt of its hash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct TokenId(pub u128);
+
+/// A text that is no token id: 32 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadToken;
+
+impl fmt::Display for BadToken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a token id is 32 hexadecimal digits")
+    }
+}
+
+impl std::error::Error for BadToken {}
+
+impl fmt::Display for TokenId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for TokenId {
+    type Err = BadToken;
+
+    fn from_str(text: &str) -> Result<Self, BadToken> {
+        let digits = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits);
+        number.map(Self).ok_or(BadToken)
+    }
+}
+
+impl From<TokenId> for String {
+    fn from(id: TokenId) -> Self {
+        id.to_string()
+    }
+}
+
+impl TryFrom<String> for TokenId {
+    type Error = BadToken;
+
+    fn try_from(text: String) -> Result<Self, BadToken> {
+        text.parse()
+    }
+}
+
+/// A whole token with its secret, as its holder keeps it: `mgw_ID_SECRET`.
+///
+/// The tool mints it, so that a lost answer loses no secret and the control group never stores one.
+///
+/// ```
+/// use mangogw_catalogue::Token;
+///
+/// let token = Token::from_random(7, [1; 32]);
+/// assert_eq!(token.to_text().parse::<Token>().expect("it is well formed").hash(), token.hash());
+/// assert!(!format!("{token:?}").contains("0101"), "the secret is not shown");
+/// ```
+#[derive(Clone)]
+pub struct Token {
+    id: TokenId,
+    secret: [u8; 32],
+}
+
+impl fmt::Debug for Token {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Token").field("id", &self.id).finish_non_exhaustive()
+    }
+}
+
+impl Token {
+    /// A token of random numbers that the caller drew from the system.
+    pub const fn from_random(id: u128, secret: [u8; 32]) -> Self {
+        Self { id: TokenId(id), secret }
+    }
+
+    /// The public part.
+    pub const fn id(&self) -> TokenId {
+        self.id
+    }
+
+    /// The text that is sent as a bearer token; keep it secret.
+    pub fn to_text(&self) -> String {
+        format!("{PREFIX}_{}_{}", self.id, hex::encode(self.secret))
+    }
+
+    /// The salted hash that the control group stores.
+    pub fn hash(&self) -> TokenHash {
+        let mut hash = Sha256::new();
+        hash.update(DOMAIN);
+        hash.update(self.id.0.to_be_bytes());
+        hash.update(self.secret);
+        TokenHash(hash.finalize().into())
+    }
+}
+
+impl FromStr for Token {
+    type Err = BadToken;
+
+    fn from_str(text: &str) -> Result<Self, BadToken> {
+        let mut parts = text.split('_');
+        let (Some(PREFIX), Some(id), Some(secret), None) = (parts.next(), parts.next(), parts.next(), parts.next())
+        else {
+            return Err(BadToken);
+        };
+        let mut bytes = [0; 32];
+        hex::decode_to_slice(secret, &mut bytes).map_err(|_error| BadToken)?;
+        Ok(Self { id: id.parse()?, secret: bytes })
+    }
+}
+
+/// The salted SHA-256 of a token's secret.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+pub struct TokenHash([u8; 32]);
+
+impl TokenHash {
+    /// True if both are the same; takes the same time wherever they differ.
+    pub(crate) fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl PartialEq for TokenHash {
+    fn eq(&self, other: &Self) -> bool {
+        self.matches(other)
+    }
+}
+
+/// What the holder of a token may do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    /// Everything.
+    Administrator,
+    /// Reads, and changes of the entries this team owns.
+    Team(Owner),
+    /// Reads.
+    Viewer,
+}
+
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Administrator => f.write_str("administrator"),
+            Self::Team(owner) => write!(f, "team {owner}"),
+            Self::Viewer => f.write_str("viewer"),
+        }
+    }
+}
+
+/// Who a token stands for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Principal {
+    /// The name in the audit trail; several tokens may share it, so that one can replace the other.
+    pub name: String,
+    /// What it may do.
+    pub role: Role,
+}
+
+/// What is known of a token; it holds no secret.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenView {
+    /// Who it stands for.
+    pub principal: Principal,
+    /// When it ends, in milliseconds since the Unix epoch.
+    pub expires_ms: u64,
+    /// When it was revoked, in milliseconds since the Unix epoch; 0 if it was not.
+    pub revoked_ms: u64,
+}
+
+impl TokenView {
+    /// True if it can be used at this time.
+    pub const fn is_live(&self, now_ms: u64) -> bool {
+        self.revoked_ms == 0 && now_ms < self.expires_ms
+    }
+}
+
+impl fmt::Display for TokenView {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({}), expires at {} ms", self.principal.name, self.principal.role, self.expires_ms)?;
+        match self.revoked_ms {
+            0 => Ok(()),
+            at => write!(f, ", revoked at {at} ms"),
+        }
+    }
+}
+
+/// A token as the control group stores it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct Stored {
+    pub(crate) hash: TokenHash,
+    pub(crate) view: TokenView,
+}
+
+/// The holder of a token that was checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Session {
+    /// The public part of the token.
+    pub token: TokenId,
+    /// Who it stands for.
+    pub principal: Principal,
+}
+
+/// Finds the holder of `text` among `tokens`; an unknown id takes as long as a wrong secret.
+pub(crate) fn authenticate(
+    tokens: &indexmap::IndexMap<TokenId, Stored>,
+    text: &str,
+    now_ms: u64,
+) -> Result<Session, Code> {
+    let token = text.parse::<Token>().map_err(|BadToken| Code::Unauthorized)?;
+    let hash = token.hash();
+    let stored = tokens.get(&token.id);
+    let known = stored.map_or_else(TokenHash::default, |stored| stored.hash);
+    let right = known.matches(&hash);
+    match stored {
+        Some(stored) if right && stored.view.is_live(now_ms) => {
+            Ok(Session { token: token.id, principal: stored.view.principal.clone() })
+        }
+        _ => Err(Code::Unauthorized),
+    }
+}
+
+/// Whether a shift is running. While it is, the catalogue is closed to edits.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shift {
+    /// True during a shift.
+    pub open: bool,
+    /// Since when, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+}
+
+impl fmt::Display for Shift {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(if self.open { "open" } else { "closed" })
+    }
+}
