--- a/crates/host/src/effect.rs
+++ b/crates/host/src/effect.rs
@@ -36,6 +36,13 @@
         /// Where it runs.
         address: SocketAddr,
     },
+    /// Tell a target to go on with an attempt that was slowed down or set aside.
+    Resume {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it is.
+        address: SocketAddr,
+    },
     /// Tell a target to write an attempt's state down and set it aside.
     Checkpoint {
         /// The attempt.
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -65,6 +65,8 @@
             incarnation: settings.incarnation,
             seed: settings.seed,
             lease: settings.lease,
+            zone: settings.zone.clone(),
+            ..mangogw_dispatch::Settings::default()
         });
         Self {
             settings,
@@ -384,6 +386,9 @@
             Action::Checkpoint { attempt, target } => {
                 self.effects.extend(address(target).map(|address| Effect::Checkpoint { attempt, address }));
             }
+            Action::Resume { attempt, target } => {
+                self.effects.extend(address(target).map(|address| Effect::Resume { attempt, address }));
+            }
             Action::End { task, end } => self.ended(now, task, end),
         }
     }
--- a/crates/mangogwd/src/node.rs
+++ b/crates/mangogwd/src/node.rs
@@ -98,6 +98,7 @@
             Effect::Start(start) => drop(tokio::spawn(Arc::clone(self).start(start))),
             Effect::Stop { attempt, address } => self.say(address, attempt, Word::Stop),
             Effect::Throttle { attempt, address } => self.say(address, attempt, Word::Throttle),
+            Effect::Resume { attempt, address } => self.say(address, attempt, Word::Resume),
             Effect::Checkpoint { attempt, address } => self.say(address, attempt, Word::Checkpoint),
         }
     }
--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -51,6 +51,8 @@
     Throttle,
     /// Write its state down and set it aside.
     Checkpoint,
+    /// Go on with it.
+    Resume,
 }
 
 impl Word {
@@ -59,6 +61,7 @@
             Self::Stop => "stop",
             Self::Throttle => "throttle",
             Self::Checkpoint => "checkpoint",
+            Self::Resume => "resume",
         }
     }
 }
