--- /dev/null
+++ b/crates/cluster/src/grants/mod.rs
@@ -0,0 +1,322 @@
+//! Which host may use a target, at most one at a time.
+//!
+//! A target is its own register: each answer to a heartbeat carries a [`Grant`], which the target sends back with the
+//! next heartbeat. A host acts as owner only for [`LEASE`] after it issued a grant that the target has sent back. A
+//! host that takes over first issues a grant of a higher epoch, and acts after the target has sent that back and the
+//! former owner's lease has run out. No agreement between hosts is needed, so cuts between hosts can't make two
+//! owners. `docs/design/grants.md` has the argument and the ways weighed.
+//!
+//! What a target must do: one heartbeat at a time, and send back the last grant with its age. An answer that comes
+//! after the target gave its heartbeat up does not count.
+
+mod entry;
+mod message;
+mod owner;
+mod token;
+
+pub use message::{Message, Target, Verdict};
+pub use token::{BadGrant, Echo, Grant};
+
+use crate::{Output, Seat, hash};
+use entry::{Leave, Open};
+use indexmap::IndexMap;
+use mangogw_model::{Announcement, HostId, Incarnation, Time, Usage};
+use owner::Held;
+use std::time::Duration;
+
+/// Targets send a heartbeat so often.
+pub const HEARTBEAT: Duration = Duration::from_millis(800);
+/// A target whose grant could not be renewed tries again after this time.
+pub const RETRY: Duration = Duration::from_millis(200);
+/// A target asked to come back at once comes back after this time.
+pub const SOON: Duration = Duration::from_millis(1);
+/// An owner may act for so long after it issued the grant that the target sent back.
+pub const LEASE: Duration = Duration::from_millis(2_400);
+/// A new owner waits so much longer than the former owner's lease: clocks may differ by 1 in 1000 in rate.
+pub const MARGIN: Duration = Duration::from_millis(10);
+/// A grant that was not renewed for so long may be taken over.
+pub const PREEMPT: Duration = Duration::from_millis(1_500);
+/// A host that does not answer a heartbeat passed to it within this time is passed over.
+pub const PASS_TIMEOUT: Duration = Duration::from_millis(250);
+/// A host that did not answer is avoided for so long.
+pub const AVOID: Duration = Duration::from_secs(1);
+/// A new member is granted targets of others after this time.
+pub const SETTLE: Duration = Duration::from_secs(1);
+/// A target that was taken over or handed over stays for so long, unless its owner leaves.
+pub const HOLD: Duration = Duration::from_secs(30);
+/// What is known of a target that is not held is forgotten after this time.
+pub const KEEP: Duration = Duration::from_secs(30);
+/// Heartbeats without a grant after which a target counts as one that never sends it back.
+pub const PLAIN_BEATS: u32 = 4;
+/// A leave is repeated so often to hosts that have not answered, until [`LEAVE_TIME`].
+pub const LEAVE_RETRY: Duration = Duration::from_millis(200);
+/// A leave is given up after this time; by then every lease has run out.
+pub const LEAVE_TIME: Duration = Duration::from_secs(5);
+
+/// Which host this is.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub id: HostId,
+    /// Its life.
+    pub life: Incarnation,
+}
+
+/// A heartbeat or leave that waits for its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// What a target is answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// The grant to send back from now on; `None`: the one it holds stays.
+    pub grant: Option<Grant>,
+    /// When the next heartbeat is expected.
+    pub interval: Duration,
+    /// False if a later life of the target has announced itself.
+    pub valid: bool,
+}
+
+/// Why a host no longer owns a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// No heartbeat came in time.
+    Lapsed,
+    /// It was handed to this host.
+    Handed(HostId),
+    /// Another host took it over.
+    Taken(HostId),
+    /// The target restarted.
+    Restarted,
+}
+
+/// What the shell and the dispatcher need to know.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// The answer to a target's heartbeat or leave.
+    Answered {
+        /// The heartbeat or leave.
+        ticket: Ticket,
+        /// The answer.
+        answer: Answer,
+    },
+    /// This host owns the target from now on.
+    Granted {
+        /// The target's announcement.
+        announcement: Box<Announcement>,
+        /// True if it takes no new work.
+        leaving: bool,
+    },
+    /// A target that this host owns announced itself differently.
+    Changed(Box<Announcement>),
+    /// A target that this host owns takes no new work.
+    Leaving(Target),
+    /// This host no longer owns the target: it must start nothing more there.
+    Ended {
+        /// The target.
+        target: Target,
+        /// Why.
+        reason: Reason,
+    },
+    /// A usage report of a target that this host owns.
+    Usage {
+        /// The target.
+        target: Target,
+        /// The report.
+        usage: Usage,
+    },
+    /// Tasks that a former owner started and that still run on a target that this host owns or will own.
+    Busy {
+        /// The target.
+        target: Target,
+        /// The former owner.
+        from: HostId,
+        /// The tasks.
+        tasks: u32,
+    },
+}
+
+/// The grants as one host sees them: of targets it owns, and of heartbeats that came in here.
+///
+/// ```
+/// use mangogw_cluster::grants::{Event, Grants, Settings};
+/// use mangogw_cluster::{Output, Seat};
+/// use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
+///
+/// let (id, life) = (HostId(1), Incarnation(1));
+/// let mut grants = Grants::open(&Settings { id, life }, Time::ZERO);
+/// grants.set_hosts(Time::ZERO, vec![Seat { id, life, zone: "a".into(), usable: true }]);
+/// let announcement = Announcement {
+///     name: "t1".into(),
+///     address: "127.0.0.1:9000".parse().unwrap(),
+///     zone: "a".into(),
+///     rack: "".into(),
+///     kind: Kind::Executor,
+///     entries: vec!["gate-scan".into()],
+///     capacity: Capacity { slots: 8, ..Capacity::default() },
+///     incarnation: Incarnation(1),
+///     running: vec![],
+///     connections: 0,
+/// };
+/// let ticket = grants.announce(Time::ZERO, announcement, None);
+/// let Some(Output::Event(Event::Answered { ticket: answered, answer })) = grants.drain().pop() else { panic!() };
+/// assert_eq!(ticket, answered);
+/// assert!(answer.grant.is_some());
+/// ```
+#[derive(Debug)]
+pub struct Grants {
+    id: HostId,
+    life: Incarnation,
+    hosts: IndexMap<HostId, Known>,
+    avoid: IndexMap<HostId, Time>,
+    held: IndexMap<Target, Held>,
+    left: IndexMap<Target, Gone>,
+    open: IndexMap<u64, Open>,
+    leaves: IndexMap<u64, Leave>,
+    owners: IndexMap<Target, Place>,
+    serial: u64,
+    leaving: bool,
+    out: Vec<Output<Message, Event>>,
+}
+
+/// A member and since when it is one.
+#[derive(Debug, Clone)]
+struct Known {
+    seat: Seat,
+    since: Time,
+}
+
+/// A target that said it leaves.
+#[derive(Debug, Clone, Copy)]
+struct Gone {
+    life: Option<Incarnation>,
+    at: Time,
+}
+
+/// The host that last answered for a target.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    host: HostId,
+    at: Time,
+}
+
+impl Grants {
+    /// A host that owns nothing.
+    pub fn open(settings: &Settings, _now: Time) -> Self {
+        Self {
+            id: settings.id,
+            life: settings.life,
+            hosts: IndexMap::new(),
+            avoid: IndexMap::new(),
+            held: IndexMap::new(),
+            left: IndexMap::new(),
+            open: IndexMap::new(),
+            leaves: IndexMap::new(),
+            owners: IndexMap::new(),
+            serial: hash::mix(settings.life.0 ^ hash::mix(settings.id.0)) >> 16,
+            leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes the members in; call it whenever they may have changed. This host must be among them.
+    pub fn set_hosts(&mut self, now: Time, seats: Vec<Seat>) {
+        let old = std::mem::take(&mut self.hosts);
+        let known = |seat: Seat| {
+            let same = old.get(&seat.id).filter(|known| known.seat.life == seat.life);
+            (seat.id, Known { since: same.map_or(now, |known| known.since), seat })
+        };
+        self.hosts = seats.into_iter().map(known).collect();
+    }
+
+    /// Starts to hand all targets over; done when [`Grants::is_idle`]. Needs a heartbeat of each target.
+    pub const fn leave_cluster(&mut self) {
+        self.leaving = true;
+    }
+
+    /// True if this host owns no target.
+    pub fn is_idle(&self, now: Time) -> bool {
+        !self.held.values().any(|held| held.acts(now))
+    }
+
+    /// True while this host may start work on the target.
+    pub fn holds(&self, now: Time, target: &Target) -> bool {
+        self.held.get(target).is_some_and(|held| held.acts(now))
+    }
+
+    /// The end of this host's lease on the target, if it owns it.
+    pub fn until(&self, now: Time, target: &Target) -> Option<Time> {
+        self.held.get(target).filter(|held| held.acts(now)).map(Held::until)
+    }
+
+    /// The targets that this host owns.
+    pub fn owned(&self, now: Time) -> impl Iterator<Item = &Announcement> {
+        self.held.values().filter(move |held| held.acts(now)).map(Held::announcement)
+    }
+
+    /// The host that last answered for a target whose heartbeats come in here.
+    pub fn owner(&self, target: &Target) -> Option<HostId> {
+        self.owners.get(target).map(|place| place.host)
+    }
+
+    /// Tells the new owner how many tasks of this host still run on a target that was handed over.
+    pub fn report_busy(&mut self, to: HostId, target: Target, life: Incarnation, tasks: u32) {
+        let leaving = self.has_left(&target, life);
+        self.send(to, Message::Busy { target, life, tasks, leaving });
+    }
+
+    /// Takes the outputs since the last call.
+    pub fn drain(&mut self) -> Vec<Output<Message, Event>> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: Time) {
+        self.follow_beats(now);
+        self.follow_leaves(now);
+        self.watch_leases(now);
+        self.avoid.retain(|_, until| *until > now);
+        self.left.retain(|_, gone| now - gone.at < KEEP);
+        self.owners.retain(|_, place| now - place.at < KEEP);
+    }
+
+    /// Takes a message in.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        match message {
+            Message::Beat { ticket, target, life, digest, echo } => {
+                let verdict = self.judge_beat(now, &target, life, digest, echo);
+                self.send(from, Message::Answer { ticket, verdict });
+            }
+            Message::Announce { ticket, announcement, echo } => {
+                let verdict = self.judge(now, *announcement, echo);
+                self.send(from, Message::Answer { ticket, verdict });
+            }
+            Message::Answer { ticket, verdict } => self.on_answer(now, from, ticket, verdict),
+            Message::Leave { ticket, target, life } => {
+                let owner = self.on_leave(now, target, life);
+                self.send(from, Message::Left { ticket, owner });
+            }
+            Message::Left { ticket, owner } => self.on_left(from, ticket, owner),
+            Message::Usage { target, usage } => self.on_usage(now, target, usage),
+            Message::Busy { target, life, tasks, leaving } => {
+                if leaving {
+                    _ = self.on_leave(now, target.clone(), Some(life));
+                }
+                self.event(Event::Busy { target, from, tasks });
+            }
+        }
+    }
+
+    /// True if this life of the target said that it leaves.
+    fn has_left(&self, target: &Target, life: Incarnation) -> bool {
+        self.left.get(target).is_some_and(|gone| gone.life.is_none_or(|left| left >= life))
+    }
+
+    fn send(&mut self, to: HostId, message: Message) {
+        self.out.push(Output::Send { to, message });
+    }
+
+    fn event(&mut self, event: Event) {
+        self.out.push(Output::Event(event));
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/grants/token.rs
@@ -0,0 +1,68 @@
+//! The text a target holds for its owner, and sends back with each heartbeat.
+
+use mangogw_model::{HostId, Incarnation};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Names the owner of a target. The target keeps the last one it was answered with and sends it back.
+///
+/// ```
+/// use mangogw_cluster::grants::Grant;
+/// use mangogw_model::{HostId, Incarnation};
+///
+/// let grant = Grant { epoch: 3, owner: HostId(1), life: Incarnation(2), serial: 255 };
+/// assert_eq!(grant.to_string(), "3-1-2-ff");
+/// assert_eq!("3-1-2-ff".parse(), Ok(grant));
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Rises with each change of owner.
+    pub epoch: u64,
+    /// The owner.
+    pub owner: HostId,
+    /// The life of the owner.
+    pub life: Incarnation,
+    /// When the owner issued it, in microseconds of the owner's own clock; 0 if another host issued it.
+    pub serial: u64,
+}
+
+impl Grant {
+    /// True if both name the same life of the same owner.
+    pub(crate) const fn names(&self, owner: HostId, life: Incarnation) -> bool {
+        self.owner.0 == owner.0 && self.life.0 == life.0
+    }
+}
+
+/// A text that is no grant: four hexadecimal numbers joined by `-`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadGrant;
+
+impl fmt::Display for Grant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}-{:x}-{:x}-{:x}", self.epoch, self.owner.0, self.life.0, self.serial)
+    }
+}
+
+impl FromStr for Grant {
+    type Err = BadGrant;
+
+    fn from_str(text: &str) -> Result<Self, BadGrant> {
+        let mut parts = text.split('-').map(|part| u64::from_str_radix(part, 16));
+        match (parts.next(), parts.next(), parts.next(), parts.next(), parts.next()) {
+            (Some(Ok(epoch)), Some(Ok(owner)), Some(Ok(life)), Some(Ok(serial)), None) => {
+                Ok(Self { epoch, owner: HostId(owner), life: Incarnation(life), serial })
+            }
+            _ => Err(BadGrant),
+        }
+    }
+}
+
+/// What a target sends back with a heartbeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The grant it holds.
+    pub grant: Grant,
+    /// How long it has held it, in milliseconds, if it says so.
+    pub age_ms: Option<u32>,
+}
--- /dev/null
+++ b/crates/cluster/src/members/message.rs
@@ -0,0 +1,76 @@
+//! The messages of the membership protocol.
+
+use super::Record;
+use mangogw_model::{HostId, Incarnation, Zone};
+use serde::{Deserialize, Serialize};
+
+/// A message of the membership protocol.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// The life of the sender.
+    pub life: Incarnation,
+    /// What it says.
+    pub body: Body,
+}
+
+/// What a message says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Body {
+    /// A host introduces itself.
+    Join {
+        /// The sender.
+        record: Record,
+        /// True if it wants all records in return.
+        ask: bool,
+    },
+    /// Answer with an `Ack`.
+    Ping {
+        /// Echoed in the answer.
+        serial: u64,
+        /// What the sender knows.
+        news: News,
+    },
+    /// The answer to a `Ping`.
+    Ack {
+        /// The serial of the `Ping`.
+        serial: u64,
+        /// What the sender knows.
+        news: News,
+    },
+    /// Ping `about` on behalf of the sender.
+    Probe {
+        /// Echoed in the answer.
+        serial: u64,
+        /// The host to ping.
+        about: HostId,
+    },
+    /// The answer to a `Probe`: the host answered.
+    Vouch {
+        /// The serial of the `Probe`.
+        serial: u64,
+        /// The host that answered.
+        about: HostId,
+        /// The life in which it answered.
+        incarnation: Incarnation,
+    },
+    /// The digest of each zone; answered with `Records` of the zones whose digests differ.
+    Digests(Vec<(Zone, u64)>),
+    /// Claims.
+    Records {
+        /// The claims.
+        records: Vec<Record>,
+        /// True if the receiver should send back claims of these zones that beat or extend them.
+        answer: bool,
+    },
+}
+
+/// What rides on every `Ping` and `Ack`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// The digest of all records of the sender.
+    pub digest: u64,
+    /// Fresh claims, at most [`MAX_NEWS`](super::MAX_NEWS).
+    pub records: Vec<Record>,
+    /// How long ago the sender, or a host of its zone, last heard from each other zone, in milliseconds.
+    pub heard: Vec<(Zone, u32)>,
+}
--- /dev/null
+++ b/crates/cluster/src/members/mod.rs
@@ -0,0 +1,456 @@
+//! Which hosts there are, which of them live, and which zones can be reached.
+//!
+//! Inside a zone every host pings its peers in turn. A peer that does not answer is tried on a fresh connection, then
+//! through other hosts, then suspected; it may object, and is declared dead only if it does not. Between zones a few
+//! relays of each zone exchange digests and mend differences. Only hosts of its own zone declare a host dead: a zone
+//! that is cut off is unreachable, not dead. `docs/design/membership.md` weighs the ways.
+
+mod message;
+mod probe;
+mod record;
+mod table;
+
+pub use message::{Body, Message, News};
+pub use record::{Host, Record, Status};
+pub use table::MAX_NEWS;
+
+use crate::{Seat, hash};
+use indexmap::IndexMap;
+use mangogw_model::{HostId, Time, Zone};
+use probe::{Errand, Probe};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
+use std::time::Duration;
+use table::{Merge, Peer, Table};
+
+/// One ping goes out inside the zone in each period.
+pub const PERIOD: Duration = Duration::from_millis(200);
+/// A relay pings one relay of each other zone in each period.
+pub const RELAY_PERIOD: Duration = Duration::from_millis(500);
+/// A direct ping that was not answered for so long is tried again on a fresh connection.
+pub const DIRECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// A ping on a fresh connection that was not answered for so long is tried through other hosts.
+pub const TRIAL_TIMEOUT: Duration = Duration::from_millis(150);
+/// A host that could not be reached through others for so long is suspected.
+pub const INDIRECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// A suspected host has so long to object.
+pub const SUSPICION: Duration = Duration::from_secs(1);
+/// A zone from which nothing was heard for so long is unreachable.
+pub const ZONE_SILENT: Duration = Duration::from_secs(3);
+/// A host heard from within this time is not believed dead on the word of another.
+pub const FRESH: Duration = Duration::from_secs(1);
+/// Hosts that are dead or have left are forgotten after this time.
+pub const KEEP_ENDED: Duration = Duration::from_hours(1);
+/// Seeds are dialled so often until another host is known.
+pub const JOIN_PERIOD: Duration = Duration::from_secs(1);
+/// A seed at whose address no member lives, and one dead host, are tried so often.
+pub const REVIVE_PERIOD: Duration = Duration::from_secs(2);
+/// Digests are compared with the same host at most so often.
+pub const SYNC_PERIOD: Duration = Duration::from_millis(400);
+/// Relays of a zone.
+pub const RELAYS: usize = 2;
+/// Hosts asked to probe on behalf of one.
+pub const HELPERS: usize = 3;
+/// A host that did not answer on a fresh connection is not sent to for so long, unless it answers meanwhile.
+pub const CUT_TIME: Duration = Duration::from_secs(3);
+/// Claims in one `Records` message.
+pub const MAX_RECORDS: usize = 64;
+
+/// How a host takes part.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub host: Host,
+    /// Host-to-host addresses to join at; this host's own address may be among them.
+    pub seeds: Vec<SocketAddr>,
+    /// Seeds the choice of peers; any number, different on each host.
+    pub seed: u64,
+}
+
+/// What the membership asks of its shell.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send to a known host; [`Members::host`] has its address.
+    Send {
+        /// The receiver.
+        to: HostId,
+        /// The message.
+        message: Message,
+    },
+    /// Send to an address whose host is not known.
+    Dial {
+        /// The receiver.
+        address: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Drop the open connection to this host; what follows goes out on a fresh one.
+    Reconnect {
+        /// The host.
+        to: HostId,
+    },
+    /// A host is a member: new, restarted or back.
+    Up(Host),
+    /// A host is no longer a member.
+    Down {
+        /// The host.
+        host: Host,
+        /// `Dead` or `Left`.
+        status: Status,
+    },
+    /// Nothing is heard from this zone any more; its hosts stay members.
+    ZoneCut(Zone),
+    /// The zone is heard from again.
+    ZoneBack(Zone),
+    /// A later life of this host exists: this process must stop.
+    Superseded,
+}
+
+/// The membership as one host sees it.
+///
+/// ```
+/// use mangogw_cluster::members::{Host, Members, Settings};
+/// use mangogw_model::{HostId, Incarnation, Time};
+///
+/// let address = "127.0.0.1:7000".parse().unwrap();
+/// let host = Host { id: HostId(1), incarnation: Incarnation(1), address, http: address, zone: "a".into(), voter: true };
+/// let mut members = Members::open(Settings { host, seeds: vec![address], seed: 1 }, Time::ZERO);
+/// members.on_tick(Time::ZERO);
+/// assert_eq!(members.alive().count(), 1);
+/// ```
+#[derive(Debug)]
+pub struct Members {
+    now: Time,
+    seeds: Vec<SocketAddr>,
+    me: Record,
+    table: Table,
+    rng: Pcg64Mcg,
+    serial: u64,
+    order: Vec<HostId>,
+    probes: IndexMap<u64, Probe>,
+    errands: IndexMap<u64, Errand>,
+    zones: IndexMap<Zone, Heard>,
+    synced: IndexMap<HostId, Time>,
+    due: Due,
+    leaving: bool,
+    out: Vec<Output>,
+}
+
+/// When the periodic work is next due.
+#[derive(Debug, Clone, Copy)]
+struct Due {
+    probe: Time,
+    relay: Time,
+    join: Time,
+    revive: Time,
+}
+
+/// When a zone was last heard from.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at: Time,
+    cut: bool,
+}
+
+impl Members {
+    /// A host that knows itself and its seeds.
+    pub fn open(settings: Settings, now: Time) -> Self {
+        let me = Record { host: settings.host, objections: 0, status: Status::Alive };
+        let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+        let first = now + PERIOD.mul_f64(rng.random::<f64>());
+        let mut table = Table::default();
+        _ = table.merge(now, &me);
+        Self {
+            now,
+            seeds: settings.seeds.into_iter().filter(|&seed| seed != me.host.address).collect(),
+            me,
+            table,
+            rng,
+            serial: 0,
+            order: Vec::new(),
+            probes: IndexMap::new(),
+            errands: IndexMap::new(),
+            zones: IndexMap::new(),
+            synced: IndexMap::new(),
+            due: Due { probe: first, relay: first, join: now, revive: now + REVIVE_PERIOD },
+            leaving: false,
+            out: Vec::new(),
+        }
+    }
+
+    /// This host.
+    pub const fn me(&self) -> &Host {
+        &self.me.host
+    }
+
+    /// A host that is known, member or not.
+    pub fn host(&self, id: HostId) -> Option<&Host> {
+        self.table.get(id).map(|peer| &peer.record.host)
+    }
+
+    /// The status of a host that is known.
+    pub fn status(&self, id: HostId) -> Option<Status> {
+        self.table.get(id).map(|peer| peer.record.status)
+    }
+
+    /// The members, this host included: hosts that are alive or only suspected.
+    pub fn alive(&self) -> impl Iterator<Item = &Host> {
+        self.table.iter().filter(|peer| peer.record.present()).map(|peer| &peer.record.host)
+    }
+
+    /// The members of `zone`.
+    pub fn in_zone<'a>(&'a self, zone: &'a Zone) -> impl Iterator<Item = &'a Host> {
+        self.table.members(zone)
+    }
+
+    /// True if a message sent now is expected to arrive: a member of a zone that is heard from, not cut off from here.
+    pub fn reachable(&self, id: HostId) -> bool {
+        match self.table.get(id) {
+            Some(_) if id == self.me.host.id => true,
+            Some(peer) => peer.record.present() && peer.cut <= self.now && !self.is_cut(&peer.record.host.zone),
+            None => false,
+        }
+    }
+
+    /// True if nothing was heard from `zone` for [`ZONE_SILENT`].
+    pub fn is_cut(&self, zone: &Zone) -> bool {
+        self.zones.get(zone).is_some_and(|heard| heard.cut)
+    }
+
+    /// The hosts of `zone` that speak for it to other zones.
+    pub fn relays(&self, zone: &Zone) -> Vec<HostId> {
+        let key = hash::text(zone.as_str());
+        let mut hosts: Vec<HostId> = self.table.members(zone).map(|host| host.id).collect();
+        hosts.sort_unstable_by_key(|&host| std::cmp::Reverse((hash::score(key, host), host)));
+        hosts.truncate(RELAYS);
+        hosts
+    }
+
+    /// Zones with members, in a fixed order.
+    pub fn zones(&self) -> Vec<Zone> {
+        let mut zones: Vec<Zone> = self.alive().map(|host| host.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones
+    }
+
+    /// The members as grants, relays and shares see them.
+    pub fn seats(&self) -> Vec<Seat> {
+        let seat = |host: &Host| Seat {
+            id: host.id,
+            life: host.incarnation,
+            zone: host.zone.clone(),
+            usable: self.reachable(host.id),
+        };
+        self.alive().map(seat).collect()
+    }
+
+    /// The digest of all members; equal on hosts that agree.
+    pub fn digest(&self) -> u64 {
+        self.table.digest(None)
+    }
+
+    /// Tells all members of the zone and the relays of the others that this host leaves. Call it last when stopping.
+    pub fn leave(&mut self, now: Time) {
+        self.leaving = true;
+        self.me.status = Status::Left;
+        _ = self.table.merge(now, &self.me.clone());
+        let zone = self.me.host.zone.clone();
+        let mut told: Vec<HostId> = self.table.members(&zone).map(|host| host.id).collect();
+        told.extend(self.zones().iter().filter(|&other| *other != zone).flat_map(|other| self.relays(other)));
+        for to in told {
+            self.send(to, Body::Records { records: vec![self.me.clone()], answer: false });
+        }
+    }
+
+    /// Takes the outputs since the last call.
+    pub fn drain(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: Time) {
+        self.now = now;
+        self.probe_peers(now);
+        self.follow_probes(now);
+        self.bury(now);
+        self.greet_zones(now);
+        self.watch_zones(now);
+        self.join(now);
+        self.revive(now);
+    }
+
+    /// Takes a message in.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        self.now = now;
+        if !self.note(now, from, &message) {
+            return;
+        }
+        match message.body {
+            Body::Join { record, ask } => {
+                self.merge(now, &record);
+                let all: Vec<Record> = self.table.iter().filter(|_| ask).map(|peer| peer.record.clone()).collect();
+                self.send_records(from, all, false);
+            }
+            Body::Ping { serial, news } => {
+                self.learn(now, from, &news);
+                let news = self.news(now, from);
+                self.send(from, Body::Ack { serial, news });
+            }
+            Body::Ack { serial, news } => {
+                self.learn(now, from, &news);
+                self.on_ack(from, message.life, serial);
+            }
+            Body::Probe { serial, about } => self.on_probe(now, from, serial, about),
+            Body::Vouch { serial, about, incarnation } => self.on_vouch(now, serial, about, incarnation),
+            Body::Digests(digests) => self.on_digests(from, &digests),
+            Body::Records { records, answer } => self.on_records(now, from, &records, answer),
+        }
+    }
+
+    /// Notes that `from` lives; false if the message is from an earlier life.
+    fn note(&mut self, now: Time, from: HostId, message: &Message) -> bool {
+        let zone = match self.table.get_mut(from) {
+            Some(peer) if message.life < peer.record.host.incarnation => return false,
+            Some(peer) if message.life == peer.record.host.incarnation => {
+                peer.heard = Some(now);
+                peer.record.host.zone.clone()
+            }
+            Some(_) | None => return true,
+        };
+        if zone != self.me.host.zone {
+            self.hear_zone(now, &zone);
+        }
+        true
+    }
+
+    /// Notes that `zone` was heard from at `at`.
+    fn hear_zone(&mut self, at: Time, zone: &Zone) {
+        let heard = self.zones.entry(zone.clone()).or_insert(Heard { at, cut: false });
+        heard.at = heard.at.max(at);
+    }
+
+    /// Takes in what rode on a ping or ack.
+    fn learn(&mut self, now: Time, from: HostId, news: &News) {
+        for record in &news.records {
+            self.merge(now, record);
+        }
+        for (zone, age) in &news.heard {
+            let age = Duration::from_millis(u64::from(*age));
+            let at = Time::ZERO + (now - Time::ZERO).saturating_sub(age);
+            self.hear_zone(at, zone);
+        }
+        let recent = self.synced.get(&from).is_some_and(|&at| now - at < SYNC_PERIOD);
+        let known = self.table.get(from).is_some_and(|peer| peer.record.present());
+        if !known || (news.digest != self.table.digest(None) && !recent) {
+            self.synced.insert(from, now);
+            let digests = self.table.digests();
+            self.send(from, Body::Digests(digests));
+        }
+    }
+
+    /// What rides on a ping or ack to `to`.
+    fn news(&mut self, now: Time, to: HostId) -> News {
+        let same = self.table.get(to).is_some_and(|peer| peer.record.host.zone == self.me.host.zone);
+        let age = |heard: &Heard| (now - heard.at).as_millis() as u32;
+        let heard = self.zones.iter().filter(|_| same).map(|(zone, heard)| (zone.clone(), age(heard))).collect();
+        News { digest: self.table.digest(None), records: self.table.take_news(), heard }
+    }
+
+    /// Takes one claim in.
+    fn merge(&mut self, now: Time, record: &Record) {
+        if record.host.id == self.me.host.id {
+            self.defend(now, record);
+            return;
+        }
+        let doubted = matches!(record.status, Status::Suspect | Status::Dead);
+        let peer = self.table.get(record.host.id);
+        let fresh = |peer: &Peer| {
+            peer.record.host.incarnation == record.host.incarnation
+                && peer.record.objections == record.objections
+                && peer.heard.is_some_and(|at| now - at < FRESH)
+        };
+        match peer {
+            Some(peer) if doubted && fresh(peer) => {
+                let suspect = Record { status: Status::Suspect, ..record.clone() };
+                self.adopt(now, &suspect);
+                self.ping(now, record.host.id);
+            }
+            Some(_) | None => self.adopt(now, record),
+        }
+    }
+
+    /// Takes a claim in if it beats what is known, and tells the shell.
+    fn adopt(&mut self, now: Time, record: &Record) {
+        let host = record.host.clone();
+        match self.table.merge(now, record) {
+            Merge::Replaced(old) if old.present() && record.present() && old.host == host => {}
+            Merge::New | Merge::Replaced(_) if record.present() => self.out.push(Output::Up(host)),
+            Merge::Replaced(old) if old.present() => self.out.push(Output::Down { host, status: record.status }),
+            Merge::Stale | Merge::New | Merge::Replaced(_) => {}
+        }
+    }
+
+    /// Objects to a claim that this host is not alive.
+    fn defend(&mut self, now: Time, claim: &Record) {
+        match claim.host.incarnation.cmp(&self.me.host.incarnation) {
+            std::cmp::Ordering::Greater => self.out.push(Output::Superseded),
+            std::cmp::Ordering::Equal if claim.beats(&self.me) && !self.leaving => {
+                self.me.objections = claim.objections + 1;
+                _ = self.table.merge(now, &self.me.clone());
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends back records of zones whose digests differ.
+    fn on_digests(&mut self, from: HostId, theirs: &[(Zone, u64)]) {
+        let mine = self.table.digests();
+        let differs = |zone: &Zone| {
+            let of = |list: &[(Zone, u64)]| list.iter().find(|(name, _)| name == zone).map_or(0, |&(_, digest)| digest);
+            of(theirs) != of(&mine)
+        };
+        let records = self.table.iter().filter(|peer| differs(&peer.record.host.zone)).map(|peer| peer.record.clone());
+        let records: Vec<Record> = records.collect();
+        self.send_records(from, records, true);
+    }
+
+    /// Takes claims in, and answers with better ones.
+    fn on_records(&mut self, now: Time, from: HostId, records: &[Record], answer: bool) {
+        let better = if answer { self.better(records) } else { Vec::new() };
+        for record in records {
+            self.merge(now, record);
+        }
+        if !better.is_empty() {
+            self.send_records(from, better, false);
+        }
+    }
+
+    /// Records of the zones in `theirs` that beat or extend it.
+    fn better(&self, theirs: &[Record]) -> Vec<Record> {
+        let zoned = |peer: &Peer| theirs.iter().any(|record| record.host.zone == peer.record.host.zone);
+        let beats = |peer: &Peer| match theirs.iter().find(|record| record.host.id == peer.record.host.id) {
+            Some(record) => peer.record.beats(record),
+            None => peer.record.present(),
+        };
+        self.table.iter().filter(|&peer| zoned(peer) && beats(peer)).map(|peer| peer.record.clone()).collect()
+    }
+
+    /// Sends claims in pieces.
+    fn send_records(&mut self, to: HostId, mut records: Vec<Record>, answer: bool) {
+        records.sort_by(|a, b| a.host.zone.cmp(&b.host.zone));
+        for chunk in records.chunks(MAX_RECORDS) {
+            self.send(to, Body::Records { records: chunk.to_vec(), answer });
+        }
+    }
+
+    /// Sends `body` to a known host.
+    fn send(&mut self, to: HostId, body: Body) {
+        if to == self.me.host.id {
+            return;
+        }
+        let life = self.me.host.incarnation;
+        self.out.push(Output::Send { to, message: Message { life, body } });
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/members/probe.rs
@@ -0,0 +1,283 @@
+//! Failure detection: pings, trials on fresh connections, probes through others, suspicion.
+
+use super::{
+    Body, CUT_TIME, DIRECT_TIMEOUT, HELPERS, INDIRECT_TIMEOUT, JOIN_PERIOD, KEEP_ENDED, Members, Message, Output,
+    PERIOD, RELAY_PERIOD, REVIVE_PERIOD, Record, SUSPICION, Status, TRIAL_TIMEOUT, ZONE_SILENT,
+};
+use mangogw_model::{HostId, Incarnation, Time};
+use rand::seq::{IndexedRandom, SliceRandom};
+
+/// How far the probe of a host has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Pinged on the open connection.
+    Direct,
+    /// Pinged on a fresh connection.
+    Trial,
+    /// Pinged through others.
+    Indirect,
+}
+
+/// A ping that has not been answered.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Probe {
+    to: HostId,
+    life: Incarnation,
+    start: Time,
+    until: Time,
+    stage: Stage,
+}
+
+/// A ping made on behalf of another host.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Errand {
+    client: HostId,
+    about: HostId,
+    serial: u64,
+    until: Time,
+}
+
+impl Members {
+    /// Pings the next peer of the zone.
+    pub(super) fn probe_peers(&mut self, now: Time) {
+        if now < self.due.probe {
+            return;
+        }
+        self.due.probe = now + PERIOD;
+        match self.next_peer() {
+            Some(to) if !self.probes.values().any(|probe| probe.to == to) => self.ping(now, to),
+            Some(_) | None => {}
+        }
+    }
+
+    /// The next peer of the zone in a shuffled round.
+    fn next_peer(&mut self) -> Option<HostId> {
+        let me = self.me.host.id;
+        if self.order.is_empty() {
+            let zone = self.me.host.zone.clone();
+            self.order = self.table.members(&zone).map(|host| host.id).filter(|&id| id != me).collect();
+            self.order.shuffle(&mut self.rng);
+        }
+        while let Some(id) = self.order.pop() {
+            if self.table.get(id).is_some_and(|peer| peer.record.present()) {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Starts a probe of `to`.
+    pub(super) fn ping(&mut self, now: Time, to: HostId) {
+        let Some(life) = self.table.get(to).map(|peer| peer.record.host.incarnation) else { return };
+        self.serial += 1;
+        let probe = Probe { to, life, start: now, until: now + DIRECT_TIMEOUT, stage: Stage::Direct };
+        self.probes.insert(self.serial, probe);
+        let news = self.news(now, to);
+        self.send(to, Body::Ping { serial: self.serial, news });
+    }
+
+    /// Moves probes whose time is up to their next stage.
+    pub(super) fn follow_probes(&mut self, now: Time) {
+        self.errands.retain(|_, errand| errand.until > now);
+        let late: Vec<(u64, Probe)> = self
+            .probes
+            .iter()
+            .filter(|(_, probe)| probe.until <= now)
+            .map(|(&serial, &probe)| (serial, probe))
+            .collect();
+        for (serial, probe) in late {
+            match probe.stage {
+                Stage::Direct => self.try_fresh(now, serial, probe),
+                Stage::Trial => self.try_helpers(now, serial, probe),
+                Stage::Indirect => self.give_up(now, serial, probe),
+            }
+        }
+    }
+
+    /// Pings again on a fresh connection.
+    fn try_fresh(&mut self, now: Time, serial: u64, probe: Probe) {
+        self.out.push(Output::Reconnect { to: probe.to });
+        self.probes.insert(serial, Probe { until: now + TRIAL_TIMEOUT, stage: Stage::Trial, ..probe });
+        self.send(probe.to, Body::Join { record: self.me.clone(), ask: false });
+        let news = self.news(now, probe.to);
+        self.send(probe.to, Body::Ping { serial, news });
+    }
+
+    /// Asks other hosts to ping.
+    fn try_helpers(&mut self, now: Time, serial: u64, probe: Probe) {
+        if let Some(peer) = self.table.get_mut(probe.to) {
+            peer.cut = now + CUT_TIME;
+        }
+        self.probes.insert(serial, Probe { until: now + INDIRECT_TIMEOUT, stage: Stage::Indirect, ..probe });
+        for helper in self.helpers(probe.to) {
+            self.send(helper, Body::Probe { serial, about: probe.to });
+        }
+    }
+
+    /// Hosts that may reach `about`: of this zone first, and one of another zone.
+    fn helpers(&mut self, about: HostId) -> Vec<HostId> {
+        let zone = self.me.host.zone.clone();
+        let not = [about, self.me.host.id];
+        let all: Vec<(HostId, bool)> =
+            self.alive().filter(|host| !not.contains(&host.id)).map(|host| (host.id, host.zone == zone)).collect();
+        let usable = |near: bool| -> Vec<HostId> {
+            all.iter().filter(|&&(id, same)| same == near && self.reachable(id)).map(|&(id, _)| id).collect()
+        };
+        let (mut near, mut far) = (usable(true), usable(false));
+        near.shuffle(&mut self.rng);
+        far.shuffle(&mut self.rng);
+        near.truncate(HELPERS - 1);
+        far.truncate(HELPERS - near.len());
+        near.extend(far);
+        near
+    }
+
+    /// Ends a probe that no one answered.
+    fn give_up(&mut self, now: Time, serial: u64, probe: Probe) {
+        self.probes.swap_remove(&serial);
+        let Some(peer) = self.table.get(probe.to) else { return };
+        let silent = peer.heard.is_none_or(|at| at < probe.start);
+        let same = peer.record.host.incarnation == probe.life && peer.record.host.zone == self.me.host.zone;
+        if silent && same && peer.record.status == Status::Alive {
+            let record = Record { status: Status::Suspect, ..peer.record.clone() };
+            self.adopt(now, &record);
+        }
+    }
+
+    /// Declares suspects of this zone dead that did not object in time, and forgets old ones.
+    pub(super) fn bury(&mut self, now: Time) {
+        for id in self.table.with(Status::Suspect) {
+            let Some(peer) = self.table.get(id) else { continue };
+            let heard = peer.heard.is_some_and(|at| at > peer.since && now - at < SUSPICION);
+            let over = now - peer.since >= SUSPICION && peer.record.host.zone == self.me.host.zone;
+            match over {
+                true if heard => self.soothe(now, id),
+                true => {
+                    let record = Record { status: Status::Dead, ..peer.record.clone() };
+                    self.adopt(now, &record);
+                }
+                false => {}
+            }
+        }
+        let limit = Time::ZERO + (now - Time::ZERO).saturating_sub(KEEP_ENDED);
+        self.table.forget(limit);
+    }
+
+    /// Keeps a suspect that is heard from, and tells it again that it is suspected so that it objects.
+    fn soothe(&mut self, now: Time, id: HostId) {
+        if let Some(peer) = self.table.get_mut(id) {
+            peer.since = now;
+        }
+        self.table.spread(id);
+        self.ping(now, id);
+    }
+
+    /// A relay pings a relay of each other zone.
+    pub(super) fn greet_zones(&mut self, now: Time) {
+        if now < self.due.relay {
+            return;
+        }
+        self.due.relay = now + RELAY_PERIOD;
+        let own = self.me.host.zone.clone();
+        if !self.relays(&own).contains(&self.me.host.id) {
+            return;
+        }
+        for zone in self.zones() {
+            let relays = self.relays(&zone);
+            match relays.choose(&mut self.rng) {
+                Some(&to) if zone != own => self.ping(now, to),
+                Some(_) | None => {}
+            }
+        }
+    }
+
+    /// Notes which zones went silent or came back.
+    pub(super) fn watch_zones(&mut self, now: Time) {
+        for (zone, heard) in &mut self.zones {
+            let silent = now - heard.at >= ZONE_SILENT;
+            match (heard.cut, silent) {
+                (false, true) => self.out.push(Output::ZoneCut(zone.clone())),
+                (true, false) => self.out.push(Output::ZoneBack(zone.clone())),
+                _ => {}
+            }
+            heard.cut = silent;
+        }
+    }
+
+    /// Dials the seeds until another host is known.
+    pub(super) fn join(&mut self, now: Time) {
+        if now < self.due.join || self.leaving {
+            return;
+        }
+        self.due.join = now + JOIN_PERIOD;
+        if self.table.iter().count() > 1 {
+            return;
+        }
+        for address in self.seeds.clone() {
+            self.dial(address);
+        }
+    }
+
+    /// Tries one dead host, and one seed at whose address no member lives, so that parts find each other again.
+    pub(super) fn revive(&mut self, now: Time) {
+        if now < self.due.revive || self.leaving {
+            return;
+        }
+        self.due.revive = now + REVIVE_PERIOD;
+        if let Some(&to) = self.table.with(Status::Dead).choose(&mut self.rng) {
+            self.table.spread(to);
+            let news = self.news(now, to);
+            self.serial += 1;
+            self.send(to, Body::Ping { serial: self.serial, news });
+        }
+        let idle = |seed: &&std::net::SocketAddr| !self.alive().any(|host| host.address == **seed);
+        let seeds: Vec<_> = self.seeds.iter().filter(idle).copied().collect();
+        if let Some(&address) = seeds.choose(&mut self.rng) {
+            self.dial(address);
+        }
+    }
+
+    /// Introduces this host at an address.
+    fn dial(&mut self, address: std::net::SocketAddr) {
+        let message =
+            Message { life: self.me.host.incarnation, body: Body::Join { record: self.me.clone(), ask: true } };
+        self.out.push(Output::Dial { address, message });
+    }
+
+    /// Ends the probe or errand that `serial` answers.
+    pub(super) fn on_ack(&mut self, from: HostId, life: Incarnation, serial: u64) {
+        if self.errands.get(&serial).is_some_and(|errand| errand.about == from) {
+            let Some(errand) = self.errands.swap_remove(&serial) else { return };
+            let vouch = Body::Vouch { serial: errand.serial, about: from, incarnation: life };
+            self.send(errand.client, vouch);
+            return;
+        }
+        if self.probes.get(&serial).is_some_and(|probe| probe.to == from) {
+            self.probes.swap_remove(&serial);
+        }
+        match self.table.get_mut(from) {
+            Some(peer) if peer.record.host.incarnation == life => peer.cut = Time::ZERO,
+            Some(_) | None => {}
+        }
+    }
+
+    /// Pings `about` on behalf of `client`.
+    pub(super) fn on_probe(&mut self, now: Time, client: HostId, serial: u64, about: HostId) {
+        self.serial += 1;
+        let until = now + INDIRECT_TIMEOUT;
+        self.errands.insert(self.serial, Errand { client, about, serial, until });
+        let news = self.news(now, about);
+        self.send(about, Body::Ping { serial: self.serial, news });
+    }
+
+    /// Another host reached `about`.
+    pub(super) fn on_vouch(&mut self, now: Time, serial: u64, about: HostId, life: Incarnation) {
+        if self.probes.get(&serial).is_some_and(|probe| probe.to == about) {
+            self.probes.swap_remove(&serial);
+        }
+        match self.table.get_mut(about) {
+            Some(peer) if peer.record.host.incarnation == life => peer.heard = Some(now),
+            Some(_) | None => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/members/table.rs
@@ -0,0 +1,139 @@
+//! The table of hosts, and the claims that still have to be passed on.
+
+use super::{Host, Record, Status};
+use crate::hash;
+use indexmap::IndexMap;
+use mangogw_model::{HostId, Time, Zone};
+
+/// Claims on one message.
+pub const MAX_NEWS: usize = 6;
+
+/// One host as this host sees it.
+#[derive(Debug, Clone)]
+pub(crate) struct Peer {
+    /// The claim that won so far.
+    pub record: Record,
+    /// When anything was last heard from this life of it.
+    pub heard: Option<Time>,
+    /// Since when the record has its status.
+    pub since: Time,
+    /// Until when no message is expected to arrive there: pings on the open and on a fresh connection went unanswered.
+    pub cut: Time,
+}
+
+/// What became of a claim.
+#[derive(Debug)]
+pub(crate) enum Merge {
+    /// A better one was known.
+    Stale,
+    /// The host was not known.
+    New,
+    /// It replaced this one.
+    Replaced(Record),
+}
+
+/// All hosts, this one included.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    peers: IndexMap<HostId, Peer>,
+    news: IndexMap<HostId, u32>,
+}
+
+impl Table {
+    /// The host `id`.
+    pub(crate) fn get(&self, id: HostId) -> Option<&Peer> {
+        self.peers.get(&id)
+    }
+
+    /// The host `id`, to change what this host alone knows of it.
+    pub(crate) fn get_mut(&mut self, id: HostId) -> Option<&mut Peer> {
+        self.peers.get_mut(&id)
+    }
+
+    /// All hosts, in the order in which they were met.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Takes `record` in if it beats what is known.
+    pub(crate) fn merge(&mut self, now: Time, record: &Record) -> Merge {
+        let id = record.host.id;
+        let merge = match self.peers.get_mut(&id) {
+            None => {
+                self.peers.insert(id, Peer { record: record.clone(), heard: None, since: now, cut: Time::ZERO });
+                Merge::New
+            }
+            Some(peer) if record.beats(&peer.record) => {
+                let reborn = record.host.incarnation > peer.record.host.incarnation;
+                peer.heard = peer.heard.filter(|_| !reborn);
+                peer.cut = if reborn { Time::ZERO } else { peer.cut };
+                peer.since = now;
+                Merge::Replaced(std::mem::replace(&mut peer.record, record.clone()))
+            }
+            Some(_) => return Merge::Stale,
+        };
+        self.spread(id);
+        merge
+    }
+
+    /// Passes the claim about `id` on with the next messages.
+    pub(crate) fn spread(&mut self, id: HostId) {
+        let copies = 3 + self.peers.len().max(1).ilog2();
+        self.news.insert(id, copies);
+    }
+
+    /// The claims that ride on the next message, least spread first.
+    pub(crate) fn take_news(&mut self) -> Vec<Record> {
+        let mut due: Vec<(u32, HostId)> = self.news.iter().map(|(&id, &left)| (left, id)).collect();
+        due.sort_unstable_by(|a, b| b.cmp(a));
+        due.truncate(MAX_NEWS);
+        for &(left, id) in &due {
+            match left {
+                1 => _ = self.news.swap_remove(&id),
+                _ => _ = self.news.insert(id, left - 1),
+            }
+        }
+        due.iter().filter_map(|(_, id)| self.peers.get(id)).map(|peer| peer.record.clone()).collect()
+    }
+
+    /// Forgets hosts that ended before `limit`.
+    pub(crate) fn forget(&mut self, limit: Time) {
+        self.peers.retain(|_, peer| peer.record.present() || peer.since > limit);
+    }
+
+    /// The digest of the members, in all zones or one.
+    pub(crate) fn digest(&self, zone: Option<&Zone>) -> u64 {
+        self.peers
+            .values()
+            .filter(|peer| peer.record.present() && zone.is_none_or(|zone| peer.record.host.zone == *zone))
+            .map(|peer| fingerprint(&peer.record))
+            .fold(0, u64::wrapping_add)
+    }
+
+    /// The digest of each zone that has records.
+    pub(crate) fn digests(&self) -> Vec<(Zone, u64)> {
+        let mut zones: Vec<Zone> = self.peers.values().map(|peer| peer.record.host.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.into_iter().map(|zone| (zone.clone(), self.digest(Some(&zone)))).collect()
+    }
+
+    /// The members of `zone`, in a fixed order.
+    pub(crate) fn members<'a>(&'a self, zone: &'a Zone) -> impl Iterator<Item = &'a Host> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.record.present() && peer.record.host.zone == *zone)
+            .map(|peer| &peer.record.host)
+    }
+
+    /// Hosts with status `status`.
+    pub(crate) fn with(&self, status: Status) -> Vec<HostId> {
+        self.peers.values().filter(|peer| peer.record.status == status).map(|peer| peer.record.host.id).collect()
+    }
+}
+
+/// The part of a digest that stands for one member.
+fn fingerprint(record: &Record) -> u64 {
+    let life = hash::mix(record.host.id.0 ^ hash::mix(record.host.incarnation.0));
+    hash::mix(life ^ u64::from(record.objections))
+}
--- /dev/null
+++ b/crates/cluster/src/seat.rs
@@ -0,0 +1,16 @@
+//! A member as the other state machines see it.
+
+use mangogw_model::{HostId, Incarnation, Zone};
+
+/// One member of the cluster; made by [`Members::seats`](crate::members::Members::seats).
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seat {
+    /// The host.
+    pub id: HostId,
+    /// Its life.
+    pub life: Incarnation,
+    /// Its zone.
+    pub zone: Zone,
+    /// True if a message sent to it now is expected to arrive.
+    pub usable: bool,
+}
--- /dev/null
+++ b/crates/cluster/tests/field/mod.rs
@@ -0,0 +1,314 @@
+//! Hosts with grants and targets that send heartbeats, over a fake network; clocks differ in rate and origin.
+
+use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, HEARTBEAT, Message, Settings, Target, Ticket};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time, Zone};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const TICK: Duration = Duration::from_millis(5);
+/// A target gives a heartbeat up after this time.
+const GIVE_UP: Duration = Duration::from_millis(600);
+
+/// A clock that runs at `rate` parts in a million of true time, from another origin.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    origin: u64,
+    rate: u64,
+}
+
+impl Clock {
+    fn read(self, now: Time) -> Time {
+        Time::from_micros(self.origin + (u128::from(now.as_micros()) * u128::from(self.rate) / 1_000_000) as u64)
+    }
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct Node {
+    pub grants: Grants,
+    pub up: bool,
+    pub clock: Clock,
+    pub life: u64,
+    pub events: Vec<Event>,
+    pub sent: u64,
+    pub bytes: u64,
+    tickets: BTreeMap<Ticket, (usize, u64)>,
+}
+
+/// One target: what it holds and its open heartbeat.
+#[derive(Debug)]
+pub struct Back {
+    pub target: Target,
+    pub up: bool,
+    pub life: u64,
+    pub clock: Clock,
+    pub entry: Option<usize>,
+    pub echoes: bool,
+    held: Option<(Grant, Time)>,
+    next: Time,
+    beat: u64,
+    open: Option<Time>,
+}
+
+/// The hosts, the targets and the messages under way.
+#[derive(Debug)]
+pub struct Field {
+    pub now: Time,
+    pub hosts: Vec<Node>,
+    pub backs: Vec<Back>,
+    pub blocked: BTreeSet<(usize, usize)>,
+    pub unseen: BTreeSet<(usize, usize)>,
+    pub chaos: bool,
+    pub rng: Pcg64Mcg,
+    wire: Vec<(Time, u64, usize, usize, Message)>,
+    sequence: u64,
+}
+
+fn clock(rng: &mut Pcg64Mcg) -> Clock {
+    Clock { origin: rng.random_range(1..1_000_000_000), rate: rng.random_range(999_000..=1_001_000) }
+}
+
+fn announcement(back: &Back) -> Announcement {
+    Announcement {
+        name: back.target.name.clone(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: back.target.zone.clone(),
+        rack: "".into(),
+        kind: Kind::Executor,
+        entries: vec!["gate-scan".into(), "route".into()],
+        capacity: Capacity { slots: 8, ..Capacity::default() },
+        incarnation: Incarnation(back.life),
+        running: Vec::new(),
+        connections: 60,
+    }
+}
+
+impl Field {
+    /// Opens hosts and targets of one zone.
+    pub fn open(hosts: usize, targets: usize, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let now = Time::from_millis(10_000);
+        let node = |index: usize, rng: &mut Pcg64Mcg| {
+            let clock = clock(rng);
+            Node {
+                grants: Grants::open(&Settings { id: HostId(index as u64), life: Incarnation(1) }, clock.read(now)),
+                up: true,
+                clock,
+                life: 1,
+                events: Vec::new(),
+                sent: 0,
+                bytes: 0,
+                tickets: BTreeMap::new(),
+            }
+        };
+        let back = |index: usize, rng: &mut Pcg64Mcg| Back {
+            target: Target { zone: Zone::from("a"), name: format!("t{index}").as_str().into() },
+            up: true,
+            life: 1,
+            clock: clock(rng),
+            entry: None,
+            echoes: true,
+            held: None,
+            next: now + Duration::from_millis(rng.random_range(0..800)),
+            beat: 0,
+            open: None,
+        };
+        Self {
+            now,
+            hosts: (0..hosts).map(|index| node(index, &mut rng)).collect(),
+            backs: (0..targets).map(|index| back(index, &mut rng)).collect(),
+            blocked: BTreeSet::new(),
+            unseen: BTreeSet::new(),
+            chaos: false,
+            rng,
+            wire: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    /// Lets time pass; checks at each step that no target has two owners.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += TICK;
+        self.deliver();
+        for index in 0..self.hosts.len() {
+            if self.hosts[index].up {
+                let seats = self.seats(index);
+                let node = &mut self.hosts[index];
+                let now = node.clock.read(self.now);
+                node.grants.set_hosts(now, seats);
+                node.grants.on_tick(now);
+                self.collect(index);
+            }
+        }
+        for index in 0..self.backs.len() {
+            self.beat(index);
+        }
+        self.check();
+    }
+
+    /// The members as host `index` sees them.
+    fn seats(&self, index: usize) -> Vec<Seat> {
+        let seat = |(other, node): (usize, &Node)| Seat {
+            id: HostId(other as u64),
+            life: Incarnation(node.life),
+            zone: Zone::from("a"),
+            usable: other == index || !self.blocked.contains(&(index, other)),
+        };
+        let seen = |other: usize| other == index || !self.unseen.contains(&(index, other));
+        self.hosts.iter().enumerate().filter(|&(other, node)| node.up && seen(other)).map(seat).collect()
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let due = self.wire.iter().enumerate().filter(|(_, item)| item.0 <= self.now);
+            let Some(at) = due.min_by_key(|(_, item)| (item.0, item.1)).map(|(at, _)| at) else { return };
+            let (_, _, from, to, message) = self.wire.swap_remove(at);
+            if self.hosts[to].up {
+                let now = self.hosts[to].clock.read(self.now);
+                self.hosts[to].grants.on_message(now, HostId(from as u64), message);
+                self.collect(to);
+            }
+        }
+    }
+
+    fn collect(&mut self, index: usize) {
+        for output in self.hosts[index].grants.drain() {
+            match output {
+                Output::Send { to, message } => self.post(index, to.0 as usize, &message),
+                Output::Event(Event::Answered { ticket, answer }) => self.answer(index, ticket, answer),
+                Output::Event(event) => self.hosts[index].events.push(event),
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: &Message) {
+        self.hosts[from].sent += 1;
+        self.hosts[from].bytes += postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) as u64;
+        if self.blocked.contains(&(from, to)) {
+            return;
+        }
+        let copies = if self.chaos { [0, 1, 1, 1, 2][self.rng.random_range(0..5)] } else { 1 };
+        for _ in 0..copies {
+            let late = if self.chaos && self.rng.random_range(0..20) == 0 { 3_000 } else { 40 };
+            let extra = if self.chaos { self.rng.random_range(0..late) } else { 0 };
+            self.sequence += 1;
+            let at = self.now + Duration::from_millis(1 + extra);
+            self.wire.push((at, self.sequence, from, to, message.clone()));
+        }
+    }
+
+    /// The answer to a heartbeat counts only while the target waits for it.
+    fn answer(&mut self, index: usize, ticket: Ticket, answer: Answer) {
+        let Some((back, beat)) = self.hosts[index].tickets.remove(&ticket) else { return };
+        let back = &mut self.backs[back];
+        if !back.up || back.beat != beat || back.open.is_none() {
+            return;
+        }
+        let now = back.clock.read(self.now);
+        back.open = None;
+        back.next = self.now + answer.interval;
+        back.held = answer.grant.map(|grant| (grant, now)).or(back.held);
+    }
+
+    fn beat(&mut self, index: usize) {
+        let now = self.now;
+        let back = &mut self.backs[index];
+        if back.open.is_some_and(|at| now - at >= GIVE_UP) {
+            back.open = None;
+            back.next = now + Duration::from_millis(100);
+        }
+        if !back.up || back.open.is_some() || back.next > now {
+            return;
+        }
+        let entry = back.entry.unwrap_or_else(|| self.rng.random_range(0..self.hosts.len()));
+        if !self.hosts[entry].up {
+            back.next = now + Duration::from_millis(20);
+            return;
+        }
+        back.beat += 1;
+        back.open = Some(now);
+        let local = back.clock.read(now);
+        let echo = back
+            .held
+            .filter(|_| back.echoes)
+            .map(|(grant, at)| Echo { grant, age_ms: Some((local - at).as_millis() as u32) });
+        let (announcement, beat) = (announcement(back), back.beat);
+        let node = &mut self.hosts[entry];
+        let now = node.clock.read(self.now);
+        let ticket = node.grants.announce(now, announcement, echo);
+        node.tickets.insert(ticket, (index, beat));
+        self.collect(entry);
+    }
+
+    /// The hosts that act as owner of a target.
+    pub fn owners(&self, back: usize) -> Vec<usize> {
+        let target = &self.backs[back].target;
+        let holds = |node: &Node| node.up && node.grants.holds(node.clock.read(self.now), target);
+        self.hosts.iter().enumerate().filter(|(_, node)| holds(node)).map(|(index, _)| index).collect()
+    }
+
+    /// At most one owner for the present life of each target.
+    fn check(&self) {
+        for (index, back) in self.backs.iter().enumerate() {
+            if !back.echoes {
+                continue;
+            }
+            let life = |owner: &usize| {
+                let now = self.hosts[*owner].clock.read(self.now);
+                let found = self.hosts[*owner].grants.owned(now).find(|one| one.name == back.target.name);
+                found.map(|one| one.incarnation.0)
+            };
+            let owners = self.owners(index);
+            let present = owners.iter().filter(|owner| life(owner) == Some(back.life)).count();
+            assert!(present <= 1, "{:?} has owners {owners:?} at {:?}", back.target, self.now);
+        }
+    }
+
+    /// True if each target that is up has one owner.
+    pub fn all_owned(&self) -> bool {
+        (0..self.backs.len()).filter(|&index| self.backs[index].up).all(|index| self.owners(index).len() == 1)
+    }
+
+    /// The target says at `entry` that it leaves.
+    pub fn leave(&mut self, entry: usize, target: &Target) {
+        let node = &mut self.hosts[entry];
+        let now = node.clock.read(self.now);
+        node.grants.leave(now, target.clone(), None);
+        self.collect(entry);
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.hosts[index].up = false;
+        self.hosts[index].tickets.clear();
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        let clock = clock(&mut self.rng);
+        let node = &mut self.hosts[index];
+        node.life += 1;
+        node.up = true;
+        node.clock = clock;
+        let settings = Settings { id: HostId(index as u64), life: Incarnation(node.life) };
+        node.grants = Grants::open(&settings, clock.read(self.now));
+    }
+
+    /// The target restarts and has forgotten its grant.
+    pub fn restart_target(&mut self, index: usize) {
+        let back = &mut self.backs[index];
+        back.life += 1;
+        back.up = true;
+        back.held = None;
+        back.open = None;
+        back.next = self.now + HEARTBEAT / 4;
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/grants.rs
@@ -0,0 +1,161 @@
+//! Grants of targets: one owner, moved evenly, waited out, handed over.
+
+mod field;
+
+use field::Field;
+use mangogw_cluster::grants::{Event, Reason};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settled(hosts: usize, targets: usize) -> Field {
+    let mut field = Field::open(hosts, targets, 7);
+    field.run(SECOND * 8);
+    assert!(field.all_owned());
+    field
+}
+
+fn counts(field: &Field) -> Vec<usize> {
+    let mut counts = vec![0; field.hosts.len()];
+    for back in 0..field.backs.len() {
+        for owner in field.owners(back) {
+            counts[owner] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn new_target_is_owned_within_its_first_heartbeats() {
+    let mut field = Field::open(3, 20, 3);
+    field.run(Duration::from_millis(1_200));
+    assert!(field.all_owned());
+}
+
+#[test]
+fn targets_are_spread_evenly() {
+    let counts = counts(&settled(3, 300));
+    let four_deviations = 33;
+    assert!(counts.iter().all(|&count| count.abs_diff(100) <= four_deviations), "{counts:?}");
+}
+
+#[test]
+fn targets_of_a_dead_host_are_back_within_three_seconds() {
+    let mut field = settled(3, 40);
+    field.crash(0);
+    let mut waited = Duration::ZERO;
+    while !field.all_owned() {
+        field.step();
+        waited += field::TICK;
+        assert!(waited <= SECOND * 3, "not back");
+    }
+}
+
+#[test]
+fn crash_is_covered_even_where_membership_has_not_noticed() {
+    let mut field = settled(3, 40);
+    field.crash(0);
+    field.hosts[0].up = true;
+    for other in 0..3 {
+        field.blocked.insert((0, other));
+        field.blocked.insert((other, 0));
+    }
+    for back in &mut field.backs {
+        back.entry = Some(1);
+    }
+    field.run(SECOND * 4);
+    assert!(field.all_owned());
+    assert_eq!(counts(&field)[0], 0);
+}
+
+#[test]
+fn new_host_gets_its_part_and_no_target_idles_long() {
+    let mut field = settled(3, 60);
+    field.crash(2);
+    field.run(SECOND * 40);
+    field.restart(2);
+    let mut idle = vec![Duration::ZERO; 60];
+    for _ in 0..2_400 {
+        field.step();
+        for (back, idle) in idle.iter_mut().enumerate() {
+            *idle += if field.owners(back).is_empty() { field::TICK } else { Duration::ZERO };
+        }
+    }
+    assert!(counts(&field)[2] >= 10, "{:?}", counts(&field));
+    assert!(idle.iter().all(|&idle| idle <= Duration::from_millis(100)), "{idle:?}");
+}
+
+#[test]
+fn leaving_host_hands_everything_over_within_two_heartbeats() {
+    let mut field = settled(3, 40);
+    field.hosts[1].grants.leave_cluster();
+    field.run(Duration::from_millis(1_700));
+    assert_eq!(counts(&field)[1], 0);
+    assert!(field.all_owned());
+    let handed = |event: &&Event| matches!(event, Event::Ended { reason: Reason::Handed(_), .. });
+    assert!(field.hosts[1].events.iter().filter(handed).count() >= 5);
+}
+
+#[test]
+fn host_cut_off_from_hosts_serves_the_targets_that_reach_it() {
+    let mut field = settled(3, 30);
+    let mine: Vec<usize> = (0..30).filter(|&back| field.owners(back) == [0]).collect();
+    for &back in &mine {
+        field.backs[back].entry = Some(0);
+    }
+    for back in (0..30).filter(|back| !mine.contains(back)) {
+        field.backs[back].entry = Some(1);
+    }
+    for other in [1, 2] {
+        field.blocked.insert((0, other));
+        field.blocked.insert((other, 0));
+        field.unseen.insert((0, other));
+        field.unseen.insert((other, 0));
+    }
+    field.run(SECOND * 20);
+    assert!(field.all_owned());
+    assert!(mine.iter().all(|&back| field.owners(back) == [0]));
+}
+
+#[test]
+fn leave_reaches_the_owner_at_once() {
+    let mut field = settled(3, 9);
+    for back in 0..9 {
+        let owner = field.owners(back)[0];
+        let entry = (owner + 1) % 3;
+        let target = field.backs[back].target.clone();
+        field.leave(entry, &target);
+        field.run(Duration::from_millis(20));
+        assert!(field.hosts[owner].events.contains(&Event::Leaving(target)));
+    }
+}
+
+#[test]
+fn leave_is_repeated_past_lost_messages() {
+    let mut field = settled(3, 1);
+    let owner = field.owners(0)[0];
+    let entry = (owner + 1) % 3;
+    let target = field.backs[0].target.clone();
+    field.blocked.insert((entry, owner));
+    field.leave(entry, &target);
+    field.run(SECOND);
+    field.blocked.clear();
+    field.run(Duration::from_millis(300));
+    assert!(field.hosts[owner].events.contains(&Event::Leaving(target)));
+}
+
+#[test]
+fn target_that_never_sends_a_grant_back_is_used_after_a_lease() {
+    let mut field = Field::open(1, 1, 5);
+    field.backs[0].echoes = false;
+    field.run(SECOND * 6);
+    assert!(field.all_owned());
+}
+
+#[test]
+fn restarted_target_is_used_at_once() {
+    let mut field = settled(3, 10);
+    field.restart_target(4);
+    field.run(SECOND);
+    assert!(field.all_owned());
+}
--- /dev/null
+++ b/crates/cluster/tests/net/mod.rs
@@ -0,0 +1,227 @@
+//! A fake network for the membership: hosts with a link delay, cuts, and flows that can be dropped.
+
+use mangogw_cluster::members::{Host, Members, Message, Output, Settings, Status};
+use mangogw_model::{HostId, Incarnation, Time, Zone};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// One host and what it said.
+#[derive(Debug)]
+pub struct Node {
+    pub members: Members,
+    pub up: bool,
+    pub log: Vec<Output>,
+    pub sent: u64,
+    pub bytes: u64,
+    life: u64,
+}
+
+/// The hosts and the messages under way.
+#[derive(Debug)]
+pub struct Net {
+    pub now: Time,
+    pub hosts: Vec<Node>,
+    pub downs: Vec<(usize, HostId)>,
+    pub chaos: bool,
+    rng: Pcg64Mcg,
+    zones: Vec<Zone>,
+    wire: Vec<(Time, u64, usize, usize, Message)>,
+    sequence: u64,
+    blocked: BTreeSet<(usize, usize)>,
+    dropped: BTreeSet<(usize, usize)>,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7_000 + index as u16))
+}
+
+fn member(index: usize, life: u64, zones: &[Zone], now: Time) -> Members {
+    let address = address(index);
+    let host = Host {
+        id: HostId(index as u64),
+        incarnation: Incarnation(life),
+        address,
+        http: address,
+        zone: zones[index].clone(),
+        voter: false,
+    };
+    let seeds = vec![self::address(0), self::address(zones.len() - 1)];
+    Members::open(Settings { host, seeds, seed: index as u64 * 1_000 + life }, now)
+}
+
+impl Net {
+    /// Opens `sizes[i]` hosts in zone `zi`.
+    pub fn open(sizes: &[usize], seed: u64) -> Self {
+        let zones: Vec<Zone> = sizes
+            .iter()
+            .enumerate()
+            .flat_map(|(zone, &size)| std::iter::repeat_n(Zone::from(format!("z{zone}")), size))
+            .collect();
+        let now = Time::from_millis(5_000);
+        let node = |index| Node {
+            members: member(index, 1, &zones, now),
+            up: true,
+            log: Vec::new(),
+            sent: 0,
+            bytes: 0,
+            life: 1,
+        };
+        Self {
+            now,
+            hosts: (0..zones.len()).map(node).collect(),
+            downs: Vec::new(),
+            chaos: false,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            zones,
+            wire: Vec::new(),
+            sequence: 0,
+            blocked: BTreeSet::new(),
+            dropped: BTreeSet::new(),
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += TICK;
+            self.deliver();
+            for index in 0..self.hosts.len() {
+                if self.hosts[index].up {
+                    self.hosts[index].members.on_tick(self.now);
+                    self.collect(index);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(at) = self.next_due() {
+            let (_, _, from, to, message) = self.wire.swap_remove(at);
+            if self.hosts[to].up && !self.blocked.contains(&(from, to)) {
+                self.hosts[to].members.on_message(self.now, HostId(from as u64), message);
+                self.collect(to);
+            }
+        }
+    }
+
+    fn next_due(&self) -> Option<usize> {
+        let due = self.wire.iter().enumerate().filter(|(_, item)| item.0 <= self.now);
+        due.min_by_key(|(_, item)| (item.0, item.1)).map(|(at, _)| at)
+    }
+
+    fn collect(&mut self, index: usize) {
+        for output in self.hosts[index].members.drain() {
+            match &output {
+                Output::Send { to, message } => self.post(index, to.0 as usize, message),
+                Output::Dial { address, message } => {
+                    self.post(index, usize::from(address.port() - 7_000), message);
+                }
+                Output::Reconnect { to } => _ = self.dropped.remove(&(index, to.0 as usize)),
+                Output::Down { host, status: Status::Dead } => self.downs.push((index, host.id)),
+                _ => {}
+            }
+            if !matches!(output, Output::Send { .. }) {
+                self.hosts[index].log.push(output);
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: &Message) {
+        self.hosts[from].sent += 1;
+        self.hosts[from].bytes += postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) as u64;
+        if self.blocked.contains(&(from, to)) || self.dropped.contains(&(from, to)) {
+            return;
+        }
+        let delay = Duration::from_millis(if self.zones[from] == self.zones[to] { 1 } else { 2 });
+        let copies = if self.chaos { [0, 1, 1, 1, 2][self.rng.random_range(0..5)] } else { 1 };
+        for _ in 0..copies {
+            let extra = if self.chaos { self.rng.random_range(0..60) } else { 0 };
+            self.sequence += 1;
+            let at = self.now + delay + Duration::from_millis(extra);
+            self.wire.push((at, self.sequence, from, to, message.clone()));
+        }
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.hosts[index].up = false;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        let life = self.hosts[index].life + 1;
+        self.hosts[index] = Node {
+            members: member(index, life, &self.zones, self.now),
+            up: true,
+            log: Vec::new(),
+            sent: 0,
+            bytes: 0,
+            life,
+        };
+    }
+
+    /// Takes a running host out, as if its process was stopped for a while.
+    pub fn take(&mut self, index: usize) -> Members {
+        self.hosts[index].up = false;
+        std::mem::replace(&mut self.hosts[index].members, member(index, 0, &self.zones, self.now))
+    }
+
+    /// Puts an earlier process back in place of the present one.
+    pub fn put_back(&mut self, index: usize, members: Members) {
+        self.hosts[index].members = members;
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        self.hosts[index].members.leave(self.now);
+        self.collect(index);
+        self.hosts[index].up = false;
+    }
+
+    pub fn block(&mut self, from: usize, to: usize) {
+        self.blocked.insert((from, to));
+    }
+
+    /// Drops what `from` sends to `to` until it reconnects.
+    pub fn drop_flow(&mut self, from: usize, to: usize) {
+        self.dropped.insert((from, to));
+    }
+
+    pub fn isolate(&mut self, index: usize) {
+        for other in 0..self.hosts.len() {
+            self.block(index, other);
+            self.block(other, index);
+        }
+    }
+
+    pub fn cut_zone(&mut self, zone: &Zone) {
+        for from in 0..self.hosts.len() {
+            for to in 0..self.hosts.len() {
+                if (self.zones[from] == *zone) != (self.zones[to] == *zone) {
+                    self.block(from, to);
+                }
+            }
+        }
+    }
+
+    pub fn heal(&mut self) {
+        self.blocked.clear();
+    }
+
+    /// True if every host that is up holds exactly the hosts that are up to be members.
+    pub fn agree(&self) -> bool {
+        let truth: BTreeSet<(HostId, Incarnation)> = self
+            .hosts
+            .iter()
+            .filter(|node| node.up)
+            .map(|node| (node.members.me().id, node.members.me().incarnation))
+            .collect();
+        self.hosts.iter().filter(|node| node.up).all(|node| {
+            let seen: BTreeSet<_> = node.members.alive().map(|host| (host.id, host.incarnation)).collect();
+            seen == truth
+        })
+    }
+}
