--- /dev/null
+++ b/crates/cluster/src/ownership/mod.rs
@@ -0,0 +1,165 @@
+//! Which host owns the records of which keys.
+//!
+//! The table is a deterministic state machine that every host applies from the replicated log of the control group.
+//! A key belongs to one range. A range has holders: the owner first, then its followers. A change of holders raises
+//! the epoch, and the new holders may act only after `Ready`, which says that all of them hold every record that the
+//! last ready holders had.
+//!
+//! ```
+//! use mangogw_cluster::ownership::{Command, Ownership, Peer};
+//! use mangogw_model::{HostId, Incarnation};
+//!
+//! let peers = [1, 2].map(|host| Peer::new(HostId(host), Incarnation(1), "regina-a".into()));
+//! let mut table = Ownership::default();
+//! for index in 1..=3 {
+//!     for command in table.plan(&peers) {
+//!         table.apply(index, &command);
+//!     }
+//! }
+//! let range = table.locate(&"order-17".into()).unwrap();
+//! assert_eq!(table.range(range).unwrap().holders.len(), 2);
+//! ```
+
+mod command;
+mod plan;
+mod range;
+
+pub use command::{BadCommand, Command};
+pub use range::{Holder, Peer, Range, RangeId};
+
+use mangogw_model::{Key, Zone};
+use range::hash;
+use serde::{Deserialize, Serialize};
+
+/// What parts the zone of a pinned key from the rest of it.
+const PIN_MARK: char = ':';
+
+/// The table of ranges and their holders.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ownership {
+    index: u64,
+    hashed: u32,
+    pinned: u32,
+    zones: Vec<Zone>,
+    ranges: Vec<Range>,
+}
+
+impl Ownership {
+    /// The log index of the last command applied; 0 before the first.
+    pub const fn index(&self) -> u64 {
+        self.index
+    }
+
+    /// Every range with its id, in the order of the ids.
+    pub fn ranges(&self) -> impl Iterator<Item = (RangeId, &Range)> {
+        self.ranges.iter().enumerate().map(|(at, range)| (RangeId(at as u32), range))
+    }
+
+    /// The range with this id.
+    pub fn range(&self, id: RangeId) -> Option<&Range> {
+        self.ranges.get(id.0 as usize)
+    }
+
+    /// The zone whose keys the range holds; none for a range of hashed keys.
+    pub fn zone(&self, id: RangeId) -> Option<&Zone> {
+        let at = id.0.checked_sub(self.hashed)?;
+        self.zones.get((at / self.pinned.max(1)) as usize)
+    }
+
+    /// The range that `key` belongs to; none before the table was opened.
+    ///
+    /// ```
+    /// use mangogw_cluster::ownership::{Command, Ownership};
+    ///
+    /// let mut table = Ownership::default();
+    /// table.apply(1, &Command::Open { hashed: 4, pinned: 2, zones: vec!["regina-a".into()] });
+    /// let pinned = table.locate(&"regina-a:17".into()).unwrap();
+    /// assert_eq!(table.zone(pinned), Some(&"regina-a".into()));
+    /// let hashed = table.locate(&"order:17".into()).unwrap();
+    /// assert_eq!(table.zone(hashed), None);
+    /// ```
+    pub fn locate(&self, key: &Key) -> Option<RangeId> {
+        let digest = hash(key.as_str().as_bytes());
+        let zone = key.as_str().split_once(PIN_MARK).map(|(zone, _)| zone);
+        let pin = zone.and_then(|zone| self.zones.iter().position(|known| known.as_str() == zone));
+        match pin {
+            Some(zone) => {
+                Some(RangeId(self.hashed + zone as u32 * self.pinned + (digest % u64::from(self.pinned)) as u32))
+            }
+            None if self.hashed > 0 => Some(RangeId((digest % u64::from(self.hashed)) as u32)),
+            None => None,
+        }
+    }
+
+    /// Applies the command at `index` of the log. A command whose epoch is not the current one changes nothing.
+    pub fn apply(&mut self, index: u64, command: &Command) {
+        self.index = self.index.max(index);
+        match command {
+            Command::Open { hashed, pinned, zones } if self.hashed == 0 => self.open(*hashed, *pinned, zones),
+            Command::Open { .. } => {}
+            Command::Zone { zone } => self.add(zone),
+            Command::Assign { range, epoch, holders } => {
+                if let Some(range) = self.current(*range, *epoch).filter(|_| !holders.is_empty()) {
+                    range.assign(holders.clone());
+                }
+            }
+            Command::Ready { range, epoch } => {
+                if let Some(range) = self.current(*range, *epoch) {
+                    range.settle();
+                }
+            }
+            Command::Forget { range, epoch } => {
+                if let Some(range) = self.current(*range, *epoch).filter(|range| !range.ready) {
+                    range.forget();
+                }
+            }
+        }
+    }
+
+    /// The table as bytes, for the snapshot of the control group.
+    ///
+    /// ```
+    /// use mangogw_cluster::ownership::Ownership;
+    ///
+    /// let table = Ownership::default();
+    /// assert_eq!(Ownership::restore(&table.snapshot()).unwrap(), table);
+    /// ```
+    pub fn snapshot(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("plain data encodes")
+    }
+
+    /// The table from the bytes of [`Ownership::snapshot`].
+    ///
+    /// # Errors
+    ///
+    /// [`BadCommand`] where the bytes are no table.
+    pub fn restore(bytes: &[u8]) -> Result<Self, BadCommand> {
+        postcard::from_bytes(bytes).map_err(|_error| BadCommand)
+    }
+
+    fn open(&mut self, hashed: u32, pinned: u32, zones: &[Zone]) {
+        self.hashed = hashed.max(1);
+        self.pinned = pinned.max(1);
+        self.ranges = vec![Range::default(); self.hashed as usize];
+        for zone in zones {
+            self.add(zone);
+        }
+    }
+
+    /// Adds the ranges of a zone. Keys of its name may have been hashed before, so once the table was in use its
+    /// ranges start as lost: their owner vouches for no unseen key until every such record has ended.
+    fn add(&mut self, zone: &Zone) {
+        if self.hashed == 0 || self.zones.contains(zone) {
+            return;
+        }
+        let used = self.ranges.iter().any(|range| range.epoch > 0);
+        self.zones.push(zone.clone());
+        for _ in 0..self.pinned {
+            self.ranges.push(Range { lost: used, ..Range::default() });
+        }
+    }
+
+    fn current(&mut self, id: RangeId, epoch: u64) -> Option<&mut Range> {
+        self.ranges.get_mut(id.0 as usize).filter(|range| range.epoch == epoch)
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/ownership/range.rs
@@ -0,0 +1,109 @@
+//! Ranges of keys and the hosts that hold them.
+
+use mangogw_model::{HostId, Incarnation, Zone};
+use serde::{Deserialize, Serialize};
+
+/// A range of keys, by its position in the table.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RangeId(pub u32);
+
+/// One life of one host. A host that restarted has lost its records and is another holder.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The host.
+    pub host: HostId,
+    /// The life of its process.
+    pub incarnation: Incarnation,
+}
+
+impl Holder {
+    /// The life `incarnation` of `host`.
+    pub const fn new(host: HostId, incarnation: Incarnation) -> Self {
+        Self { host, incarnation }
+    }
+}
+
+/// A live host as the membership sees it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peer {
+    /// The host and its life.
+    pub holder: Holder,
+    /// The zone it stands in.
+    pub zone: Zone,
+    /// True if it shuts down and hands its ranges over.
+    pub leaving: bool,
+}
+
+impl Peer {
+    /// A live host that stays.
+    pub const fn new(host: HostId, incarnation: Incarnation, zone: Zone) -> Self {
+        Self { holder: Holder::new(host, incarnation), zone, leaving: false }
+    }
+}
+
+/// Who holds the records of a range.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Range {
+    /// Rises with each change of holders; 0 before the first.
+    pub epoch: u64,
+    /// The owner, then its followers.
+    pub holders: Vec<Holder>,
+    /// True once every holder has every record of the last ready holders.
+    pub ready: bool,
+    /// The last ready holders, while `ready` is false; any one of them has every record.
+    pub prior: Vec<Holder>,
+    /// True if records may exist that nobody holds any more.
+    pub lost: bool,
+}
+
+impl Range {
+    /// The owner.
+    pub fn owner(&self) -> Option<Holder> {
+        self.holders.first().copied()
+    }
+
+    /// True if `holder` holds the records, or held them last.
+    pub fn names(&self, holder: Holder) -> bool {
+        self.holders.contains(&holder) || self.prior.contains(&holder)
+    }
+
+    pub(super) fn assign(&mut self, holders: Vec<Holder>) {
+        let former = std::mem::replace(&mut self.holders, holders);
+        if self.ready {
+            self.prior = former;
+        }
+        self.ready = false;
+        self.epoch += 1;
+    }
+
+    pub(super) fn settle(&mut self) {
+        self.ready = true;
+        self.prior.clear();
+        self.lost = false;
+    }
+
+    pub(super) fn forget(&mut self) {
+        self.prior.clear();
+        self.lost = true;
+    }
+}
+
+/// FNV-1a with a final mix: the same on every host and in every version.
+pub(super) fn hash(bytes: &[u8]) -> u64 {
+    let folded = bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |sum: u64, byte| (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3));
+    mix(folded)
+}
+
+/// The weight of a host for a range; the highest is the first choice.
+pub(super) fn score(range: RangeId, host: HostId) -> u64 {
+    mix(mix(host.0 ^ 0x9e37_79b9_7f4a_7c15).wrapping_add(u64::from(range.0)))
+}
+
+/// The finalizer of splitmix64.
+const fn mix(mut word: u64) -> u64 {
+    word = (word ^ (word >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    word = (word ^ (word >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    word ^ (word >> 31)
+}
--- /dev/null
+++ b/crates/cluster/src/records/held.rs
@@ -0,0 +1,126 @@
+//! The records of one range on one of its holders.
+
+use super::message::{Image, Page};
+use super::record::Record;
+use super::settings::Settings;
+use crate::ownership::Holder;
+use indexmap::{IndexMap, IndexSet};
+use mangogw_model::{HostId, Key, Time};
+
+/// Bytes of records in one page, about.
+const PAGE_BYTES: usize = 256 * 1024;
+/// Records looked at for their retention in one sweep.
+const SWEEP: usize = 512;
+
+/// The records of one range on one of its holders.
+#[derive(Debug, Default)]
+pub(super) struct Held {
+    /// The epoch whose records these are, all of them.
+    pub epoch: u64,
+    /// The holders of that epoch, the owner first.
+    pub holders: Vec<Holder>,
+    /// True once the table says that the epoch is ready.
+    pub ready: bool,
+    /// No epoch below it gets any help.
+    pub sealed: u64,
+    /// Unseen keys may have been seen by somebody until then.
+    pub blind: Time,
+    pub records: IndexMap<Key, Record>,
+    /// Keys of submissions that run.
+    pub open: IndexSet<Key>,
+    /// At a follower: the owner may act until then.
+    pub granted: Time,
+    /// At the owner: until when each follower lets it act.
+    pub leases: IndexMap<HostId, Time>,
+    /// At the owner: it could act when it last looked.
+    pub live: bool,
+    pub bytes: usize,
+    swept: usize,
+}
+
+impl Held {
+    pub fn new(epoch: u64, holders: Vec<Holder>) -> Self {
+        Self { epoch, holders, sealed: epoch, ..Self::default() }
+    }
+
+    pub fn owned(&self, me: Holder) -> bool {
+        self.holders.first() == Some(&me)
+    }
+
+    /// True at the owner of a ready epoch that nobody replaced, as far as it knows.
+    pub fn leads(&self, me: Holder) -> bool {
+        self.owned(me) && self.ready && self.sealed <= self.epoch
+    }
+
+    /// True while the owner may act: every follower lets it.
+    pub fn acting(&self, now: Time, me: Holder) -> bool {
+        let granted = |holder: &Holder| self.leases.get(&holder.host).is_some_and(|until| now < *until);
+        self.leads(me) && self.followers().iter().all(granted)
+    }
+
+    pub fn followers(&self) -> &[Holder] {
+        self.holders.get(1..).unwrap_or_default()
+    }
+
+    pub fn insert(&mut self, key: Key, record: Record) {
+        self.bytes += record.size;
+        if record.verdict.is_none() {
+            self.open.insert(key.clone());
+        }
+        if let Some(former) = self.records.insert(key, record) {
+            self.bytes -= former.size;
+        }
+    }
+
+    /// Changes a record and counts its bytes anew.
+    pub fn edit<R>(&mut self, key: &Key, change: impl FnOnce(&mut Record) -> R) -> Option<R> {
+        let record = self.records.get_mut(key)?;
+        let before = record.size;
+        let result = change(record);
+        self.bytes = self.bytes + record.size - before;
+        if record.verdict.is_some() {
+            record.desk = None;
+            self.open.swap_remove(key);
+        }
+        Some(result)
+    }
+
+    /// Lets go of some records whose retention is over.
+    pub fn sweep(&mut self, now: Time, settings: &Settings) {
+        for _ in 0..SWEEP.min(self.records.len()) {
+            match self.records.get_index(self.swept) {
+                None => self.swept = 0,
+                Some((_, record)) if super::record::stale(record, now, settings) => {
+                    let gone = self.records.swap_remove_index(self.swept);
+                    self.bytes -= gone.map_or(0, |(_, record)| record.size);
+                }
+                Some(_) => self.swept += 1,
+            }
+        }
+    }
+
+    /// The records from position `cursor` on, as many as one message takes.
+    pub fn page(&self, now: Time, cursor: u32, exact: bool) -> Page {
+        let mut images: Vec<Image> = Vec::new();
+        let mut bytes = 0;
+        for (key, record) in self.records.iter().skip(cursor as usize) {
+            images.push(record.image(now, key, exact));
+            bytes += record.size;
+            if bytes >= PAGE_BYTES {
+                break;
+            }
+        }
+        let end = cursor + images.len() as u32;
+        let next = ((end as usize) < self.records.len()).then_some(end);
+        Page { cursor, next, exact, blind: self.blind - now, images }
+    }
+
+    /// Takes the records of a page in.
+    pub fn load(&mut self, now: Time, page: Page, owner: bool) {
+        self.blind = self.blind.max(if page.blind.is_zero() { Time::ZERO } else { now + page.blind });
+        for image in page.images {
+            let (key, record) = Record::load(now, image, owner);
+            self.insert(key, record);
+        }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/records/mod.rs
@@ -0,0 +1,417 @@
+//! The records of submissions: no task of a submission starts twice.
+//!
+//! One [`Records`] value stands on each host. It does no I/O: the host hands it the time, callers' requests, messages
+//! and the ownership table, and carries out what [`Records::drain`] returns. A submission is recorded at the owner of
+//! its key and at a follower on another host before its first task may start. The design, and why nothing starts
+//! twice, is in `docs/design/submissions.md`.
+//!
+//! How a host uses it:
+//!
+//! 1. [`Records::open`] once for each life of the process, with an incarnation higher than all before.
+//! 2. [`Records::install`] with each newer [`Ownership`] table, [`Records::on_peers`] with each change of live hosts,
+//!    [`Records::on_tick`] every few milliseconds.
+//! 3. [`Records::submit`], [`Records::read`] and [`Records::cancel`] for callers; each tag gets exactly one
+//!    [`Output::Reply`].
+//! 4. For tasks of [`Output::Run`]: either dispatch here, with [`Records::may_start`] as the last call before the
+//!    start leaves, or [`Records::assign`] to another host. For [`Output::Place`]: dispatch here behind the same gate.
+//!    Where a gate says no, drop the task: it comes again if it may still run.
+//! 5. [`Records::on_answer`] with the end of each task that was started or given up.
+//!
+//! ```
+//! use mangogw_cluster::ownership::{Ownership, Peer};
+//! use mangogw_cluster::records::{Output, Records, Reply, Settings, Submission, Tag, Task, TaskEnd, Verdict, Work};
+//! use mangogw_model::{HostId, Incarnation, TaskIndex, Time};
+//! use std::sync::Arc;
+//! use std::time::Duration;
+//!
+//! // A host alone, and a control group that accepts every command.
+//! let now = Time::from_millis(1);
+//! let peers = [Peer::new(HostId(1), Incarnation(1), "regina-a".into())];
+//! let mut table = Ownership::default();
+//! let mut records = Records::open(Settings::new(HostId(1), Incarnation(1), "regina-a".into()), now);
+//! records.on_peers(now, &peers);
+//! for index in 1..4 {
+//!     let mut commands = table.plan(&peers);
+//!     commands.extend(records.drain().into_iter().filter_map(|output| match output {
+//!         Output::Propose(command) => Some(command),
+//!         _ => None,
+//!     }));
+//!     for command in commands {
+//!         table.apply(index, &command);
+//!     }
+//!     records.install(now, &table);
+//! }
+//!
+//! // A submission of one task.
+//! let task = Task { body: "scan 17".into(), ..Task::default() };
+//! let work = Arc::new(Work { entry: "gate-scan".into(), tasks: vec![task], ..Work::default() });
+//! let submission = Submission { key: "order-17".into(), work, deadline: Time::from_millis(900) };
+//! records.submit(now, Tag(5), submission, Duration::from_secs(1));
+//! let run = records.drain();
+//! assert!(matches!(&run[0], Output::Run { key, tasks, .. } if key.as_str() == "order-17" && *tasks == (0..1)));
+//! assert!(records.may_start(now, &"order-17".into(), TaskIndex(0)));
+//! assert!(!records.may_start(now, &"order-17".into(), TaskIndex(0)));
+//!
+//! // Its answer.
+//! let end = TaskEnd::Answered { status: 200, body: "let in".into() };
+//! records.on_answer(now, &"order-17".into(), TaskIndex(0), end);
+//! let verdict = Arc::new(Verdict::Complete(vec![(200, "let in".into())]));
+//! assert!(records.drain().contains(&Output::Reply { tag: Tag(5), reply: Reply::Ended(verdict) }));
+//! ```
+
+mod entry;
+mod follower;
+mod held;
+mod message;
+mod output;
+mod owner;
+mod record;
+mod relay;
+mod settings;
+mod takeover;
+
+pub use message::{Ask, Body, Digest, Image, Page, Placed, RecordMessage, Step, Task, TaskEnd, Told, Verdict, Work};
+pub use output::{Output, Reply, Tag};
+pub use settings::Settings;
+
+use crate::ownership::{Holder, Ownership, Peer, RangeId};
+use entry::Entry;
+use held::Held;
+use indexmap::IndexMap;
+use mangogw_model::{HostId, Key, TaskIndex, Time};
+use output::Post;
+use owner::Session;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg32;
+use record::Slot;
+use relay::Relay;
+use std::sync::Arc;
+use std::time::Duration;
+use takeover::{Incoming, Takeover};
+
+/// Leases are renewed this many times within one.
+const RENEWALS: u32 = 4;
+/// Keys tried to find one whose owner is this host.
+const MINTS: u32 = 256;
+
+/// A submission as a caller hands it in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Submission {
+    /// The caller's idempotency key.
+    pub key: Key,
+    /// What to run.
+    pub work: Arc<Work>,
+    /// When it expires.
+    pub deadline: Time,
+}
+
+/// The records of submissions on one host.
+#[derive(Debug)]
+pub struct Records {
+    settings: Settings,
+    me: Holder,
+    view: Ownership,
+    peers: IndexMap<HostId, Holder>,
+    held: IndexMap<RangeId, Held>,
+    takeovers: IndexMap<RangeId, Takeover>,
+    incoming: IndexMap<RangeId, Incoming>,
+    entry: Entry,
+    sessions: IndexMap<HostId, Session>,
+    relay: Relay,
+    post: Post,
+    rng: Pcg32,
+    renewal: Time,
+    minted: u64,
+}
+
+impl Records {
+    /// The records of a process that just started: it holds nothing.
+    pub fn open(settings: Settings, now: Time) -> Self {
+        let me = Holder::new(settings.host, settings.incarnation);
+        Self {
+            me,
+            rng: Pcg32::seed_from_u64(settings.seed),
+            settings,
+            view: Ownership::default(),
+            peers: IndexMap::new(),
+            held: IndexMap::new(),
+            takeovers: IndexMap::new(),
+            incoming: IndexMap::new(),
+            entry: Entry::default(),
+            sessions: IndexMap::new(),
+            relay: Relay::default(),
+            post: Post::new(me),
+            renewal: now,
+            minted: 0,
+        }
+    }
+
+    /// Takes in a table of the control group; an older one changes nothing.
+    pub fn install(&mut self, now: Time, view: &Ownership) {
+        if view.index() > self.view.index() {
+            self.follow(now, view);
+            self.advance(now);
+            self.run(now);
+        }
+    }
+
+    /// Takes in the live hosts as the membership sees them.
+    pub fn on_peers(&mut self, now: Time, peers: &[Peer]) {
+        for peer in peers {
+            let alive = peer.holder;
+            let known = self.peers.entry(alive.host).or_insert(alive);
+            if alive.incarnation < known.incarnation {
+                continue;
+            }
+            *known = alive;
+            for takeover in self.takeovers.values_mut() {
+                takeover.alive(alive);
+            }
+            for (key, task, serial) in self.relay.orphans(alive) {
+                self.orphan(now, &key, task, serial);
+            }
+        }
+        self.advance(now);
+        self.run(now);
+    }
+
+    /// Hands a submission in. The reply comes when it has ended, or says that it runs after `wait`.
+    pub fn submit(&mut self, now: Time, tag: Tag, submission: Submission, wait: Duration) {
+        self.put(now, tag, submission, wait, false);
+    }
+
+    /// Hands a submission in that brings no key, and returns the key it was given: one that this host owns and that
+    /// its zone serves when it is cut off, where possible.
+    pub fn submit_new(&mut self, now: Time, tag: Tag, work: Arc<Work>, deadline: Time, wait: Duration) -> Key {
+        let key = self.mint();
+        self.put(now, tag, Submission { key: key.clone(), work, deadline }, wait, true);
+        key
+    }
+
+    /// Asks how a submission stands. The reply comes when it has ended, or after `wait`.
+    pub fn read(&mut self, now: Time, tag: Tag, key: Key, wait: Duration) {
+        self.ask(now, tag, key, Ask::Read { wait }, Time::MAX);
+    }
+
+    /// Asks that nothing more of a submission is started. The reply says how it ended.
+    pub fn cancel(&mut self, now: Time, tag: Tag, key: Key) {
+        self.ask(now, tag, key, Ask::Cancel, Time::MAX);
+    }
+
+    /// Takes in a message of another host.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: RecordMessage) {
+        let from = Holder::new(from, message.from);
+        if message.to == self.me.incarnation {
+            self.handle(now, from, message.body);
+        } else {
+            self.on_stray(from, message.to, &message.body);
+        }
+        self.run(now);
+    }
+
+    /// The last gate before the start of a task leaves this host: true at most once for a task, and only while this
+    /// host may act for its owner. Where it says no, the task is not to be started; it comes again by
+    /// [`Output::Run`] if it may still run.
+    pub fn may_start(&mut self, now: Time, key: &Key, task: TaskIndex) -> bool {
+        if self.relay.has(key, task) {
+            return self.relay.start(now, key, task);
+        }
+        self.gate(now, key, task, Slot::Started)
+    }
+
+    /// Assigns a task of an [`Output::Run`] to another host in place of starting it here. It counts as started. False
+    /// where it may not start now or the host is not known; as with [`Records::may_start`], it then comes again.
+    pub fn assign(&mut self, now: Time, key: &Key, task: TaskIndex, to: HostId) -> bool {
+        let assigned = self.place(now, key, task, to);
+        self.run(now);
+        assigned
+    }
+
+    /// Takes in the end of a task that this host started, or gave up before its start.
+    ///
+    /// After [`TaskEnd::NotStarted`] a task of an [`Output::Run`] may be placed again, behind the gate; one of an
+    /// [`Output::Place`] goes back to its owner.
+    pub fn on_answer(&mut self, now: Time, key: &Key, task: TaskIndex, end: TaskEnd) {
+        match self.relay.has(key, task) {
+            true => self.relay.end(now, key, task, end),
+            false if self.take(now, key, task, end.clone()) => {}
+            false => self.relay.late(now, key, task, None, end),
+        }
+        self.flush(now);
+        self.run(now);
+    }
+
+    /// Does what is due. Call it every few milliseconds.
+    pub fn on_tick(&mut self, now: Time) {
+        if now >= self.renewal {
+            self.renewal = now + self.settings.lease.mul_f64(self.rng.random_range(0.9..1.0)) / RENEWALS;
+            self.renew(now, None);
+        }
+        for at in 0..self.held.len() {
+            let Some((id, held)) = self.held.get_index_mut(at) else {
+                break;
+            };
+            let id = *id;
+            if held.ready && held.sealed <= held.epoch {
+                held.sweep(now, &self.settings);
+            }
+            self.wake(now, id);
+            self.check(now, id);
+        }
+        self.advance(now);
+        self.entry.expire(now, &mut self.post);
+        let Self { relay, view, post, settings, .. } = self;
+        relay.tick(now, settings.retention, |key| owner(view, key), post);
+        self.forward(now);
+        self.run(now);
+    }
+
+    /// What the host has to do, in order.
+    pub fn drain(&mut self) -> Vec<Output> {
+        self.post.drain()
+    }
+
+    /// The owner of a key by the table, if its epoch is ready.
+    pub fn owner(&self, key: &Key) -> Option<Holder> {
+        owner(&self.view, key)
+    }
+
+    /// Bytes of the records held here, about.
+    pub fn bytes(&self) -> usize {
+        self.held.values().map(|held| held.bytes).sum()
+    }
+
+    /// The number of records held here, as owner and follower.
+    pub fn count(&self) -> usize {
+        self.held.values().map(|held| held.records.len()).sum()
+    }
+
+    /// The number of callers' requests without a reply.
+    pub fn pending(&self) -> usize {
+        self.entry.len()
+    }
+
+    /// True if a host that shuts down may end: it holds no range, and every end it knows is with its owner.
+    ///
+    /// Its ranges move once it is `leaving` in the live hosts that [`Ownership::plan`] gets.
+    pub fn handed_over(&self) -> bool {
+        let holds = self.view.ranges().any(|(_, range)| range.names(self.me));
+        !holds && self.relay.waiting() == 0
+    }
+
+    fn put(&mut self, now: Time, tag: Tag, submission: Submission, wait: Duration, fresh: bool) {
+        let Submission { key, work, deadline } = submission;
+        let ask = Ask::Submit { work, left: deadline - now, wait, fresh };
+        self.ask(now, tag, key, ask, deadline);
+    }
+
+    fn ask(&mut self, now: Time, tag: Tag, key: Key, ask: Ask, deadline: Time) {
+        let home = self.owner(&key);
+        let request = self.entry.put(now, tag, key, ask, deadline, &self.settings);
+        if let Some(home) = home {
+            self.entry.send(now, request, home, &mut self.post);
+        }
+        self.run(now);
+    }
+
+    /// Sends callers' requests that are due.
+    fn forward(&mut self, now: Time) {
+        for (request, key) in self.entry.due(now) {
+            if let Some(home) = self.owner(&key) {
+                self.entry.send(now, request, home, &mut self.post);
+            }
+        }
+    }
+
+    fn mint(&mut self) -> Key {
+        for _ in 1..MINTS {
+            let key = self.name();
+            if self.owner(&key) == Some(self.me) {
+                return key;
+            }
+        }
+        self.name()
+    }
+
+    fn name(&mut self) -> Key {
+        self.minted += 1;
+        let Holder { host, incarnation } = self.me;
+        format!("{}:{:x}-{:x}-{:x}", self.settings.zone, host.0, incarnation.0, self.minted).into()
+    }
+
+    /// Handles messages to this host itself, until there are none.
+    fn run(&mut self, now: Time) {
+        while let Some(body) = self.post.echo() {
+            self.handle(now, self.me, body);
+        }
+    }
+
+    fn handle(&mut self, now: Time, from: Holder, body: Body) {
+        match body {
+            Body::Ask { request, floor, key, ask } => self.on_ask(now, from, request, floor, &key, ask),
+            Body::Told { request, told } => {
+                self.entry.told(self.me, from, request, told, &self.settings, &mut self.post);
+            }
+            Body::Step(change) => self.on_step(now, from, change),
+            Body::Stepped { range, epoch, key, serial } => self.on_stepped(now, from, range, epoch, &key, serial),
+            Body::Renew { sent, ranges } => self.on_renew(now, from, sent, ranges),
+            Body::Renewed { sent, ranges } => self.on_renewed(now, from, sent, ranges),
+            Body::Seal { range, epoch, cursor } => self.on_seal(now, from, range, epoch, cursor),
+            Body::Sync { range, epoch, holders, page } => self.on_sync(now, from, range, epoch, &holders, page),
+            Body::State { range, epoch, page } => self.taking(now, range, epoch, |takeover, held| {
+                takeover.state(now, from, page, held);
+            }),
+            Body::Lost { range, epoch, life } => self.taking(now, range, epoch, |takeover, _| {
+                takeover.lost(Holder::new(from.host, life));
+            }),
+            Body::Synced { range, epoch, next } => self.taking(now, range, epoch, |takeover, _| {
+                takeover.synced(from, next);
+            }),
+            Body::Assign { serial, floor, placed } => self.relay.take(now, from, serial, floor, placed, &mut self.post),
+            Body::Taken { serial } => self.relay.taken(from, serial),
+            Body::Late { key, task, assigned, end } => self.on_late(now, from, &key, task, assigned, end),
+            Body::Kept { key, task, assigned, floor } => {
+                self.relay.kept(&key, task, assigned);
+                self.relay.raise(from, floor);
+            }
+        }
+    }
+
+    /// Changes the takeover of this epoch, and does what is due after it.
+    fn taking(&mut self, now: Time, id: RangeId, epoch: u64, change: impl FnOnce(&mut Takeover, &mut Option<Held>)) {
+        let mut held = self.held.swap_remove(&id);
+        if let Some(takeover) = self.takeovers.get_mut(&id).filter(|takeover| takeover.epoch == epoch) {
+            change(takeover, &mut held);
+            takeover.tick(now, self.me, id, &mut held, &self.settings, &mut self.post);
+        }
+        if let Some(held) = held {
+            self.held.insert(id, held);
+        }
+    }
+
+    /// Brings every takeover forward.
+    fn advance(&mut self, now: Time) {
+        let due: Vec<(RangeId, u64)> = self.takeovers.iter().map(|(id, takeover)| (*id, takeover.epoch)).collect();
+        for (id, epoch) in due {
+            self.taking(now, id, epoch, |_, _| {});
+        }
+    }
+
+    fn flush(&mut self, now: Time) {
+        let Self { relay, view, post, .. } = self;
+        relay.flush(now, |key| owner(view, key), post);
+    }
+
+    /// The host that a task was assigned to has restarted.
+    fn orphan(&mut self, now: Time, key: &Key, task: TaskIndex, serial: u64) {
+        let end = TaskEnd::Unknown(mangogw_model::Code::PeerLost);
+        self.on_late(now, self.me, key, task, Some((self.me, serial)), end);
+        self.relay.settle(serial);
+    }
+}
+
+/// The owner of a key, if its epoch is ready.
+fn owner(view: &Ownership, key: &Key) -> Option<Holder> {
+    let range = view.range(view.locate(key)?).filter(|range| range.ready)?;
+    range.owner()
+}
--- /dev/null
+++ b/crates/cluster/src/records/settings.rs
@@ -0,0 +1,79 @@
+//! What a host's records are opened with.
+
+use mangogw_model::{HostId, Incarnation, Zone};
+use std::time::Duration;
+
+/// How long an owner may act on one grant of a follower.
+const LEASE: Duration = Duration::from_secs(1);
+/// How long a record is kept after its submission ended.
+const RETENTION: Duration = Duration::from_mins(2);
+/// The longest deadline of a submission.
+const LONGEST: Duration = Duration::from_mins(2);
+/// How long an entry host looks for the home of a key.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Tasks that may start before the followers hear of the next ones.
+const WINDOW: u32 = 64;
+/// Bytes of records that a host holds as owner and follower.
+const BYTES: usize = 256 * 1024 * 1024;
+
+/// What a host's records are opened with.
+///
+/// ```
+/// use mangogw_cluster::records::Settings;
+/// use mangogw_model::{HostId, Incarnation};
+///
+/// let settings = Settings::new(HostId(1), Incarnation(7), "regina-a".into());
+/// assert_eq!(settings.window, 64);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub host: HostId,
+    /// The life of its process; higher than in every life before.
+    pub incarnation: Incarnation,
+    /// The zone it stands in.
+    pub zone: Zone,
+    /// Spreads renewals in time.
+    pub seed: u64,
+    /// How long an owner may act on one grant of a follower.
+    pub lease: Duration,
+    /// How long a record is kept after its submission ended; resubmits get the first answer that long.
+    pub retention: Duration,
+    /// The longest deadline of a submission; longer ones are cut to it.
+    pub longest: Duration,
+    /// How long an entry host looks for the home of a key before it refuses.
+    pub patience: Duration,
+    /// Tasks that may start before the followers hear of the next ones.
+    pub window: u32,
+    /// Bytes of records that this host holds; above it new submissions are refused.
+    pub bytes: usize,
+}
+
+impl Settings {
+    /// The settings of `host` in its life `incarnation`, with the usual times and bounds.
+    pub const fn new(host: HostId, incarnation: Incarnation, zone: Zone) -> Self {
+        Self {
+            host,
+            incarnation,
+            zone,
+            seed: host.0,
+            lease: LEASE,
+            retention: RETENTION,
+            longest: LONGEST,
+            patience: PATIENCE,
+            window: WINDOW,
+            bytes: BYTES,
+        }
+    }
+
+    /// How long a follower keeps its word: a tenth longer than the owner counts, so that clocks whose rates differ
+    /// by up to 9 % are covered.
+    pub(super) fn word(&self) -> Duration {
+        self.lease + self.lease / 10
+    }
+
+    /// How long after the loss of all records a submission of theirs can still be resubmitted.
+    pub(super) fn horizon(&self) -> Duration {
+        (self.longest + self.retention).mul_f64(1.1)
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/world/mod.rs
@@ -0,0 +1,435 @@
+//! Hosts' records over a small fake network with a fake control log, and the oracle that watches the starts.
+
+mod faults;
+mod oracle;
+
+pub use faults::{Fault, Script};
+pub use oracle::Oracle;
+
+use mangogw_cluster::ownership::{Command, Ownership, Peer};
+use mangogw_cluster::records::{
+    Digest, Output, RecordMessage, Records, Settings, Submission, Tag, Task, TaskEnd, Work,
+};
+use mangogw_model::{Code, HostId, Incarnation, Key, TaskIndex, Time, Zone};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+pub const MS: u64 = 1_000;
+/// The control group stands at this address.
+const CONTROL: usize = 0;
+const TICK: u64 = 10 * MS;
+const PLAN: u64 = 60 * MS;
+const LONGEST: u64 = 1_500 * MS;
+
+#[derive(Debug)]
+pub struct Host {
+    pub life: u64,
+    pub zone: usize,
+    pub records: Option<Records>,
+    /// Microseconds its clock gains or loses in a second.
+    rate: i64,
+    offset: u64,
+    pub frozen: u64,
+    pub leaving: bool,
+    pub back: u64,
+    /// Starts by this life that were not answered.
+    running: u64,
+    installed: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Message { from: usize, to: usize, message: RecordMessage },
+    Proposal { command: Command },
+    Table { to: usize, table: Ownership },
+    Peers { to: usize, peers: Vec<Peer> },
+    Tick { host: usize },
+    Plan,
+    Start { host: usize, life: u64, key: Key, task: u32, local: bool, deadline: u64, digest: u8 },
+    Answer { host: usize, life: u64, key: Key, task: u32, end: TaskEnd, again: Option<(bool, u64, u8)>, first: bool },
+    Client,
+    Fault(Fault),
+}
+
+#[derive(Debug)]
+pub struct World {
+    pub now: u64,
+    pub hosts: Vec<Host>,
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub noisy: bool,
+    pub rng: Pcg64,
+    pub oracle: Oracle,
+    pub table: Ownership,
+    log: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    serial: u64,
+    next_tag: u64,
+    clients: u64,
+    pub crashes: u64,
+}
+
+pub fn zone(at: usize) -> Zone {
+    format!("z{at}").into()
+}
+
+impl World {
+    /// `hosts` hosts in `zones` zones, all started.
+    pub fn new(seed: u64, hosts: usize, zones: usize, clients: u64) -> Self {
+        let mut rng = Pcg64::seed_from_u64(seed);
+        let host = |at: usize, rng: &mut Pcg64| Host {
+            life: 1,
+            zone: at % zones,
+            records: None,
+            rate: rng.random_range(-20_000..20_000),
+            offset: rng.random_range(0..10_000_000),
+            frozen: 0,
+            leaving: false,
+            back: 0,
+            running: 0,
+            installed: 0,
+        };
+        let hosts = (0..=hosts).map(|at| host(at, &mut rng)).collect();
+        let mut world = Self {
+            now: 0,
+            hosts,
+            cuts: BTreeSet::new(),
+            noisy: true,
+            rng,
+            oracle: Oracle::default(),
+            table: Ownership::default(),
+            log: 0,
+            events: BTreeMap::new(),
+            serial: 0,
+            next_tag: 0,
+            clients,
+            crashes: 0,
+        };
+        world.commit(&Command::Open { hashed: 3, pinned: 2, zones: (0..zones).map(zone).collect() });
+        for at in 1..world.hosts.len() {
+            world.boot(at);
+        }
+        world.at(0, Event::Plan);
+        world.at(300 * MS, Event::Client);
+        world
+    }
+
+    pub fn ids(&self) -> std::ops::Range<usize> {
+        1..self.hosts.len()
+    }
+
+    pub fn boot(&mut self, at: usize) {
+        let time = self.clock(at);
+        let host = &mut self.hosts[at];
+        let settings = Settings {
+            lease: Duration::from_millis(120),
+            retention: Duration::from_mins(10),
+            longest: Duration::from_micros(LONGEST),
+            patience: Duration::from_millis(700),
+            window: 3,
+            bytes: 40_000,
+            ..Settings::new(HostId(at as u64), Incarnation(host.life), zone(host.zone))
+        };
+        host.records = Some(Records::open(settings, time));
+        host.running = 0;
+        host.installed = 0;
+        host.leaving = false;
+        self.at(0, Event::Tick { host: at });
+    }
+
+    /// Ends the process; its memory is gone.
+    pub fn crash(&mut self, at: usize, back: u64) {
+        if self.hosts[at].records.take().is_some() {
+            self.hosts[at].life += 1;
+            self.hosts[at].back = self.now + back;
+            self.hosts[at].frozen = 0;
+            self.crashes += 1;
+            self.oracle.hung_up(at);
+        }
+    }
+
+    pub fn schedule(&mut self, after: u64, fault: Fault) {
+        self.at(after, Event::Fault(fault));
+    }
+
+    pub fn run(&mut self, until: u64) {
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((time, _), event) = entry.remove_entry();
+            self.now = time;
+            self.step(event);
+        }
+        self.now = until;
+    }
+
+    pub fn tag(&mut self) -> Tag {
+        self.next_tag += 1;
+        Tag(self.next_tag)
+    }
+
+    /// What a host's clock shows.
+    pub fn clock(&self, at: usize) -> Time {
+        let host = &self.hosts[at];
+        let drift = self.now as i64 / 1_000_000 * host.rate + self.now as i64 % 1_000_000 * host.rate / 1_000_000;
+        Time::from_micros(1_000_000_000 + host.offset + (self.now as i64 + drift) as u64)
+    }
+
+    /// Lets a host that runs do something, and carries out what it asks for.
+    pub fn with(&mut self, at: usize, act: impl FnOnce(&mut Records, Time)) {
+        let time = self.clock(at);
+        if let Some(records) = &mut self.hosts[at].records {
+            act(records, time);
+            let outputs = records.drain();
+            for output in outputs {
+                self.carry(at, time, output);
+            }
+        }
+    }
+
+    fn at(&mut self, after: u64, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + after, self.serial), event);
+    }
+
+    /// Sends over the fake network: delayed, reordered, and while it is noisy lost or doubled.
+    fn post(&mut self, from: usize, to: usize, event: impl Fn() -> Event) {
+        let copies = match self.rng.random_range(0..100) {
+            _ if self.cuts.contains(&(from, to)) => 0,
+            0..4 if self.noisy => 0,
+            4..12 if self.noisy => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let slow = self.noisy && self.rng.random_range(0..20) == 0;
+            let delay = if slow { self.rng.random_range(0..400 * MS) } else { self.rng.random_range(MS / 2..4 * MS) };
+            self.at(delay, event());
+        }
+    }
+
+    fn commit(&mut self, command: &Command) {
+        self.log += 1;
+        let command = Command::decode(&command.encode()).unwrap();
+        self.table.apply(self.log, &command);
+        for to in self.ids() {
+            let table = self.table.clone();
+            self.post(CONTROL, to, || Event::Table { to, table: table.clone() });
+        }
+    }
+
+    fn step(&mut self, event: Event) {
+        let target = match &event {
+            Event::Message { to, .. } | Event::Table { to, .. } | Event::Peers { to, .. } => Some(*to),
+            Event::Tick { host } | Event::Start { host, .. } | Event::Answer { host, .. } => Some(*host),
+            _ => None,
+        };
+        if let Some(at) = target.filter(|at| self.hosts[*at].frozen > self.now) {
+            let wait = self.hosts[at].frozen - self.now;
+            return self.at(wait, event);
+        }
+        match event {
+            Event::Message { from, to, message } => {
+                self.with(to, |records, now| records.on_message(now, HostId(from as u64), message));
+            }
+            Event::Proposal { command } => self.commit(&command),
+            Event::Table { to, table } => {
+                self.hosts[to].installed = self.hosts[to].installed.max(table.index());
+                self.with(to, |records, now| records.install(now, &table));
+            }
+            Event::Peers { to, peers } => self.with(to, |records, now| records.on_peers(now, &peers)),
+            Event::Tick { host } => self.tick(host),
+            Event::Plan => self.plan(),
+            Event::Client => self.client(),
+            Event::Fault(fault) => self.strike(fault),
+            Event::Start { host, life, key, task, local, deadline, digest } if self.hosts[host].life == life => {
+                self.start(host, key, task, local, deadline, digest);
+            }
+            Event::Answer { host, life, key, task, end, again, first } if self.hosts[host].life == life => {
+                self.hosts[host].running -= u64::from(first);
+                self.with(host, |records, now| records.on_answer(now, &key, TaskIndex(task), end));
+                if let Some((true, deadline, digest)) = again {
+                    self.at(MS, Event::Start { host, life, key, task, local: true, deadline, digest });
+                }
+            }
+            Event::Start { .. } | Event::Answer { .. } => {}
+        }
+    }
+
+    fn tick(&mut self, at: usize) {
+        if self.hosts[at].records.is_none() {
+            return;
+        }
+        self.with(at, Records::on_tick);
+        let host = &self.hosts[at];
+        let done = host.leaving && host.running == 0 && self.oracle.waiting(at) == 0;
+        if done && host.records.as_ref().is_some_and(Records::handed_over) && host.installed == self.log {
+            self.crash(at, 200 * MS);
+            self.crashes -= 1;
+            return;
+        }
+        self.at(TICK, Event::Tick { host: at });
+    }
+
+    /// The leader of the control group: it sees who is alive, not always rightly.
+    fn plan(&mut self) {
+        let mut peers = Vec::new();
+        for at in self.ids() {
+            if self.hosts[at].records.is_none() && self.hosts[at].back <= self.now {
+                self.boot(at);
+            }
+            let host = &self.hosts[at];
+            let cut = self.cuts.contains(&(CONTROL, at)) || self.cuts.contains(&(at, CONTROL));
+            let wrong = self.noisy && self.rng.random_range(0..60) == 0;
+            if host.records.is_some() && host.frozen <= self.now && !cut && !wrong {
+                let peer = Peer::new(HostId(at as u64), Incarnation(host.life), zone(host.zone));
+                peers.push(Peer { leaving: host.leaving, ..peer });
+            }
+        }
+        for command in self.table.plan(&peers) {
+            self.commit(&command);
+        }
+        for to in self.ids() {
+            let (table, peers) = (self.table.clone(), peers.clone());
+            self.post(CONTROL, to, || Event::Table { to, table: table.clone() });
+            self.post(CONTROL, to, || Event::Peers { to, peers: peers.clone() });
+        }
+        self.at(PLAN, Event::Plan);
+    }
+
+    /// A caller submits, resubmits, reads or cancels at any host.
+    fn client(&mut self) {
+        let at = self.rng.random_range(self.ids());
+        let number = self.rng.random_range(0..24);
+        let key: Key = match number % 2 {
+            0 => format!("order-{number}"),
+            _ => format!("z{}:order-{number}", number % 3),
+        }
+        .into();
+        let reused = self.rng.random_range(0..15) == 0;
+        let wait = Duration::from_micros([0, 200 * MS, 3_000 * MS][self.rng.random_range(0..3)]);
+        if self.hosts[at].records.is_some() && self.hosts[at].frozen <= self.now {
+            let tag = self.tag();
+            let left = self.rng.random_range(300 * MS..LONGEST);
+            match self.rng.random_range(0..12) {
+                0 => {
+                    self.oracle.asked(self.now, tag, at, &key, None);
+                    self.with(at, |records, now| records.cancel(now, tag, key));
+                }
+                1..4 => {
+                    self.oracle.asked(self.now, tag, at, &key, None);
+                    self.with(at, |records, now| records.read(now, tag, key, wait));
+                }
+                4 => self.mint(at, tag, left, wait),
+                _ => self.submit(at, tag, key, u8::from(reused), left, wait),
+            }
+        }
+        if self.clients > 0 {
+            self.clients -= 1;
+            let pause = self.rng.random_range(5 * MS..60 * MS);
+            self.at(pause, Event::Client);
+        }
+    }
+
+    pub fn submit(&mut self, at: usize, tag: Tag, key: Key, digest: u8, left: u64, wait: Duration) {
+        self.oracle.asked(self.now, tag, at, &key, Some(digest));
+        let work = work(key.as_str().len() as u32 + u32::from(key.as_str().as_bytes()[key.as_str().len() - 1]), digest);
+        self.with(at, |records, now| {
+            let submission = Submission { key, work, deadline: now + Duration::from_micros(left) };
+            records.submit(now, tag, submission, wait);
+        });
+    }
+
+    fn mint(&mut self, at: usize, tag: Tag, left: u64, wait: Duration) {
+        let time = self.clock(at);
+        if let Some(records) = &mut self.hosts[at].records {
+            let key = records.submit_new(time, tag, work(1, 0), time + Duration::from_micros(left), wait);
+            self.oracle.asked(self.now, tag, at, &key, Some(0));
+        }
+        self.with(at, |_, _| {});
+    }
+
+    fn start(&mut self, at: usize, key: Key, task: u32, local: bool, deadline: u64, digest: u8) {
+        let life = self.hosts[at].life;
+        if self.rng.random_range(0..40) == 0 {
+            let end = TaskEnd::Refused(Code::NoCapacity);
+            return self.with(at, |records, now| records.on_answer(now, &key, TaskIndex(task), end));
+        }
+        let mut may = false;
+        self.with(at, |records, now| may = records.may_start(now, &key, TaskIndex(task)));
+        if !may {
+            return;
+        }
+        self.hosts[at].running += 1;
+        let (end, again) = match self.rng.random_range(0..24) {
+            0..3 => (TaskEnd::NotStarted, Some((local, deadline, digest))),
+            3 => (TaskEnd::Failed(Code::TargetFailed), None),
+            4 => (TaskEnd::Unknown(Code::TargetLost), None),
+            _ => (TaskEnd::Answered { status: 200, body: answer(&key, task, digest).into() }, None),
+        };
+        if again.is_none() {
+            self.oracle.started(self.now, at, &key, task, digest, local);
+        }
+        let delay = self.rng.random_range(MS..150 * MS);
+        let twice = again.is_none() && self.rng.random_range(0..10) == 0;
+        if twice {
+            let end = TaskEnd::Failed(Code::AnswerCut);
+            let late = Event::Answer { host: at, life, key: key.clone(), task, end, again: None, first: false };
+            self.at(delay + 20 * MS, late);
+        }
+        self.at(delay, Event::Answer { host: at, life, key, task, end, again, first: true });
+    }
+
+    fn carry(&mut self, at: usize, time: Time, output: Output) {
+        let life = self.hosts[at].life;
+        match output {
+            Output::Send { to, message } => {
+                let bytes = postcard::to_stdvec(&message).unwrap();
+                let to = to.0 as usize;
+                self.post(at, to, || {
+                    let message = postcard::from_bytes(&bytes).unwrap();
+                    Event::Message { from: at, to, message }
+                });
+            }
+            Output::Run { key, work, tasks, deadline } => {
+                let digest = work.digest.0[0];
+                let deadline = (deadline - time).as_micros() as u64;
+                for task in tasks {
+                    let other = self.rng.random_range(self.ids());
+                    if self.rng.random_range(0..3) == 0 && other != at {
+                        let key = key.clone();
+                        self.with(at, |records, now| {
+                            records.assign(now, &key, TaskIndex(task), HostId(other as u64));
+                        });
+                    } else {
+                        let delay = self.rng.random_range(0..60 * MS);
+                        let key = key.clone();
+                        self.at(delay, Event::Start { host: at, life, key, task, local: true, deadline, digest });
+                    }
+                }
+            }
+            Output::Place { placed, deadline } => {
+                let delay = self.rng.random_range(0..60 * MS);
+                let digest = placed.task.body[0];
+                let deadline = (deadline - time).as_micros() as u64;
+                let (key, task) = (placed.key, placed.index.0);
+                self.at(delay, Event::Start { host: at, life, key, task, local: false, deadline, digest });
+            }
+            Output::Reply { tag, reply } => self.oracle.replied(self.now, tag, &reply),
+            Output::Propose(command) => {
+                self.post(at, CONTROL, || Event::Proposal { command: command.clone() });
+            }
+            Output::Stop { .. } | Output::Ended { .. } => {}
+        }
+    }
+}
+
+/// The one right answer of a task.
+pub fn answer(key: &Key, task: u32, digest: u8) -> String {
+    format!("{key}/{task}/{digest}")
+}
+
+fn work(tasks: u32, digest: u8) -> Arc<Work> {
+    let task = Task { body: vec![digest; 40].into(), ..Task::default() };
+    let tasks = vec![task; (tasks % 11 + 1) as usize];
+    Arc::new(Work { entry: "scan".into(), digest: Digest([digest; 32]), tasks })
+}
--- /dev/null
+++ b/crates/cluster/tests/world/oracle.rs
@@ -0,0 +1,155 @@
+//! Watches what starts and what callers are told.
+
+use super::answer;
+use mangogw_cluster::records::{Reply, Tag, Verdict};
+use mangogw_model::{Code, Key, Outcome};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+#[derive(Debug, Clone)]
+struct Request {
+    time: u64,
+    host: usize,
+    key: Key,
+    /// The body; none for a read or a cancel.
+    digest: Option<u8>,
+    /// True once it got a reply, or its host died.
+    over: bool,
+    /// Refused as `not-run`.
+    refused: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Oracle {
+    requests: BTreeMap<Tag, Request>,
+    starts: BTreeMap<(Key, u32), (u64, u8)>,
+    verdicts: BTreeMap<Key, Arc<Verdict>>,
+    /// When the end of a key was told first.
+    told: BTreeMap<Key, u64>,
+    replies: BTreeMap<Tag, Reply>,
+    pub completes: u64,
+    pub failures: u64,
+    pub unknowns: u64,
+    pub refusals: u64,
+    pub faults: Vec<String>,
+}
+
+impl Oracle {
+    pub fn asked(&mut self, time: u64, tag: Tag, host: usize, key: &Key, digest: Option<u8>) {
+        let request = Request { time, host, key: key.clone(), digest, over: false, refused: false };
+        self.requests.insert(tag, request);
+    }
+
+    /// The host died; its callers hear nothing.
+    pub fn hung_up(&mut self, host: usize) {
+        for request in self.requests.values_mut().filter(|request| request.host == host) {
+            request.over = true;
+        }
+    }
+
+    pub fn reply(&self, tag: Tag) -> Option<Reply> {
+        self.replies.get(&tag).cloned()
+    }
+
+    pub fn waiting(&self, host: usize) -> usize {
+        self.requests.values().filter(|request| request.host == host && !request.over).count()
+    }
+
+    pub fn open(&self) -> usize {
+        self.requests.values().filter(|request| !request.over).count()
+    }
+
+    pub fn count(&self) -> usize {
+        self.starts.len()
+    }
+
+    pub fn keys(&self) -> Vec<Key> {
+        let mut keys: Vec<Key> = self.requests.values().map(|request| request.key.clone()).collect();
+        keys.sort();
+        keys.dedup();
+        keys
+    }
+
+    /// A target starts a task.
+    pub fn started(&mut self, time: u64, host: usize, key: &Key, task: u32, digest: u8, local: bool) {
+        let before = self.starts.insert((key.clone(), task), (time, digest));
+        self.check(before.is_none(), || format!("{time}: {key}/{task} started again, at {host}, before {before:?}"));
+        let verdict = self.verdicts.get(key).cloned();
+        let told = match verdict.as_deref() {
+            Some(Verdict::Failed { code, .. }) => code.outcome() == Outcome::NotRun || local,
+            Some(Verdict::Complete(_)) => true,
+            None => false,
+        };
+        self.check(!told, || format!("{time}: {key}/{task} started at {host} after it was told {verdict:?}"));
+    }
+
+    /// A caller is told something.
+    pub fn replied(&mut self, time: u64, tag: Tag, reply: &Reply) {
+        let Some(request) = self.requests.get_mut(&tag) else {
+            return self.check(false, || format!("{time}: {tag:?} was never asked"));
+        };
+        let twice = std::mem::replace(&mut request.over, true);
+        let request = request.clone();
+        self.replies.insert(tag, reply.clone());
+        self.check(!twice, || format!("{time}: {tag:?} got two replies"));
+        match reply {
+            Reply::Running { .. } => {
+                let told = self.told.get(&request.key).copied().unwrap_or(u64::MAX);
+                self.check(told >= request.time, || format!("{time}: {} runs again", request.key));
+            }
+            Reply::Ended(verdict) => self.ended(time, &request.key, verdict),
+            Reply::Refused(code) if code.outcome() == Outcome::NotRun => self.refused(time, tag, &request, *code),
+            Reply::Refused(_) => self.unknowns += 1,
+        }
+    }
+
+    fn ended(&mut self, time: u64, key: &Key, verdict: &Arc<Verdict>) {
+        self.told.entry(key.clone()).or_insert(time);
+        let first = Arc::clone(self.verdicts.entry(key.clone()).or_insert_with(|| Arc::clone(verdict)));
+        self.check(first == *verdict, || format!("{time}: {key} was told {first:?}, now {verdict:?}"));
+        match &**verdict {
+            Verdict::Complete(answers) => {
+                self.completes += 1;
+                for (task, (_, body)) in answers.iter().enumerate() {
+                    let digest = self.starts.get(&(key.clone(), task as u32)).map(|start| start.1);
+                    let right = digest.is_some_and(|digest| answer(key, task as u32, digest).as_bytes() == body);
+                    self.check(right, || format!("{time}: {key}/{task} has a wrong answer"));
+                }
+            }
+            Verdict::Failed { code, .. } => {
+                self.failures += 1;
+                let ran = self.starts.keys().any(|(started, _)| started == key);
+                let lie = ran && code.outcome() == Outcome::NotRun;
+                self.check(!lie, || format!("{time}: {key} was told {code}, but it ran"));
+            }
+        }
+    }
+
+    fn refused(&mut self, time: u64, tag: Tag, request: &Request, code: Code) {
+        self.refusals += 1;
+        if let Some(request) = self.requests.get_mut(&tag) {
+            request.refused = true;
+        }
+        let mine = |digest: u8| request.digest.is_none_or(|asked| asked == digest);
+        let ran = self.starts.iter().any(|((key, _), (start, digest))| {
+            *key == request.key && mine(*digest) && (code == Code::KeyReused || *start < request.time)
+        });
+        self.check(!ran, || format!("{time}: {} was told {code}, but it ran", request.key));
+    }
+
+    /// At the end: what started was asked for by somebody who was not told that it did not run.
+    pub fn close(&mut self) {
+        for ((key, task), (time, digest)) in self.starts.clone() {
+            let asked = self.requests.values().any(|request| {
+                request.key == key && request.digest == Some(digest) && request.time <= time && !request.refused
+            });
+            self.check(asked, || format!("{key}/{task} started at {time}, but every caller was told that it did not"));
+        }
+    }
+
+    pub fn check(&mut self, holds: bool, fault: impl FnOnce() -> String) {
+        if !holds {
+            self.faults.push(fault());
+        }
+    }
+}
