Cluster: relays between hosts, crate page with an example

Cause: a request may come in at any host, while each target is used by one host only. Change: route (loads of peers, room-weighted draw, relays counted until the next load, other zones asked only when this one waits); a small driver that compares ways; the crate root documents the interface.

--- /dev/null
+++ b/crates/cluster/examples/relays.rs
@@ -0,0 +1,415 @@
+//! Compares ways to choose the host of a request, in a small deterministic driver: hosts with slots and a fixed delay.
+//!
+//! `cargo run --release -p mangogw-cluster --example relays` prints one table for each deployment and load.
+
+use mangogw_cluster::route::{Event, Load, Message, Place, Route, Settings};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{EntryName, HostId, Incarnation, Time, Zone};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::time::Duration;
+
+const HOSTS: usize = 7;
+const ZONE_OF: [usize; HOSTS] = [0, 0, 0, 1, 1, 2, 2];
+const EXECUTORS: usize = 50;
+const SLOTS: usize = 8;
+const HOP: u64 = 250;
+const REQUESTS: usize = 60_000;
+/// Age of what every host knows of targets that it doesn't own, when it chooses on its own, in microseconds.
+const STALE: u64 = 100_000;
+
+/// The ways compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Way {
+    /// One queue for all targets, no delay: what can't be beaten.
+    Ideal,
+    /// This crate: each host its own targets, relays by load.
+    Route,
+    /// Each host its own targets, no relays.
+    Own,
+    /// Each host its own targets, each request relayed to a random host.
+    Random,
+    /// Every host uses all targets of its zone on knowledge that is old; a full target refuses.
+    Stale,
+    /// All requests through one host that knows every target.
+    One,
+}
+
+/// The arrivals compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Arrival {
+    Even,
+    /// One host gets 70 %.
+    Uneven,
+    /// Ten times the rate for 200 ms of every 4 s.
+    Bursts,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum What {
+    Arrive,
+    /// The request reaches a host as a relayed task.
+    Relayed(usize),
+    /// A task ends on a target of a host (or of all hosts).
+    End(usize, usize),
+    /// The request reaches a target, sent by a host that doesn't own it.
+    Reach(usize, usize),
+    /// A target refused it; back at the host.
+    Refused(usize),
+    Deliver(usize, usize),
+    Tick,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    at: u64,
+    run: u64,
+    host: usize,
+    extra: u64,
+    end: u64,
+}
+
+/// The state of a run.
+#[derive(Debug)]
+struct Driver {
+    way: Way,
+    far: u64,
+    now: u64,
+    rng: Pcg64Mcg,
+    events: BinaryHeap<Reverse<(u64, u64, What, usize)>>,
+    sequence: u64,
+    requests: Vec<Request>,
+    /// Owner, free slots and speed in percent of each target.
+    owner: Vec<usize>,
+    zone: Vec<usize>,
+    free: Vec<usize>,
+    speed: Vec<u64>,
+    queues: Vec<VecDeque<usize>>,
+    routes: Vec<Route>,
+    mail: Vec<Option<(usize, Message)>>,
+    known: Vec<Vec<usize>>,
+    refreshed: u64,
+    messages: u64,
+    gossip: u64,
+    entry: EntryName,
+}
+
+impl Driver {
+    fn open(way: Way, far: u64, gain: f64, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let entry = EntryName::from("gate-scan");
+        let zone: Vec<usize> = (0..EXECUTORS).map(|target| target % 3).collect();
+        let owner = zone.iter().map(|&zone| pick(&mut rng, &hosts_of(zone))).collect();
+        let speeds = (0..EXECUTORS).map(|_| rng.random_range(60..=160)).collect();
+        let zones = |host: usize| Zone::from(format!("z{}", ZONE_OF[host]));
+        let seats: Vec<Seat> = (0..HOSTS)
+            .map(|host| Seat { id: HostId(host as u64), life: Incarnation(1), zone: zones(host), usable: true })
+            .collect();
+        let route = |host: usize| {
+            let (hop, far) = (Duration::from_micros(HOP), Duration::from_micros(far));
+            let settings =
+                Settings { id: HostId(host as u64), zone: zones(host), hop, far, gain, seed: seed + host as u64 };
+            let mut route = Route::open(settings, Time::ZERO);
+            route.set_hosts(Time::ZERO, &seats);
+            route
+        };
+        Self {
+            way,
+            far,
+            now: 0,
+            rng,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            requests: Vec::new(),
+            owner,
+            zone,
+            free: vec![SLOTS; EXECUTORS],
+            speed: speeds,
+            queues: vec![VecDeque::new(); HOSTS],
+            routes: (0..HOSTS).map(route).collect(),
+            mail: Vec::new(),
+            known: vec![vec![SLOTS; EXECUTORS]; HOSTS],
+            refreshed: 0,
+            messages: 0,
+            gossip: 0,
+            entry,
+        }
+    }
+
+    fn push(&mut self, at: u64, what: What, request: usize) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, what, request)));
+    }
+
+    fn between(&self, a: usize, b: usize) -> u64 {
+        if ZONE_OF[a] == ZONE_OF[b] { HOP } else { self.far }
+    }
+
+    fn arrive(&mut self, load: f64, arrival: Arrival) {
+        let mut at = 0.0;
+        let mean = self.speed.iter().map(|&speed| 100.0 / speed as f64).sum::<f64>() / EXECUTORS as f64;
+        let rate = load * (EXECUTORS * SLOTS) as f64 / (250_000.0 * mean)
+            * if arrival == Arrival::Bursts { 0.69 } else { 1.0 };
+        for index in 0..REQUESTS {
+            let burst = arrival == Arrival::Bursts && (at as u64) % 4_000_000 < 200_000;
+            let gap = -(1.0 - self.rng.random::<f64>()).ln() / rate;
+            at += if burst { gap / 10.0 } else { gap };
+            // Run times from 50 ms up, a few of several seconds; 250 ms on average.
+            let draw = self.rng.random::<f64>();
+            let run = 50_000.0 + 150_000.0 * -(1.0 - draw).ln();
+            let run = if self.rng.random_range(0..100) == 0 { run + 5_000_000.0 } else { run };
+            let skewed = arrival == Arrival::Uneven && self.rng.random_range(0..10) < 7;
+            let host = if skewed { 0 } else { self.rng.random_range(0..HOSTS) };
+            self.requests.push(Request { at: at as u64, run: run as u64, host, extra: 0, end: 0 });
+            self.push(at as u64, What::Arrive, index);
+        }
+    }
+
+    fn run(&mut self) {
+        let mut left = REQUESTS;
+        self.push(0, What::Tick, 0);
+        while left > 0 {
+            let Some(Reverse((at, _, what, request))) = self.events.pop() else { return };
+            self.now = at;
+            match what {
+                What::Arrive => self.on_arrive(request),
+                What::Relayed(host) => self.accept(host, request),
+                What::End(host, target) => {
+                    left -= 1;
+                    self.on_end(host, target, request);
+                }
+                What::Reach(host, target) => self.on_reach(host, target, request),
+                What::Refused(host) => self.choose_stale(host, request),
+                What::Deliver(to, mail) => self.on_mail(to, mail),
+                What::Tick => self.on_tick(),
+            }
+        }
+    }
+
+    fn on_arrive(&mut self, request: usize) {
+        let host = self.requests[request].host;
+        match self.way {
+            Way::Ideal => self.accept(0, request),
+            Way::Own => self.accept(host, request),
+            Way::One => self.relay(host, 0, request),
+            Way::Random => {
+                let to = self.rng.random_range(0..HOSTS);
+                self.relay(host, to, request);
+            }
+            Way::Stale => self.choose_stale(host, request),
+            Way::Route => self.place(host, request),
+        }
+    }
+
+    fn place(&mut self, host: usize, request: usize) {
+        let now = Time::from_micros(self.now);
+        match self.routes[host].place(now, &self.entry) {
+            Place::Relay(to) => self.relay(host, to.0 as usize, request),
+            Place::Here | Place::Wait | Place::Nowhere => self.accept(host, request),
+        }
+        self.mail_out(host);
+    }
+
+    fn relay(&mut self, from: usize, to: usize, request: usize) {
+        if from == to {
+            self.accept(to, request);
+            return;
+        }
+        self.messages += 2;
+        let way = self.between(from, to);
+        self.requests[request].extra += way;
+        self.push(self.now + way, What::Relayed(to), request);
+    }
+
+    /// Targets that `host` starts tasks on.
+    fn usable(&self, host: usize, target: usize) -> bool {
+        matches!(self.way, Way::Ideal | Way::One) || self.owner[target] == host
+    }
+
+    fn accept(&mut self, host: usize, request: usize) {
+        self.queues[host].push_back(request);
+        self.start(host);
+    }
+
+    fn start(&mut self, host: usize) {
+        while !self.queues[host].is_empty() {
+            let free = (0..EXECUTORS).filter(|&target| self.usable(host, target) && self.free[target] > 0);
+            let Some(target) = free.max_by_key(|&target| (self.speed[target], self.free[target])) else { break };
+            let Some(request) = self.queues[host].pop_front() else { break };
+            self.begin(host, target, request);
+        }
+        self.report(host);
+    }
+
+    fn begin(&mut self, host: usize, target: usize, request: usize) {
+        self.free[target] -= 1;
+        let run = self.requests[request].run * 100 / self.speed[target];
+        self.push(self.now + run, What::End(host, target), request);
+    }
+
+    fn on_end(&mut self, host: usize, target: usize, request: usize) {
+        self.free[target] += 1;
+        let back = self.requests[request].extra;
+        self.requests[request].end = self.now + back;
+        if self.way == Way::Route && back > 0 {
+            let origin = self.requests[request].host;
+            if let Some(message) = self.routes[host].piggyback(&self.entry) {
+                self.post(host, origin, message);
+            }
+        }
+        if self.way != Way::Stale {
+            self.start(host);
+        }
+    }
+
+    fn report(&mut self, host: usize) {
+        if self.way != Way::Route {
+            return;
+        }
+        let mine = (0..EXECUTORS).filter(|&target| self.owner[target] == host);
+        let (mut slots, mut free, mut speed) = (0, 0, 0);
+        for target in mine {
+            slots += SLOTS as u32;
+            free += self.free[target] as u32;
+            speed += self.speed[target];
+        }
+        let run_us = 250_000 * 100 * (slots / SLOTS as u32) / (speed as u32).max(1);
+        let fast = (0..EXECUTORS).filter(|&target| self.owner[target] == host && self.free[target] > 0);
+        let next_us = fast.map(|target| self.speed[target]).max().map_or(run_us, |speed| 25_000_000 / speed as u32);
+        let load = Load { slots, free, queued: self.queues[host].len() as u32, run_us, next_us };
+        self.routes[host].set_load(Time::from_micros(self.now), &self.entry, load);
+        self.mail_out(host);
+    }
+
+    fn mail_out(&mut self, host: usize) {
+        for output in self.routes[host].drain() {
+            match output {
+                Output::Send { to, message } => {
+                    self.gossip += 1;
+                    self.post(host, to.0 as usize, message);
+                }
+                Output::Event(Event::News(_)) => self.move_queued(host),
+            }
+        }
+    }
+
+    /// Places queued tasks that came in here anew.
+    fn move_queued(&mut self, host: usize) {
+        for _ in 0..self.queues[host].len() {
+            let Some(request) = self.queues[host].pop_front() else { return };
+            if self.requests[request].extra > 0 {
+                self.queues[host].push_back(request);
+                continue;
+            }
+            let place = self.routes[host].place(Time::from_micros(self.now), &self.entry);
+            match place {
+                Place::Relay(to) => self.relay(host, to.0 as usize, request),
+                _ => {
+                    self.queues[host].push_front(request);
+                    break;
+                }
+            }
+        }
+        self.report(host);
+    }
+
+    fn post(&mut self, from: usize, to: usize, message: Message) {
+        self.mail.push(Some((from, message)));
+        let way = self.between(from, to);
+        self.push(self.now + way, What::Deliver(to, self.mail.len() - 1), 0);
+    }
+
+    fn on_mail(&mut self, to: usize, mail: usize) {
+        let Some((from, message)) = self.mail[mail].take() else { return };
+        self.routes[to].on_message(Time::from_micros(self.now), HostId(from as u64), message);
+        self.mail_out(to);
+    }
+
+    fn on_tick(&mut self) {
+        let now = Time::from_micros(self.now);
+        if self.way == Way::Route {
+            for host in 0..HOSTS {
+                self.routes[host].on_tick(now);
+                self.mail_out(host);
+            }
+        }
+        if self.way == Way::Stale && self.now >= self.refreshed + STALE {
+            self.refreshed = self.now;
+            for host in 0..HOSTS {
+                self.known[host] = self.free.clone();
+            }
+        }
+        self.push(self.now + 10_000, What::Tick, 0);
+    }
+
+    /// The target of the zone that looks emptiest.
+    fn choose_stale(&mut self, host: usize, request: usize) {
+        let start = self.rng.random_range(0..EXECUTORS);
+        let mine =
+            (0..EXECUTORS).map(|step| (start + step) % EXECUTORS).filter(|&target| self.zone[target] == ZONE_OF[host]);
+        let best = mine.max_by_key(|&target| self.known[host][target] as u64 * self.speed[target]);
+        let Some(target) = best else { return };
+        self.known[host][target] = self.known[host][target].saturating_sub(1);
+        self.messages += 1;
+        self.push(self.now, What::Reach(host, target), request);
+    }
+
+    fn on_reach(&mut self, host: usize, target: usize, request: usize) {
+        if self.free[target] > 0 {
+            self.begin(host, target, request);
+            return;
+        }
+        self.messages += 1;
+        self.known[host][target] = 0;
+        let wait = self.rng.random_range(1_000..20_000);
+        self.push(self.now + wait, What::Refused(host), request);
+    }
+}
+
+fn hosts_of(zone: usize) -> Vec<usize> {
+    (0..HOSTS).filter(|&host| ZONE_OF[host] == zone).collect()
+}
+
+fn pick(rng: &mut Pcg64Mcg, from: &[usize]) -> usize {
+    from[rng.random_range(0..from.len())]
+}
+
+fn main() {
+    for (name, far) in [("Events Office", 1_000), ("Hanjiri", 500)] {
+        for arrival in [Arrival::Even, Arrival::Uneven, Arrival::Bursts] {
+            for load in [0.6, 0.85] {
+                println!("{name}, {arrival:?}, load {load}");
+                for way in [Way::Ideal, Way::Own, Way::Random, Way::Stale, Way::One] {
+                    print_row(way, far, 1.0, load, arrival);
+                }
+                for gain in [1.0, 0.5, 0.25, 0.1] {
+                    print_row(Way::Route, far, gain, load, arrival);
+                }
+            }
+        }
+    }
+}
+
+fn print_row(way: Way, far: u64, gain: f64, load: f64, arrival: Arrival) {
+    let mut driver = Driver::open(way, far, gain, 42);
+    driver.arrive(load, arrival);
+    driver.run();
+    // Time beyond the run time on a target of speed 100.
+    let mut over: Vec<f64> = driver.requests.iter().map(|one| (one.end - one.at) as f64 / one.run as f64).collect();
+    over.sort_by(f64::total_cmp);
+    let mean: f64 =
+        driver.requests.iter().map(|one| (one.end - one.at) as f64 / 1_000.0).sum::<f64>() / REQUESTS as f64;
+    let at = |part: f64| over[((REQUESTS - 1) as f64 * part) as usize];
+    let each = |count: u64| count as f64 / REQUESTS as f64;
+    println!(
+        "  {:10} mean {mean:7.1} ms  slowdown p50 {:5.2} p99 {:6.2} p99.9 {:7.2}  messages/request {:5.2} + gossip {:5.2}",
+        if way == Way::Route { format!("Route {gain}") } else { format!("{way:?}") },
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        each(driver.messages),
+        each(driver.gossip),
+    );
+}
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,4 +1,60 @@
 //! How many hosts act as one: membership, grants of targets, relays between hosts and shares of limits.
+//!
+//! Each part is a state machine without I/O: `open(settings, now)`, `on_message(now, from, message)`, `on_tick(now)`
+//! and `drain()`, which gives the messages to send and the events to act on. Messages are `serde` types; any link may
+//! lose, delay, duplicate or reorder them. A tick every 10 ms or so is enough; messages are handled at once.
+//!
+//! - [`members`] knows the hosts and zones. [`members::Members::seats`] is what the other parts take in, with
+//!   `set_hosts`, after each step of the membership that changed something and at least every 100 ms.
+//! - [`grants`] takes targets' heartbeats in on any host, brings them to the owner, and tells the owner's dispatcher
+//!   which targets it may use.
+//! - [`route`] chooses the host for a task.
+//!
+//! ```
+//! use mangogw_cluster::grants::{Event, Grants};
+//! use mangogw_cluster::members::{Host, Members};
+//! use mangogw_cluster::route::{Load, Place, Route};
+//! use mangogw_cluster::{Output, grants, members, route};
+//! use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
+//! use std::time::Duration;
+//!
+//! // One host, joined by no other.
+//! let now = Time::from_millis(1_000);
+//! let (id, life, zone) = (HostId(1), Incarnation(1), "regina-a".into());
+//! let address = "127.0.0.1:7000".parse().unwrap();
+//! let host = Host { id, incarnation: life, address, http: address, zone, voter: true };
+//! let mut members = Members::open(members::Settings { host: host.clone(), seeds: vec![], seed: 1 }, now);
+//! let mut grants = Grants::open(&grants::Settings { id, life }, now);
+//! let hop = Duration::from_micros(250);
+//! let settings = route::Settings { id, zone: host.zone, hop, far: hop * 4, gain: 0.5, seed: 1 };
+//! let mut route = Route::open(settings, now);
+//! members.on_tick(now);
+//! grants.set_hosts(now, members.seats());
+//! route.set_hosts(now, &members.seats());
+//!
+//! // A target announces itself, and sends the grant back with its next heartbeat.
+//! let announcement = Announcement {
+//!     name: "t1".into(),
+//!     address: "127.0.0.1:9000".parse().unwrap(),
+//!     zone: "regina-a".into(),
+//!     rack: "".into(),
+//!     kind: Kind::Executor,
+//!     entries: vec!["gate-scan".into()],
+//!     capacity: Capacity { slots: 8, ..Capacity::default() },
+//!     incarnation: Incarnation(1),
+//!     running: vec![],
+//!     connections: 60,
+//! };
+//! grants.announce(now, announcement.clone(), None);
+//! let Some(Output::Event(Event::Answered { answer, .. })) = grants.drain().pop() else { panic!() };
+//! let echo = answer.grant.map(|grant| grants::Echo { grant, age_ms: Some(1) });
+//! grants.announce(now, announcement, echo);
+//! assert_eq!(grants.owned(now).count(), 1);
+//!
+//! // The dispatcher reports its load, and asks where a task goes.
+//! route.set_load(now, &"gate-scan".into(), Load { slots: 8, free: 8, ..Load::default() });
+//! assert_eq!(route.place(now, &"gate-scan".into()), Place::Here);
+//! ```
 
 mod hash;
 mod output;
@@ -6,6 +62,7 @@
 
 pub mod grants;
 pub mod members;
+pub mod route;
 
 pub use output::Output;
 pub use seat::Seat;
--- /dev/null
+++ b/crates/cluster/src/route/load.rs
@@ -0,0 +1,65 @@
+//! How busy a host is for one entry, and what joining it costs.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// The targets of one host that serve an entry, taken together.
+///
+/// ```
+/// use mangogw_cluster::route::Load;
+/// use std::time::Duration;
+///
+/// let busy = Load { slots: 4, free: 0, queued: 3, run_us: 100_000, next_us: 80_000 };
+/// assert_eq!(busy.wait(0), Duration::from_millis(100));
+/// assert_eq!(Load { free: 1, queued: 0, ..busy }.wait(0), Duration::ZERO);
+/// ```
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Tasks its targets can run at once.
+    pub slots: u32,
+    /// Slots that are free.
+    pub free: u32,
+    /// Tasks waiting for a slot.
+    pub queued: u32,
+    /// Mean run time of a task, in microseconds; 0 is not known.
+    pub run_us: u32,
+    /// Run time expected on the target that the next task would go to, in microseconds; 0 is not known.
+    pub next_us: u32,
+}
+
+impl Load {
+    /// How long a task waits for a slot if it comes after `ahead` others that the load does not count.
+    pub fn wait(&self, ahead: u32) -> Duration {
+        let waiting = (u64::from(self.queued) + u64::from(ahead) + 1).saturating_sub(u64::from(self.free));
+        match self.slots {
+            0 => Duration::MAX,
+            slots => Duration::from_micros(waiting * u64::from(self.run()) / u64::from(slots)),
+        }
+    }
+
+    /// How long a task takes from now to its end if it comes after `ahead` others that the load does not count.
+    pub fn finish(&self, ahead: u32) -> Duration {
+        self.wait(ahead).saturating_add(self.next())
+    }
+
+    /// The expected run time of the next task.
+    pub(super) const fn next(&self) -> Duration {
+        let next = if self.next_us == 0 { self.run() } else { self.next_us };
+        Duration::from_micros(next as u64)
+    }
+
+    /// Tasks that can join after `ahead` others until the wait reaches `limit`.
+    pub(super) fn room(&self, ahead: u32, limit: Duration) -> u64 {
+        let run = u64::from(self.run().max(1));
+        let within = limit.as_micros() as u64 * u64::from(self.slots) / run;
+        (within + u64::from(self.free)).saturating_sub(u64::from(self.queued) + u64::from(ahead))
+    }
+
+    /// The mean run time in microseconds.
+    const fn run(&self) -> u32 {
+        if self.run_us == 0 { DEFAULT_RUN_US } else { self.run_us }
+    }
+}
+
+/// The run time of a task of which nothing is known, in microseconds.
+const DEFAULT_RUN_US: u32 = 200_000;
--- /dev/null
+++ b/crates/cluster/src/route/mod.rs
@@ -0,0 +1,384 @@
+//! Which host a task goes to: this one, a peer of its zone, or a host of another zone.
+//!
+//! Each host knows its own targets exactly and its peers by compact loads: sent when a peer fills up or has room
+//! again, every [`GOSSIP`] while they change, and on the answers to relayed tasks. What was relayed since the last load
+//! counts against it. A task goes where it is expected to start first, hops included; among hosts with room the choice
+//! is drawn in proportion to the room, so that many hosts with the same knowledge don't all choose the same peer. A
+//! relayed task stays where it was relayed to. Other zones are asked only when the wait in this zone is worth it, so
+//! they cost nothing while they are not needed. `docs/design/grants.md` has the comparison.
+
+mod load;
+mod message;
+
+pub use load::Load;
+pub use message::{Message, Row};
+
+use crate::{Output, Seat};
+use indexmap::IndexMap;
+use mangogw_model::{EntryName, HostId, Time, Zone};
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Loads that changed are sent so often.
+pub const GOSSIP: Duration = Duration::from_millis(100);
+/// A load that went from room to none, or back, is sent at most so often.
+pub const GOSSIP_URGENT: Duration = Duration::from_millis(5);
+/// Loads are sent so often even if nothing changed.
+pub const GOSSIP_IDLE: Duration = Duration::from_secs(2);
+/// Peers that one round of loads goes to.
+pub const FANOUT: usize = 4;
+/// Rows in one message.
+pub const MAX_ROWS: usize = 32;
+/// Hosts in the answer to a host of another zone.
+pub const MAX_OFFERS: usize = 4;
+/// Loads older than this do not count.
+pub const STALE: Duration = Duration::from_secs(5);
+/// Another zone's load for an entry is asked for at most so often.
+pub const ASK_PERIOD: Duration = Duration::from_millis(50);
+/// Other zones asked at once.
+pub const ASK_ZONES: usize = 3;
+/// A task leaves the queue for another host if that saves this part of its run time.
+pub const QUEUE_GAIN: f64 = 0.05;
+/// Sends counted against one load.
+const MAX_SENT: usize = 4096;
+
+/// How a host takes part in relaying.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub id: HostId,
+    /// Its zone.
+    pub zone: Zone,
+    /// One way between hosts of a zone.
+    pub hop: Duration,
+    /// One way between zones.
+    pub far: Duration,
+    /// A faster target elsewhere is worth a relay if it saves this part of the run time; 1 or more: never.
+    pub gain: f64,
+    /// Seeds the choices; different on each host.
+    pub seed: u64,
+}
+
+/// Where a task goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// To the targets of this host, or into its queue.
+    Here,
+    /// To this host, which must not relay it again.
+    Relay(HostId),
+    /// No host is known to serve the entry, others have been asked: place it again on [`Event::News`].
+    Wait,
+    /// No host serves the entry.
+    Nowhere,
+}
+
+/// What the dispatcher needs to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Event {
+    /// Another host has room for this entry: tasks queued here may be placed again.
+    News(EntryName),
+}
+
+/// What is known of another host's load for one entry.
+#[derive(Debug)]
+struct View {
+    load: Load,
+    at: Time,
+    sent: VecDeque<Time>,
+}
+
+/// This host's load for one entry.
+#[derive(Debug, Default)]
+struct Own {
+    load: Load,
+    told: Load,
+    sent: Time,
+    asked: Option<Time>,
+}
+
+/// The choice of hosts for tasks.
+///
+/// ```
+/// use mangogw_cluster::Seat;
+/// use mangogw_cluster::route::{Load, Message, Place, Route, Row, Settings};
+/// use mangogw_model::{HostId, Incarnation, Time};
+/// use std::time::Duration;
+///
+/// let hop = Duration::from_micros(250);
+/// let settings = Settings { id: HostId(1), zone: "a".into(), hop, far: hop * 4, gain: 0.25, seed: 1 };
+/// let mut route = Route::open(settings, Time::ZERO);
+/// let seat = |id| Seat { id: HostId(id), life: Incarnation(1), zone: "a".into(), usable: true };
+/// route.set_hosts(Time::ZERO, &[seat(1), seat(2)]);
+/// let full = Load { slots: 8, free: 0, queued: 9, run_us: 100_000, next_us: 100_000 };
+/// route.set_load(Time::ZERO, &"gate-scan".into(), full);
+/// let row = Row { entry: "gate-scan".into(), load: Load { free: 3, queued: 0, ..full } };
+/// route.on_message(Time::ZERO, HostId(2), Message::Loads(vec![row]));
+/// assert_eq!(route.place(Time::ZERO, &"gate-scan".into()), Place::Relay(HostId(2)));
+/// ```
+#[derive(Debug)]
+pub struct Route {
+    id: HostId,
+    zone: Zone,
+    hop: Duration,
+    far: Duration,
+    gain: f64,
+    rng: Pcg64Mcg,
+    hosts: IndexMap<HostId, Zone>,
+    own: IndexMap<EntryName, Own>,
+    views: IndexMap<EntryName, IndexMap<HostId, View>>,
+    gossip: Time,
+    idle: Time,
+    out: Vec<Output<Message, Event>>,
+}
+
+impl Route {
+    /// A host that knows no peers.
+    pub fn open(settings: Settings, now: Time) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+        let gossip = now + GOSSIP.mul_f64(rng.random::<f64>());
+        Self {
+            id: settings.id,
+            zone: settings.zone,
+            hop: settings.hop,
+            far: settings.far,
+            gain: settings.gain,
+            rng,
+            hosts: IndexMap::new(),
+            own: IndexMap::new(),
+            views: IndexMap::new(),
+            gossip,
+            idle: gossip,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes the members in; hosts that can't be reached get nothing.
+    pub fn set_hosts(&mut self, _now: Time, seats: &[Seat]) {
+        let usable = seats.iter().filter(|seat| seat.usable);
+        self.hosts = usable.map(|seat| (seat.id, seat.zone.clone())).collect();
+        for views in self.views.values_mut() {
+            views.retain(|host, _| self.hosts.contains_key(host));
+        }
+    }
+
+    /// Sets this host's load for an entry; call it on each change.
+    pub fn set_load(&mut self, now: Time, entry: &EntryName, load: Load) {
+        let own = match self.own.get_mut(entry) {
+            Some(own) => own,
+            None => self.own.entry(entry.clone()).or_default(),
+        };
+        own.load = load;
+        let turned = (load.free > 0) != (own.told.free > 0);
+        if turned && now - own.sent >= GOSSIP_URGENT {
+            own.told = load;
+            own.sent = now;
+            let row = Row { entry: entry.clone(), load };
+            self.spread(&[row]);
+        }
+    }
+
+    /// The loads to send with the answer to a relayed task of `entry`.
+    pub fn piggyback(&self, entry: &EntryName) -> Option<Message> {
+        let own = self.own.get(entry)?;
+        Some(Message::Loads(vec![Row { entry: entry.clone(), load: own.load }]))
+    }
+
+    /// Chooses the host for a task that a caller sent here, or that is still queued here. A relayed task isn't placed.
+    pub fn place(&mut self, now: Time, entry: &EntryName) -> Place {
+        let own = self.own.get(entry).map(|own| own.load).unwrap_or_default();
+        let free = own.free > own.queued;
+        let part = if free { self.gain } else { QUEUE_GAIN };
+        if free && part >= 1.0 {
+            return Place::Here;
+        }
+        let margin = if own.slots == 0 { Duration::ZERO } else { own.next().mul_f64(part) };
+        let limit = own.finish(0).saturating_sub(margin);
+        let near = self.room(now, entry, limit, true);
+        let found = match self.draw(&near) {
+            Some(host) => Some(host),
+            None if free => None,
+            None => self.place_far(now, entry, limit),
+        };
+        match found {
+            Some(host) => {
+                self.count(now, entry, host);
+                Place::Relay(host)
+            }
+            None if own.slots > 0 => Place::Here,
+            None if self.unasked(now, entry) => Place::Wait,
+            None => Place::Nowhere,
+        }
+    }
+
+    /// Chooses a host of another zone if the wait is worth the way there.
+    fn place_far(&mut self, now: Time, entry: &EntryName, limit: Duration) -> Option<HostId> {
+        self.ask(now, entry);
+        let far = self.room(now, entry, limit, false);
+        self.draw(&far)
+    }
+
+    /// The hosts of this zone, or of others, that finish a task within `limit`, and how many tasks they could take.
+    fn room(&self, now: Time, entry: &EntryName, limit: Duration, near: bool) -> Vec<(HostId, u64)> {
+        let Some(views) = self.views.get(entry) else { return Vec::new() };
+        let way = if near { self.hop } else { self.far } * 2;
+        let Some(rest) = limit.checked_sub(way) else { return Vec::new() };
+        let here = |host: &HostId| self.hosts.get(host).is_some_and(|zone| (*zone == self.zone) == near);
+        let fresh = views.iter().filter(|(host, view)| here(host) && now - view.at < STALE);
+        let room = fresh.filter_map(|(&host, view)| {
+            let wait = rest.min(LONG).checked_sub(view.load.next())?;
+            Some((host, view.load.room(view.sent.len() as u32, wait)))
+        });
+        room.filter(|&(_, room)| room > 0).collect()
+    }
+
+    /// Draws a host in proportion to its room.
+    fn draw(&mut self, hosts: &[(HostId, u64)]) -> Option<HostId> {
+        let total: u64 = hosts.iter().map(|&(_, room)| room).sum();
+        let mut at = if total == 0 { return None } else { self.rng.random_range(0..total) };
+        for &(host, room) in hosts {
+            match at.checked_sub(room) {
+                None => return Some(host),
+                Some(rest) => at = rest,
+            }
+        }
+        None
+    }
+
+    /// Counts a task that is relayed to `host` until its next load.
+    fn count(&mut self, now: Time, entry: &EntryName, host: HostId) {
+        let view = self.views.get_mut(entry).and_then(|views| views.get_mut(&host));
+        match view {
+            Some(view) if view.sent.len() < MAX_SENT => view.sent.push_back(now),
+            Some(_) | None => {}
+        }
+    }
+
+    /// Asks a host of some other zones who has room.
+    fn ask(&mut self, now: Time, entry: &EntryName) {
+        let own = self.own.entry(entry.clone()).or_default();
+        if own.asked.is_some_and(|at| now - at < ASK_PERIOD) {
+            return;
+        }
+        own.asked = Some(now);
+        let mut zones: Vec<Zone> = self.hosts.values().filter(|&zone| *zone != self.zone).cloned().collect();
+        zones.sort_unstable();
+        zones.dedup();
+        zones.shuffle(&mut self.rng);
+        for zone in zones.iter().take(ASK_ZONES) {
+            let hosts: Vec<HostId> =
+                self.hosts.iter().filter(|&(_, other)| other == zone).map(|(&host, _)| host).collect();
+            if let Some(&to) = hosts.choose(&mut self.rng) {
+                self.out.push(Output::Send { to, message: Message::Ask(entry.clone()) });
+            }
+        }
+    }
+
+    /// True while answers of other zones are still expected.
+    fn unasked(&self, now: Time, entry: &EntryName) -> bool {
+        let asked = self.own.get(entry).and_then(|own| own.asked);
+        let others = self.hosts.values().any(|zone| *zone != self.zone);
+        others && asked.is_none_or(|at| now - at < self.far * 4)
+    }
+
+    /// Takes the outputs since the last call.
+    pub fn drain(&mut self) -> Vec<Output<Message, Event>> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: Time) {
+        if now < self.gossip {
+            return;
+        }
+        self.gossip = now + GOSSIP;
+        let all = now >= self.idle;
+        self.idle = if all { now + GOSSIP_IDLE } else { self.idle };
+        let mut rows: Vec<(Time, Row)> =
+            self.own.iter().filter(|(_, own)| all || own.load != own.told).map(row).collect();
+        rows.sort_by_key(|&(sent, _)| sent);
+        rows.truncate(MAX_ROWS);
+        for (_, row) in &rows {
+            if let Some(own) = self.own.get_mut(&row.entry) {
+                own.told = row.load;
+                own.sent = now;
+            }
+        }
+        let rows: Vec<Row> = rows.into_iter().map(|(_, row)| row).collect();
+        if !rows.is_empty() {
+            self.spread(&rows);
+        }
+    }
+
+    /// Sends loads to some peers of the zone.
+    fn spread(&mut self, rows: &[Row]) {
+        let peers = self.hosts.iter().filter(|&(&host, zone)| host != self.id && *zone == self.zone);
+        let mut peers: Vec<HostId> = peers.map(|(&host, _)| host).collect();
+        peers.shuffle(&mut self.rng);
+        for &to in peers.iter().take(FANOUT) {
+            self.out.push(Output::Send { to, message: Message::Loads(rows.to_vec()) });
+        }
+    }
+
+    /// Takes a message in.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        match message {
+            Message::Loads(rows) => {
+                for row in rows.into_iter().take(MAX_ROWS) {
+                    self.learn(now, from, row.entry, row.load);
+                }
+            }
+            Message::Ask(entry) => self.offer(now, from, entry),
+            Message::Offers { entry, hosts } => {
+                for (host, load) in hosts.into_iter().take(MAX_OFFERS) {
+                    self.learn(now, host, entry.clone(), load);
+                }
+            }
+        }
+    }
+
+    /// Notes the load of another host.
+    fn learn(&mut self, now: Time, host: HostId, entry: EntryName, load: Load) {
+        let Some(zone) = self.hosts.get(&host) else { return };
+        let way = if *zone == self.zone { self.hop } else { self.far } * 2;
+        let news = load.free > load.queued && self.own.get(&entry).is_some_and(|own| own.load.queued > 0);
+        let views = self.views.entry(entry.clone()).or_default();
+        let view = views.entry(host).or_insert(View { load, at: now, sent: VecDeque::new() });
+        view.load = load;
+        view.at = now;
+        while view.sent.front().is_some_and(|&sent| sent + way <= now) {
+            view.sent.pop_front();
+        }
+        if news {
+            self.out.push(Output::Event(Event::News(entry)));
+        }
+    }
+
+    /// Answers a host of another zone with the hosts that have the most room.
+    fn offer(&mut self, now: Time, to: HostId, entry: EntryName) {
+        let mut hosts: Vec<(HostId, Load)> = Vec::new();
+        if let Some(own) = self.own.get(&entry) {
+            hosts.push((self.id, own.load));
+        }
+        let near = |host: &HostId| self.hosts.get(host).is_some_and(|zone| *zone == self.zone);
+        for (&host, view) in self.views.get(&entry).into_iter().flatten() {
+            if near(&host) && now - view.at < STALE {
+                hosts.push((host, Load { queued: view.load.queued + view.sent.len() as u32, ..view.load }));
+            }
+        }
+        hosts.retain(|(_, load)| load.slots > 0);
+        hosts.sort_by_key(|(_, load)| load.wait(0));
+        hosts.truncate(MAX_OFFERS);
+        self.out.push(Output::Send { to, message: Message::Offers { entry, hosts } });
+    }
+}
+
+/// The longest wait that is weighed.
+const LONG: Duration = Duration::from_hours(1);
+
+/// When an entry was last sent, and its row.
+fn row((entry, own): (&EntryName, &Own)) -> (Time, Row) {
+    (own.sent, Row { entry: entry.clone(), load: own.load })
+}
--- /dev/null
+++ b/crates/cluster/tests/route.rs
@@ -0,0 +1,115 @@
+//! Where tasks go: here, to a peer, to another zone.
+
+use mangogw_cluster::route::{Event, Load, Message, Place, Route, Row, STALE, Settings};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{EntryName, HostId, Incarnation, Time};
+use std::time::Duration;
+
+const NOW: Time = Time::from_millis(1_000);
+const FULL: Load = Load { slots: 8, free: 0, queued: 8, run_us: 100_000, next_us: 100_000 };
+const FREE: Load = Load { free: 8, queued: 0, ..FULL };
+
+fn entry() -> EntryName {
+    "gate-scan".into()
+}
+
+/// Host 0 of zone a, with peers 1 and 2, and host 3 of zone b.
+fn route(gain: f64) -> Route {
+    let (hop, far) = (Duration::from_micros(250), Duration::from_millis(1));
+    let settings = Settings { id: HostId(0), zone: "a".into(), hop, far, gain, seed: 5 };
+    let mut route = Route::open(settings, NOW);
+    let seat = |id: u64| Seat {
+        id: HostId(id),
+        life: Incarnation(1),
+        zone: if id == 3 { "b" } else { "a" }.into(),
+        usable: true,
+    };
+    route.set_hosts(NOW, &[seat(0), seat(1), seat(2), seat(3)]);
+    route
+}
+
+fn tell(route: &mut Route, from: u64, load: Load) {
+    route.on_message(NOW, HostId(from), Message::Loads(vec![Row { entry: entry(), load }]));
+}
+
+#[test]
+fn free_slots_here_come_first() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), FREE);
+    tell(&mut route, 1, FREE);
+    assert_eq!(route.place(NOW, &entry()), Place::Here);
+}
+
+#[test]
+fn much_faster_target_of_a_peer_is_worth_a_relay() {
+    let mut route = route(0.5);
+    route.set_load(NOW, &entry(), Load { next_us: 300_000, ..FREE });
+    tell(&mut route, 1, FREE);
+    assert_eq!(route.place(NOW, &entry()), Place::Relay(HostId(1)));
+}
+
+#[test]
+fn relays_count_until_the_next_load() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), Load { queued: 0, ..FULL });
+    tell(&mut route, 1, Load { slots: 2, free: 2, queued: 0, ..FULL });
+    let placed: Vec<Place> = (0..4).map(|_| route.place(NOW, &entry())).collect();
+    assert_eq!(placed.iter().filter(|&&place| place == Place::Relay(HostId(1))).count(), 2);
+}
+
+#[test]
+fn choice_follows_the_room() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), Load { queued: 0, ..FULL });
+    tell(&mut route, 1, Load { slots: 300, free: 300, queued: 0, ..FULL });
+    tell(&mut route, 2, Load { slots: 100, free: 100, queued: 0, ..FULL });
+    let first = (0..200).filter(|_| route.place(NOW, &entry()) == Place::Relay(HostId(1))).count();
+    assert!((120..180).contains(&first), "{first}");
+}
+
+#[test]
+fn other_zone_is_asked_only_when_this_one_waits() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), FREE);
+    assert_eq!(route.place(NOW, &entry()), Place::Here);
+    _ = route.drain();
+    route.set_load(NOW, &entry(), FULL);
+    assert_eq!(route.place(NOW, &entry()), Place::Here);
+    let asks = |out: &Output<Message, Event>| *out == Output::Send { to: HostId(3), message: Message::Ask(entry()) };
+    assert!(route.drain().iter().any(asks));
+    let hosts = vec![(HostId(3), FREE)];
+    route.on_message(NOW, HostId(3), Message::Offers { entry: entry(), hosts });
+    assert!(route.drain().contains(&Output::Event(Event::News(entry()))));
+    assert_eq!(route.place(NOW, &entry()), Place::Relay(HostId(3)));
+}
+
+#[test]
+fn old_loads_and_cut_off_hosts_do_not_count() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), FULL);
+    tell(&mut route, 1, FREE);
+    assert_eq!(route.place(NOW + STALE, &entry()), Place::Here);
+    tell(&mut route, 1, FREE);
+    let seat = Seat { id: HostId(0), life: Incarnation(1), zone: "a".into(), usable: true };
+    route.set_hosts(NOW, &[seat]);
+    assert_eq!(route.place(NOW, &entry()), Place::Here);
+}
+
+#[test]
+fn entry_without_targets_waits_for_other_zones_then_ends() {
+    let mut route = route(1.0);
+    assert_eq!(route.place(NOW, &entry()), Place::Wait);
+    assert_eq!(route.place(NOW + Duration::from_millis(10), &entry()), Place::Nowhere);
+}
+
+#[test]
+fn idle_host_sends_next_to_nothing() {
+    let mut route = route(1.0);
+    route.set_load(NOW, &entry(), FREE);
+    let mut sent = 0;
+    for tick in 0..1_000 {
+        route.on_tick(NOW + Duration::from_millis(tick * 10));
+        sent += route.drain().len();
+    }
+    assert!(sent <= 14, "{sent} messages in 10 s to 2 peers");
+}
