Test the control state against a naive one

Two marks of the reader were wrong and are mended: faults of a table come in the order of the text, and an owner of the wrong type is told once.

--- a/crates/catalogue/src/read.rs
+++ b/crates/catalogue/src/read.rs
@@ -10,9 +10,10 @@
 use mangogw_model::{Entry, EntryName, Owner, Team, Version};
 use std::sync::Arc;
 
-/// A record that was read, and the offset of its name.
-struct Found<T> {
+/// A record that was read, with the offset of its name and the node it was read from.
+struct Found<'n, T> {
     at: usize,
+    node: &'n Node,
     record: T,
 }
 
@@ -40,7 +41,7 @@
     }
     let entry = reader.record::<Entry>("", tree);
     if flaws.is_empty() {
-        reader.entry("", tree.at, &entry);
+        reader.entry("", &Found { at: tree.at, node: tree, record: entry.clone() });
     }
     reader.faults.into_result().map(|()| entry)
 }
@@ -66,7 +67,7 @@
             }
         }
         for (name, found) in entries.iter().filter(|_| whole) {
-            self.entry(&format!("entries.{name}"), found.at, &found.record);
+            self.entry(&format!("entries.{name}"), found);
             self.owned(name, found, &owners);
         }
         let owners = owners.into_iter().map(|(name, found)| (Owner::from(name), found.record));
@@ -74,7 +75,7 @@
         Catalogue::from_parts(version, owners.collect(), entries.collect())
     }
 
-    fn owned(&mut self, name: &str, found: &Found<Entry>, owners: &IndexMap<String, Found<Team>>) {
+    fn owned(&mut self, name: &str, found: &Found<'_, Entry>, owners: &IndexMap<String, Found<'_, Team>>) {
         let owner = found.record.owner.as_str();
         match owner {
             "" => {}
@@ -84,13 +85,15 @@
     }
 
     /// Faults that lie between the fields of one entry.
-    fn entry(&mut self, path: &str, at: usize, entry: &Entry) {
-        for (field, reason) in cross_faults(entry) {
-            self.fault(at, &join(path, field), reason);
+    fn entry(&mut self, path: &str, found: &Found<'_, Entry>) {
+        // An owner that is there and not taken has a fault of its own.
+        let told = |field: &str| field == "owner" && has(found.node, field);
+        for (field, reason) in cross_faults(&found.record).filter(|(field, _)| !told(field)) {
+            self.fault(found.at, &join(path, field), reason);
         }
     }
 
-    fn records<T: Record>(&mut self, node: &Node, most: usize) -> IndexMap<String, Found<T>> {
+    fn records<'n, T: Record>(&mut self, node: &'n Node, most: usize) -> IndexMap<String, Found<'n, T>> {
         let mut records = IndexMap::new();
         for member in self.members(T::TABLE, node) {
             let path = join(T::TABLE, &member.name);
@@ -102,7 +105,7 @@
                 }
                 () => {
                     let record = self.record(&path, &member.node);
-                    records.insert(member.name.clone(), Found { at: member.at, record });
+                    records.insert(member.name.clone(), Found { at: member.at, node: &member.node, record });
                 }
             }
         }
@@ -187,6 +190,10 @@
     }
 }
 
+fn has(node: &Node, name: &str) -> bool {
+    matches!(&node.value, Value::Table(members) if members.iter().any(|member| member.name == name))
+}
+
 fn is_group<T: Record>(name: &str) -> bool {
     !name.is_empty() && T::fields().iter().any(|field| field.group == name)
 }
--- a/crates/catalogue/src/tables.rs
+++ b/crates/catalogue/src/tables.rs
@@ -220,8 +220,11 @@
 }
 
 fn set_owner(entry: &mut Entry, text: &str) -> bool {
-    entry.owner = text.into();
-    valid_name(text)
+    let valid = valid_name(text);
+    if valid {
+        entry.owner = text.into();
+    }
+    valid
 }
 
 fn set_class(entry: &mut Entry, text: &str) -> bool {
--- a/crates/catalogue/src/toml_text.rs
+++ b/crates/catalogue/src/toml_text.rs
@@ -16,7 +16,10 @@
 }
 
 fn table(table: &DeTable<'_>) -> Value {
-    Value::Table(table.iter().map(|(key, value)| member(key.span().start, key.get_ref(), value)).collect())
+    let members = table.iter().map(|(key, value)| member(key.span().start, key.get_ref(), value));
+    let mut members = members.collect::<Vec<_>>();
+    members.sort_by_key(|member| member.at);
+    Value::Table(members)
 }
 
 fn member(at: usize, name: &str, value: &Spanned<DeValue<'_>>) -> Member {
--- /dev/null
+++ b/crates/catalogue/tests/suite/audit.rs
@@ -0,0 +1,127 @@
+//! The audit trail: completeness, chain, bounds, search and export.
+
+use crate::support::{ADMIN, FIRST_TEAM, START_MS, command, entry, put, seeded};
+use mangogw_catalogue::{Action, AuditQuery, Bounds, Control, verify_export};
+use mangogw_model::Code;
+
+/// A state with `count` changes of one entry, one each second.
+fn busy(bounds: Bounds, count: u64) -> Control {
+    let mut control = seeded(Control::new(bounds));
+    for step in 0..count {
+        let mut entry = entry("gates");
+        entry.limits.rate = step as u32;
+        let mut command = command(ADMIN, Some(step + 1), put("gate-scan", entry));
+        command.at_ms = START_MS + step * 1_000;
+        assert_eq!(control.apply(100 + step, &command).code, Code::Answered);
+    }
+    control
+}
+
+fn export(control: &Control, query: &AuditQuery) -> Vec<String> {
+    control.audit(query).map(|line| line.to_string()).collect()
+}
+
+#[test]
+fn a_record_tells_who_when_from_where_before_after_and_outcome() {
+    let mut control = busy(Bounds::default(), 2);
+    let refused = command(FIRST_TEAM + 1, Some(3), Action::Delete { name: "gate-scan".into() });
+    assert_eq!(control.apply(200, &refused).code, Code::Forbidden);
+    let query = AuditQuery { entry: Some("gate-scan".into()), ..AuditQuery::default() };
+    let records = control.audit(&query).map(|line| line.record).collect::<Vec<_>>();
+    assert_eq!(records.len(), 3);
+    let changed = &records[1];
+    assert_eq!((changed.who.as_str(), changed.role.as_str()), ("ana", "administrator"));
+    assert_eq!((changed.at_ms, changed.from.as_str()), (START_MS + 1_000, "127.0.0.1:9"));
+    assert_eq!((changed.verb.as_str(), changed.target.as_str()), ("put", "entries.gate-scan"));
+    assert_eq!(changed.changes[0].to_string(), "~ entries.gate-scan: limits.rate 0 -> 1");
+    let try_ = &records[2];
+    assert_eq!((try_.who.as_str(), try_.code, try_.changes.len()), ("marshals-desk", Code::Forbidden, 0));
+    assert!(try_.detail.contains("entries.gate-scan"), "{}", try_.detail);
+}
+
+#[test]
+fn the_trail_holds_no_secret() {
+    let control = busy(Bounds::default(), 1);
+    let text = export(&control, &AuditQuery::default()).join("\n");
+    let secret = hex::encode([ADMIN as u8; 32]);
+    assert!(text.contains("tokens."));
+    assert!(!text.contains(&secret) && !text.contains("hash\":["), "{text}");
+}
+
+#[test]
+fn searches_by_time_principal_position_and_outcome() {
+    let mut control = busy(Bounds::default(), 10);
+    control.apply(200, &command(FIRST_TEAM, Some(0), put("gate-scan", entry("gates"))));
+    let count = |query: AuditQuery| control.audit(&query).count();
+    let all = AuditQuery::default();
+    assert_eq!(count(AuditQuery { since_ms: START_MS + 3_000, until_ms: START_MS + 5_000, ..all.clone() }), 3);
+    assert_eq!(count(AuditQuery { who: Some("gates-desk".into()), ..all.clone() }), 1);
+    assert_eq!(count(AuditQuery { refused: true, ..all.clone() }), 1);
+    assert_eq!(count(AuditQuery { limit: 4, ..all.clone() }), 4);
+    let rest = AuditQuery { after: 15, ..all };
+    assert_eq!(control.audit(&rest).map(|line| line.record.seq).collect::<Vec<_>>(), [16, 17, 18]);
+}
+
+#[test]
+fn the_trail_is_bounded_by_records_and_by_changes() {
+    let control = busy(Bounds { records: 8, ..Bounds::default() }, 100);
+    assert_eq!(control.kept().0, 8);
+    assert_eq!(control.verify_audit().expect("it is whole").seq, 107);
+    let lines = export(&control, &AuditQuery::default());
+    let export = verify_export(&lines.join("\n")).expect("it is whole");
+    assert_eq!((export.first, export.last), (100, 107));
+    let control = busy(Bounds { changes: 3, ..Bounds::default() }, 100);
+    assert_eq!(control.kept().0, 3);
+    control.verify_audit().expect("it is whole");
+}
+
+#[test]
+fn an_export_shows_gaps_and_edits() {
+    let control = busy(Bounds::default(), 10);
+    let lines = export(&control, &AuditQuery::default());
+    let verify = |lines: &[String]| verify_export(&lines.join("\n"));
+    let whole = verify(&lines).expect("it is whole");
+    let head = control.audit_head();
+    assert_eq!((whole.first, whole.last, whole.hash), (1, head.seq, head.hash.to_string()));
+    for at in 1..lines.len() - 1 {
+        let mut gap = lines.clone();
+        gap.remove(at);
+        assert_eq!(verify(&gap).expect_err("a record is missing").line, at as u64 + 1);
+    }
+    for at in 0..lines.len() {
+        let mut edited = lines.clone();
+        edited[at] = edited[at].replace("\"ana\"", "\"eve\"").replace("\"bootstrap\"", "\"eve\"");
+        assert_eq!(verify(&edited).expect_err("a record was changed").line, at as u64 + 1);
+    }
+    let mut swapped = lines.clone();
+    swapped.swap(4, 5);
+    assert_eq!(verify(&swapped).expect_err("two are swapped").line, 5);
+    let cut = verify(&lines[..lines.len() - 1]).expect("the end alone does not show");
+    assert_ne!(cut.hash, head.hash.to_string(), "but the head does");
+}
+
+#[test]
+fn two_exports_join_where_the_hashes_meet() {
+    let mut control = busy(Bounds { records: 10, ..Bounds::default() }, 10);
+    let first = export(&control, &AuditQuery::default());
+    let before = verify_export(&first.join("\n")).expect("it is whole");
+    control.apply(200, &command(ADMIN, Some(11), put("route", entry("gates"))));
+    let query = AuditQuery { after: before.last, ..AuditQuery::default() };
+    let rest = verify_export(&export(&control, &query).join("\n")).expect("it is whole");
+    assert_eq!((rest.first, rest.prev), (before.last + 1, before.hash));
+}
+
+#[test]
+fn long_texts_from_outside_are_cut() {
+    let mut control = seeded(Control::default());
+    let mut long = command(ADMIN, Some(1), put("gate-scan", entry("gates")));
+    long.from = "ä".repeat(10_000);
+    control.apply(100, &long);
+    let what = "x".repeat(1_000_000);
+    let refused = command(ADMIN, None, Action::Refused { code: Code::BadRequest, what, skipped: 0 });
+    let reply = control.apply(101, &refused);
+    assert!(reply.detail.len() <= 1_024);
+    let query = AuditQuery { after: 7, ..AuditQuery::default() };
+    assert!(export(&control, &query).iter().all(|line| line.len() < 3_000));
+    control.verify_audit().expect("it is whole");
+}
--- /dev/null
+++ b/crates/catalogue/tests/suite/catalogue.rs
@@ -0,0 +1,173 @@
+//! The catalogue as a value: printing, diffs, digests, deltas.
+
+use crate::support::{any_entry, any_set, catalogue, on_seeds};
+use mangogw_catalogue::{
+    Action, Catalogue, Delta, Edit, InstallError, Installed, parse_entry, parse_entry_json, print_entry,
+};
+use mangogw_model::{Entry, Team, Version};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The catalogue that an action describes, by way of TOML as a caller writes it.
+fn from_set(version: u64, set: &Action) -> Catalogue {
+    let Action::Apply { owners, entries } = set else { panic!("it is a whole set") };
+    let mut text = format!("version = {version}\n");
+    for (name, team) in owners {
+        text.extend([format!("[owners.{name}]\nweight = {}\n", team.weight)]);
+    }
+    for (name, entry) in entries {
+        text.extend([format!("[entries.{name}]\n"), print_entry(entry)]);
+    }
+    Catalogue::parse(&text).expect("it has no faults")
+}
+
+#[test]
+fn printing_and_reading_are_inverse() {
+    on_seeds(50, 4_096, |u| {
+        let catalogue = from_set(u.int_in_range(0..=u64::MAX >> 1)?, &any_set(u)?);
+        assert_eq!(Catalogue::parse(&catalogue.to_toml()), Ok(catalogue.clone()));
+        assert_eq!(Catalogue::parse_json(&catalogue.to_json()), Ok(catalogue.clone()));
+        assert_eq!(Catalogue::parse(&catalogue.to_toml()).expect("it is whole").digest(), catalogue.digest());
+        let entry = any_entry(u)?;
+        assert_eq!(parse_entry(&print_entry(&entry)), Ok(entry.clone()));
+        assert_eq!(parse_entry_json(&serde_json::to_string(&entry).expect("it is JSON")), Ok(entry));
+        Ok(())
+    });
+}
+
+#[test]
+fn the_order_of_the_text_does_not_matter() {
+    let one =
+        Catalogue::parse("[owners.a]\n[owners.b]\n[entries.x]\nowner='a'\n[entries.c]\nowner='b'").expect("whole");
+    let two =
+        Catalogue::parse("[entries.c]\nowner='b'\n[entries.x]\nowner='a'\n[owners.b]\n[owners.a]").expect("whole");
+    assert_eq!(one.to_toml(), two.to_toml());
+    assert_eq!(one.digest(), two.digest());
+}
+
+/// The leaves of a JSON value by their dotted path.
+fn leaves(path: &str, value: &serde_json::Value, into: &mut Vec<String>) {
+    match value.as_object() {
+        Some(table) => table.iter().for_each(|(name, inner)| leaves(&format!("{path}.{name}"), inner, into)),
+        None => into.push(path.trim_start_matches('.').to_owned()),
+    }
+}
+
+#[test]
+fn the_tables_name_every_field_of_the_model() {
+    let list = |value: serde_json::Value| {
+        let mut paths = Vec::new();
+        leaves("", &value, &mut paths);
+        paths.sort();
+        paths
+    };
+    let told = |fields: Vec<mangogw_catalogue::FieldInfo>| {
+        let mut paths = fields.into_iter().map(|field| field.path).collect::<Vec<_>>();
+        paths.sort();
+        paths
+    };
+    let entry = serde_json::to_value(Entry::default()).expect("it is JSON");
+    let team = serde_json::to_value(Team::default()).expect("it is JSON");
+    assert_eq!(told(mangogw_catalogue::entry_fields()), list(entry));
+    assert_eq!(told(mangogw_catalogue::owner_fields()), list(team));
+}
+
+#[test]
+fn defaults_are_within_their_bounds() {
+    let text = "[owners.gates]\n[entries.gate-scan]\nowner = \"gates\"\n";
+    let catalogue = Catalogue::parse(text).expect("it has no faults");
+    assert_eq!(catalogue.check(), Ok(()));
+}
+
+#[test]
+fn a_diff_shows_fields() {
+    let old = Catalogue::parse("[owners.a]\n[entries.x]\nowner='a'\n[entries.y]\nowner='a'").expect("whole");
+    let text =
+        "[owners.a]\nquota.cores=4\n[entries.x]\nowner='a'\nlimits.rate=5\nclass='urgent'\n[entries.z]\nowner='a'";
+    let new = Catalogue::parse(text).expect("whole");
+    let shown = old.diff(&new).to_string();
+    let lines = shown.lines().collect::<Vec<_>>();
+    assert_eq!(lines[0], "~ owners.a: quota.cores 0 -> 4");
+    assert_eq!(lines[1], "~ entries.x: class \"normal\" -> \"urgent\", limits.rate 0 -> 5");
+    assert!(lines[2].starts_with("- entries.y: owner = \"a\""), "{shown}");
+    assert!(lines[3].starts_with("+ entries.z: owner = \"a\""), "{shown}");
+    assert!(new.diff(&new).is_empty());
+}
+
+/// The delta between two versions, made by hand.
+fn delta(from: &Catalogue, to: &Catalogue) -> Delta {
+    let mut delta = Delta { from: from.version(), to: to.version(), digest: to.digest(), ..Delta::default() };
+    let old = from.entries().iter().map(|(name, entry)| (name.clone(), Arc::clone(entry))).collect::<BTreeMap<_, _>>();
+    let new = to.entries().iter().map(|(name, entry)| (name.clone(), Arc::clone(entry))).collect::<BTreeMap<_, _>>();
+    for name in old.keys().chain(new.keys().filter(|name| !old.contains_key(*name))) {
+        if old.get(name) != new.get(name) {
+            delta.entries.push(Edit { name: name.clone(), value: new.get(name).cloned() });
+        }
+    }
+    for (name, team) in to.owners().iter().filter(|(name, team)| from.owner(name) != Some(*team)) {
+        delta.owners.push(Edit { name: name.clone(), value: Some(team.clone()) });
+    }
+    delta
+}
+
+#[test]
+fn deltas_lead_to_the_same_catalogue_as_the_whole() {
+    on_seeds(50, 8_192, |u| {
+        let versions = (1..=4).map(|version| Ok(from_set(version, &any_set(u)?)));
+        let versions = versions.collect::<arbitrary::Result<Vec<_>>>()?;
+        let mut copy = versions[0].clone();
+        for pair in versions.windows(2) {
+            let installed = copy.install(&delta(&pair[0], &pair[1])).expect("it follows");
+            assert_eq!(installed, Installed::New(pair[1].version()));
+            assert_eq!(copy, pair[1]);
+        }
+        let mut whole = Catalogue::default();
+        whole.install(&Delta::whole(&versions[3])).expect("it is whole");
+        assert_eq!(whole, copy);
+        Ok(())
+    });
+}
+
+#[test]
+fn installing_only_goes_up_and_tells_gaps() {
+    let [one, two, three] = [1, 2, 3].map(|count| {
+        let text = catalogue(count).to_toml().replace("version = 0", &format!("version = {count}"));
+        Catalogue::parse(&text).expect("it has no faults")
+    });
+    let mut copy = one.clone();
+    let gap = copy.install(&delta(&two, &three)).expect_err("version 2 is missing");
+    assert!(matches!(gap, InstallError::Gap { have: Version(1), need: Version(2) }), "{gap}");
+    assert_eq!(copy, one);
+    copy.install(&delta(&one, &three)).expect("it leads from 1 to 3");
+    assert_eq!(copy.install(&delta(&one, &two)).expect("it is old"), Installed::Old(Version(3)));
+    assert_eq!(copy.install(&Delta::whole(&two)).expect("it is old"), Installed::Old(Version(3)));
+    assert_eq!(copy.install(&Delta::whole(&three)).expect("it is the same"), Installed::Old(Version(3)));
+    assert_eq!(copy, three);
+}
+
+#[test]
+fn a_delta_that_comes_out_different_leaves_everything_as_it_was() {
+    let mut copy = catalogue(3);
+    let before = copy.clone();
+    let next = Catalogue::parse(&catalogue(5).to_toml().replace("version = 0", "version = 1")).expect("whole");
+    let mut wrong = delta(&copy, &next);
+    wrong.entries.pop();
+    assert!(matches!(copy.install(&wrong), Err(InstallError::Diverged { to: Version(1) })));
+    assert_eq!(copy, before);
+    let mut faulty = delta(&copy, &next);
+    faulty.entries[0].name = "NOT A NAME".into();
+    assert!(matches!(copy.install(&faulty), Err(InstallError::Faulty { .. })));
+    let mut faulty = Delta::whole(&next);
+    faulty.owners.clear();
+    assert!(matches!(copy.install(&faulty), Err(InstallError::Faulty { .. })));
+    assert_eq!(copy, before);
+    assert_eq!(copy.digest(), before.digest());
+}
+
+#[test]
+fn a_whole_delta_mends_a_copy_that_differs_at_the_same_version() {
+    let right = catalogue(4);
+    let mut copy = catalogue(3);
+    assert_eq!(copy.install(&Delta::whole(&right)).expect("it mends"), Installed::New(right.version()));
+    assert_eq!(copy, right);
+}
--- /dev/null
+++ b/crates/catalogue/tests/suite/decode.rs
@@ -0,0 +1,139 @@
+//! Readers of text and bytes: any input gives a value or an error, never a panic.
+
+use crate::support::{ADMIN, any_entry, any_set, catalogue, command, on_seeds, put, seeded};
+use arbtest::arbitrary::{Result, Unstructured};
+use mangogw_catalogue::{
+    Action, Catalogue, Command, Control, Delta, MAX_COMMAND_BYTES, Token, TokenId, parse_entry, parse_entry_json,
+    verify_export,
+};
+
+/// `bytes` with a few of them changed, doubled or dropped.
+fn mutated(u: &mut Unstructured<'_>, bytes: &[u8]) -> Result<Vec<u8>> {
+    let mut bytes = bytes.to_vec();
+    for _ in 0..u.int_in_range(1..=6)? {
+        let at = u.choose_index(bytes.len().max(1))?;
+        match u.int_in_range(0..=3)? {
+            0 if !bytes.is_empty() => bytes[at] = u.arbitrary()?,
+            1 if !bytes.is_empty() => bytes.truncate(at),
+            2 => bytes.insert(at.min(bytes.len()), u.arbitrary()?),
+            _ => {
+                let tail = bytes[at.min(bytes.len())..].to_vec();
+                bytes.extend(tail);
+            }
+        }
+    }
+    Ok(bytes)
+}
+
+#[test]
+fn commands_come_back_as_they_were() {
+    on_seeds(50, 4_096, |u| {
+        for action in [put("route", any_entry(u)?), any_set(u)?, Action::Revoke { id: TokenId(u.arbitrary()?) }] {
+            let command = Command { at_ms: u.arbitrary()?, ..command(ADMIN, u.arbitrary()?, action) };
+            assert_eq!(Command::decode(&command.encode()).expect("it is whole"), command);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn damaged_commands_are_refused_or_harmless() {
+    on_seeds(200, 4_096, |u| {
+        let mut control = seeded(Control::default());
+        let bytes = command(ADMIN, Some(1), any_set(u)?).encode();
+        for index in 100..110 {
+            // What still decodes is a command like any other: applying it must not panic either.
+            if let Ok(command) = Command::decode(&mutated(u, &bytes)?) {
+                control.apply(index, &command);
+            }
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn damaged_snapshots_are_refused_or_harmless() {
+    let mut control = seeded(Control::default());
+    for index in 100..120 {
+        let version = control.catalogue().version().0;
+        let mut command = command(ADMIN, Some(version), put(&format!("e{index}"), crate::support::entry("gates")));
+        command.key = Some(format!("k{index}").into());
+        control.apply(index, &command);
+    }
+    let bytes = control.encode();
+    on_seeds(200, 2_048, |u| {
+        if let Ok(mut decoded) = Control::decode(&mutated(u, &bytes)?) {
+            drop(decoded.verify_audit());
+            drop(decoded.catalogue_at(mangogw_model::Version(3)));
+            decoded.apply(u64::MAX, &command(ADMIN, Some(4), put("route", crate::support::entry("gates"))));
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn random_bytes_are_refused() {
+    on_seeds(200, 512, |u| {
+        let bytes = u.bytes(u.len())?;
+        drop(Command::decode(bytes));
+        drop(Control::decode(bytes));
+        drop(Command::decode(&[&[1], bytes].concat()));
+        drop(Control::decode(&[&[1], bytes].concat()));
+        let text = String::from_utf8_lossy(bytes);
+        drop(Catalogue::parse(&text));
+        drop(Catalogue::parse_json(&text));
+        drop(verify_export(&text));
+        drop(text.parse::<Token>());
+        Ok(())
+    });
+}
+
+#[test]
+fn damaged_texts_have_faults_with_places_or_are_whole() {
+    let toml = catalogue(3).to_toml();
+    let json = catalogue(3).to_json();
+    let entry = mangogw_catalogue::print_entry(&crate::support::entry("gates"));
+    on_seeds(300, 512, |u| {
+        let text = String::from_utf8_lossy(&mutated(u, toml.as_bytes())?).into_owned();
+        let lines = text.lines().count() as u32 + 1;
+        if let Err(faults) = Catalogue::parse(&text) {
+            assert!(faults.iter().all(|fault| (1..=lines).contains(&fault.line) && fault.column > 0), "{faults}");
+        }
+        let text = String::from_utf8_lossy(&mutated(u, json.as_bytes())?).into_owned();
+        if let Err(faults) = Catalogue::parse_json(&text) {
+            assert!(faults.iter().all(|fault| fault.line > 0 && fault.column > 0), "{faults}");
+        }
+        drop(parse_entry(&String::from_utf8_lossy(&mutated(u, entry.as_bytes())?)));
+        drop(parse_entry_json(&text));
+        Ok(())
+    });
+}
+
+#[test]
+fn lengths_that_lie_cost_no_memory() {
+    // A whole set (action 4) that claims 2^60 owners and holds none.
+    let mut bytes = command(ADMIN, None, Action::Apply { owners: [].into(), entries: [].into() }).encode();
+    bytes.truncate(bytes.len() - 2);
+    bytes.extend([0xff; 8]);
+    bytes.push(0x0f);
+    Command::decode(&bytes).expect_err("the owners are missing");
+    Command::decode(&vec![1; MAX_COMMAND_BYTES + 1]).expect_err("it is too long");
+}
+
+#[test]
+fn other_formats_and_left_over_bytes_are_refused() {
+    let mut bytes = command(ADMIN, None, Action::Shift { open: true }).encode();
+    bytes.push(0);
+    assert!(Command::decode(&bytes).expect_err("a byte is left over").to_string().contains("left over"));
+    bytes.pop();
+    bytes[0] = 9;
+    assert!(Command::decode(&bytes).expect_err("format 9").to_string().contains("format is 9"));
+    Command::decode(&[]).expect_err("there are no bytes");
+}
+
+#[test]
+fn deltas_come_over_json_as_they_were() {
+    let delta = Delta::whole(&catalogue(5));
+    let text = serde_json::to_string(&delta).expect("it is JSON");
+    assert_eq!(serde_json::from_str::<Delta>(&text).expect("it is whole"), delta);
+}
--- /dev/null
+++ b/crates/catalogue/tests/suite/faults.rs
@@ -0,0 +1,114 @@
+//! Walks `tests/faults`: the first line of each file names the faults that the rest must have.
+
+use mangogw_catalogue::{Catalogue, Fault};
+use std::fs;
+use std::path::Path;
+
+/// A fault as the first line of a file names it: `LINE:COLUMN PATH REASON`, joined by `; `, `-` for no path.
+#[derive(Debug)]
+struct Expected {
+    line: u32,
+    column: u32,
+    path: String,
+    reason: String,
+}
+
+impl Expected {
+    fn parse(text: &str) -> Self {
+        let (place, rest) = text.split_once(' ').expect("a place and a path");
+        let (line, column) = place.split_once(':').expect("a line and a column");
+        let (path, reason) = rest.split_once("  ").or_else(|| rest.split_once(' ')).expect("a path and a reason");
+        let number = |text: &str| text.parse().expect("a number");
+        let path = if path == "-" { "" } else { path };
+        Self { line: number(line), column: number(column), path: path.into(), reason: reason.into() }
+    }
+
+    fn fits(&self, fault: &Fault) -> bool {
+        let place = (self.line, self.column) == (fault.line, fault.column);
+        place && self.path == fault.path && fault.reason.contains(&self.reason)
+    }
+}
+
+fn check(name: &str, text: &str) {
+    let first = text.lines().next().and_then(|line| line.strip_prefix("# ")).expect("a comment with the faults");
+    let expected = first.split("; ").map(Expected::parse).collect::<Vec<_>>();
+    let faults = Catalogue::parse(text).expect_err(name);
+    let found = faults.iter().collect::<Vec<_>>();
+    let all = expected.len() == found.len() && expected.iter().zip(&found).all(|(want, fault)| want.fits(fault));
+    assert!(all, "{name}: expected {expected:#?}, found\n{faults}");
+}
+
+#[test]
+fn every_file_has_the_faults_it_names() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/faults");
+    let mut files = 0;
+    for item in fs::read_dir(folder).expect("the folder") {
+        let path = item.expect("an item").path();
+        let text = fs::read_to_string(&path).expect("a text");
+        check(&path.display().to_string(), &text);
+        files += 1;
+    }
+    assert!(files >= 9, "only {files} files");
+}
+
+/// Faults of a JSON text as `line:column path`.
+fn json_faults(text: &str) -> Vec<String> {
+    let faults = Catalogue::parse_json(text).expect_err("it has faults");
+    faults.iter().map(|fault| format!("{}:{} {}", fault.line, fault.column, fault.path)).collect()
+}
+
+#[test]
+fn json_has_the_same_faults_with_their_places() {
+    let text = r#"{
+  "owners": {"gates": {"weight": 0}},
+  "entries": {
+    "gate-scan": {"owner": "gates", "limits" : {"rate": -4, "qeue": 1}},
+    "a\"b": {}, "route": {"owner": "gates", "owner": "gates"},
+    "tally": {"owner": "tally", "hedge": {"budget": 1e-1}}
+  },
+  "shape": null
+}"#;
+    let expected = [
+        "2:34 owners.gates.weight",
+        "4:57 entries.gate-scan.limits.rate",
+        "4:61 entries.gate-scan.limits.qeue",
+        "5:5 entries.a\"b",
+        "5:45 entries.route.owner",
+        "6:5 entries.tally.hedge.budget",
+        "6:5 entries.tally.owner",
+        "8:3 shape",
+    ];
+    assert_eq!(json_faults(text), expected);
+}
+
+#[test]
+fn broken_json_names_the_place() {
+    assert_eq!(json_faults("{\n  \"owners\": {\n    \"gates\" 7}}"), ["3:13 "]);
+    assert_eq!(json_faults(""), ["1:1 "]);
+    assert_eq!(json_faults("[1]"), ["1:1 "]);
+    assert_eq!(json_faults(&"{\"owners\":".repeat(500)).len(), 1);
+}
+
+#[test]
+fn a_deep_or_long_text_is_refused() {
+    let deep = format!("owners = {}{}", "[".repeat(100_000), "]".repeat(100_000));
+    Catalogue::parse(&deep).expect_err("it is too deep");
+    let long = " ".repeat(mangogw_catalogue::MAX_TEXT_BYTES + 1);
+    let faults = Catalogue::parse(&long).expect_err("it is too long");
+    assert_eq!(faults.iter().next().map(|fault| fault.line), Some(0));
+}
+
+#[test]
+fn the_list_of_faults_is_bounded() {
+    let text = (0..5_000).map(|index| format!("field-{index} = 1")).collect::<Vec<_>>().join("\n");
+    let faults = Catalogue::parse(&text).expect_err("no such fields");
+    assert_eq!((faults.iter().count(), faults.unlisted()), (1_000, 4_000));
+}
+
+#[test]
+fn too_many_records_are_refused() {
+    let owners = (0..=mangogw_catalogue::MAX_OWNERS).map(|index| format!("[owners.t{index}]"));
+    let owners = owners.collect::<Vec<_>>().join("\n");
+    let faults = Catalogue::parse(&owners).expect_err("there are too many");
+    assert_eq!(faults.iter().map(|fault| (fault.line, fault.path.as_str())).collect::<Vec<_>>(), [(1_001, "owners")]);
+}
--- /dev/null
+++ b/crates/catalogue/tests/suite/fuzz_control.rs
@@ -0,0 +1,244 @@
+//! Random commands against `Control` and against a naive state that keeps every version whole.
+
+use crate::oracle::{Oracle, Set, Verdict, issue_for};
+use crate::support::{ENTRIES, START_MS, TEAMS, any_entry, any_set, on_seeds, put, seeded};
+use arbtest::arbitrary::{Result, Unstructured};
+use mangogw_catalogue::{
+    Action, AuditQuery, Bounds, Caller, Catalogue, Change, Command, Control, TokenId, verify_export,
+};
+use mangogw_catalogue::{Reply, Role};
+use mangogw_model::{Code, Key, Team, Version};
+use std::collections::{BTreeMap, BTreeSet};
+
+const AGE_MS: u64 = 2_000;
+const ANSWERS: usize = 12;
+
+/// Both states, a copy of the catalogue that follows by deltas, and what was sent.
+struct Run {
+    control: Control,
+    oracle: Oracle,
+    copy: Catalogue,
+    now_ms: u64,
+    sent: Vec<Command>,
+    replies: Vec<Reply>,
+    /// Commands that were not answered as resends.
+    counted: u64,
+}
+
+impl Run {
+    fn new() -> Self {
+        let bounds = Bounds { age_ms: AGE_MS, answers: ANSWERS, ..Bounds::default() };
+        let control = seeded(Control::new(bounds));
+        let counted = control.audit_head().seq;
+        let copy = control.catalogue().clone();
+        let oracle = Oracle::seeded(AGE_MS, ANSWERS);
+        Self { control, oracle, copy, now_ms: START_MS, sent: Vec::new(), replies: Vec::new(), counted }
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        // A new leader's clock may stand a little behind the old one's.
+        self.now_ms = (self.now_ms + u.int_in_range(0..=300)?) - u.int_in_range(0..=40)?;
+        match u.int_in_range(0..=19)? {
+            0 => self.control = Control::decode(&self.control.encode()).expect("it is whole"),
+            1 => self.follow(),
+            2 if !self.sent.is_empty() => {
+                let command = u.choose(&self.sent)?.clone();
+                self.send(Command { at_ms: self.now_ms, ..command });
+            }
+            _ => {
+                let command = self.command(u)?;
+                self.send(command);
+            }
+        }
+        Ok(())
+    }
+
+    fn send(&mut self, command: Command) {
+        let verdict = self.oracle.apply(&command);
+        let index = self.control.index() + 1;
+        let before = self.control.catalogue().version();
+        let reply = self.control.apply(index, &command);
+        let after = self.control.catalogue().version();
+        match verdict {
+            Verdict::Again(first) => {
+                assert_eq!((&reply, after), (&first, before), "a resend of {command:?}");
+            }
+            Verdict::Code(code) => {
+                assert_eq!(reply.code, code, "{command:?}: {}", reply.detail);
+                assert_eq!(reply.version, after);
+                self.oracle.note(&command, &reply);
+                self.counted += 1;
+            }
+        }
+        assert_eq!(after.0, self.oracle.version());
+        assert!(after.0 == before.0 || after.0 == before.0 + 1, "{before} to {after}");
+        assert_eq!(self.control.shift().open, self.oracle.shift);
+        assert_eq!(&set(self.control.catalogue()), self.oracle.current());
+        self.sent.push(command);
+        self.replies.push(reply);
+    }
+
+    /// The copy catches up, from however far behind it is.
+    fn follow(&mut self) {
+        let delta = self.control.delta(self.copy.version());
+        self.copy.install(&delta).expect("it leads from the copy's version");
+        assert_eq!(&self.copy, self.control.catalogue());
+    }
+
+    fn command(&self, u: &mut Unstructured<'_>) -> Result<Command> {
+        let caller = match u.int_in_range(0..=24)? {
+            0 => Caller::Nobody,
+            1 => Caller::Bootstrap,
+            2 => Caller::Token(TokenId(999)),
+            3..=10 => Caller::Token(TokenId(crate::support::ADMIN)),
+            _ => Caller::Token(TokenId(*u.choose(&self.oracle.token_ids())?)),
+        };
+        let current = self.oracle.version();
+        let base = match u.int_in_range(0..=9)? {
+            0 => None,
+            1 => Some(current.saturating_sub(1)),
+            2 => Some(u.int_in_range(0..=current + 1)?),
+            _ => Some(current),
+        };
+        let key = u.ratio(1, 3)?.then(|| u.int_in_range(0..=20)).transpose()?;
+        let key = key.map(|number: u8| Key::from(format!("key-{number}")));
+        let action = self.action(u)?;
+        Ok(Command { base: base.map(Version), key, ..Command::new(self.now_ms, caller, action) })
+    }
+
+    fn action(&self, u: &mut Unstructured<'_>) -> Result<Action> {
+        let name = u.choose(&ENTRIES)?;
+        let owner = u.choose(&["gates", "marshals", "tally", "ghosts"])?;
+        Ok(match u.int_in_range(0..=29)? {
+            0 => Action::Shift { open: true },
+            1..=3 => Action::Shift { open: false },
+            4..=6 => Action::Delete { name: (*name).into() },
+            7 => any_set(u)?,
+            8..=9 => Action::Rollback { to: Version(u.int_in_range(0..=self.oracle.version() + 1)?) },
+            10 => Action::PutOwner {
+                name: (*owner).into(),
+                team: Team { weight: u.int_in_range(1..=9)?, ..Team::default() },
+            },
+            11 => Action::DeleteOwner { name: (*owner).into() },
+            12 => issue_for(u.int_in_range(1..=40)?, role(u)?),
+            13 => Action::Revoke { id: TokenId(u.int_in_range(2..=40)?) },
+            14 => Action::Refused { code: Code::BadCatalogue, what: "PUT: faults".into(), skipped: 0 },
+            15 => {
+                let mut entry = any_entry(u)?;
+                entry.deadline_ms = 0;
+                put(name, entry)
+            }
+            16 => {
+                let mut entry = any_entry(u)?;
+                entry.owner = "strangers".into();
+                put(name, entry)
+            }
+            _ => put(name, any_entry(u)?),
+        })
+    }
+
+    fn finish(&mut self) {
+        self.follow();
+        self.check_audit();
+        self.check_winners();
+        self.check_versions();
+        self.check_replay();
+    }
+
+    /// Every try is recorded or counted, the chain holds, and the changes add up to the catalogue.
+    fn check_audit(&self) {
+        let lines = self.control.audit(&AuditQuery::default()).map(|line| line.to_string()).collect::<Vec<_>>();
+        let records = self.control.audit(&AuditQuery::default()).map(|line| line.record).collect::<Vec<_>>();
+        let told = records.iter().map(|record| record.skipped).sum::<u64>();
+        assert_eq!(records.len() as u64 + told + self.control.skipped(), self.counted);
+        let head = self.control.verify_audit().expect("it is whole");
+        let export = verify_export(&(lines.join("\n") + "\n")).expect("it is whole");
+        assert_eq!((export.last, export.hash), (head.seq, head.hash.to_string()));
+        let mut set = Set::default();
+        for change in records.into_iter().flat_map(|record| record.changes) {
+            match change {
+                Change::Entry { name, before, after } => {
+                    assert_eq!(set.entries.get(name.as_str()), before.as_deref());
+                    replace(&mut set.entries, name.as_str(), after.as_deref().cloned());
+                }
+                Change::Owner { name, before, after } => {
+                    assert_eq!(set.owners.get(name.as_str()), before.as_ref());
+                    replace(&mut set.owners, name.as_str(), after);
+                }
+                Change::Shift { .. } | Change::Token { .. } => {}
+            }
+        }
+        assert_eq!(&set, self.oracle.current());
+    }
+
+    /// No version was made by two different changes.
+    fn check_winners(&self) {
+        let mut made = BTreeSet::new();
+        for record in self.control.history() {
+            assert!(made.insert(record.version), "version {} was made twice", record.version);
+        }
+        assert_eq!(made.len() as u64, self.oracle.version());
+    }
+
+    fn check_versions(&self) {
+        for (version, set) in (0..).zip(&self.oracle.versions).step_by(9) {
+            let catalogue = self.control.catalogue_at(Version(version)).expect("the trail reaches back");
+            assert_eq!(&self::set(&catalogue), set, "version {version}");
+        }
+    }
+
+    /// The log alone, and a snapshot with the rest of the log, lead to the same bytes and the same replies.
+    fn check_replay(&self) {
+        let bounds = self.control.bounds().clone();
+        let mut replay = seeded(Control::new(bounds));
+        let mut half = None;
+        for (at, (command, reply)) in self.sent.iter().zip(&self.replies).enumerate() {
+            if at == self.sent.len() / 2 {
+                half = Some(Control::decode(&replay.encode()).expect("it is whole"));
+            }
+            let command = Command::decode(&command.encode()).expect("it is whole");
+            assert_eq!(&replay.apply(replay.index() + 1, &command), reply);
+        }
+        assert!(replay == self.control, "the replay differs");
+        assert!(replay.encode() == self.control.encode(), "the bytes of the replay differ");
+        let Some(mut half) = half else { return };
+        for command in &self.sent[self.sent.len() / 2..] {
+            half.apply(half.index() + 1, command);
+        }
+        assert!(half.encode() == self.control.encode(), "the snapshot with the rest of the log differs");
+    }
+}
+
+fn role(u: &mut Unstructured<'_>) -> Result<Role> {
+    Ok(match u.int_in_range(0..=2)? {
+        0 => Role::Administrator,
+        1 => Role::Viewer,
+        _ => Role::Team((*u.choose(&TEAMS)?).into()),
+    })
+}
+
+fn replace<T>(map: &mut BTreeMap<String, T>, name: &str, value: Option<T>) {
+    match value {
+        Some(value) => drop(map.insert(name.to_owned(), value)),
+        None => drop(map.remove(name)),
+    }
+}
+
+fn set(catalogue: &Catalogue) -> Set {
+    let owners = catalogue.owners().iter().map(|(name, team)| (name.to_string(), team.clone()));
+    let entries = catalogue.entries().iter().map(|(name, entry)| (name.to_string(), (**entry).clone()));
+    Set { owners: owners.collect(), entries: entries.collect() }
+}
+
+#[test]
+fn control_agrees_with_the_naive_state() {
+    on_seeds(40, 8_000, |u| {
+        let mut run = Run::new();
+        while !u.is_empty() {
+            run.step(u)?;
+        }
+        assert!(run.sent.len() > 100, "only {} commands", run.sent.len());
+        run.finish();
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/catalogue/tests/suite/oracle.rs
@@ -0,0 +1,272 @@
+//! The control state written as simply as possible: every version is kept whole.
+
+use crate::support::{ADMIN, FIRST_TEAM, OTHER_ADMIN, START_MS, TEAMS, VIEWER, token};
+use mangogw_catalogue::{Action, Caller, Command, Reply, Role};
+use mangogw_model::{Code, Entry, Team, Version};
+use std::collections::BTreeMap;
+
+/// One version of the catalogue.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Set {
+    pub owners: BTreeMap<String, Team>,
+    pub entries: BTreeMap<String, Entry>,
+}
+
+/// A token without its secret.
+#[derive(Debug, Clone)]
+struct Holder {
+    name: String,
+    role: Role,
+    ends_ms: u64,
+    revoked: bool,
+}
+
+/// A change that was answered under a key.
+#[derive(Debug)]
+struct Answered {
+    who: String,
+    key: String,
+    at_ms: u64,
+    body: String,
+    reply: Reply,
+}
+
+/// What a command should come to.
+#[derive(Debug, PartialEq)]
+pub enum Verdict {
+    /// It is a resend: this reply, and nothing else happens.
+    Again(Reply),
+    /// It is answered with this code.
+    Code(Code),
+}
+
+/// The naive state.
+#[derive(Debug)]
+pub struct Oracle {
+    pub versions: Vec<Set>,
+    pub shift: bool,
+    tokens: BTreeMap<u128, Holder>,
+    answers: Vec<Answered>,
+    age_ms: u64,
+    most: usize,
+}
+
+impl Oracle {
+    /// The state that `support::seeded` gives.
+    pub fn seeded(age_ms: u64, most: usize) -> Self {
+        let holder = |name: &str, role| Holder {
+            name: name.to_owned(),
+            role,
+            ends_ms: START_MS + 1_000_000_000,
+            revoked: false,
+        };
+        let mut tokens = BTreeMap::from([
+            (ADMIN, holder("ana", Role::Administrator)),
+            (OTHER_ADMIN, holder("bo", Role::Administrator)),
+            (VIEWER, holder("viv", Role::Viewer)),
+        ]);
+        for (id, team) in (FIRST_TEAM..).zip(TEAMS) {
+            tokens.insert(id, holder(&format!("{team}-desk"), Role::Team(team.into())));
+        }
+        let owners = TEAMS.map(|team| (team.to_owned(), Team::default())).into();
+        let first = Set { owners, ..Set::default() };
+        Self { versions: vec![Set::default(), first], shift: false, tokens, answers: Vec::new(), age_ms, most }
+    }
+
+    pub fn version(&self) -> u64 {
+        self.versions.len() as u64 - 1
+    }
+
+    pub fn current(&self) -> &Set {
+        self.versions.last().expect("there is always one")
+    }
+
+    pub fn token_ids(&self) -> Vec<u128> {
+        self.tokens.keys().copied().collect()
+    }
+
+    /// What `command` should come to; takes it in.
+    pub fn apply(&mut self, command: &Command) -> Verdict {
+        while self.answers.first().is_some_and(|answer| answer.at_ms + self.age_ms < command.at_ms) {
+            self.answers.remove(0);
+        }
+        let Some(holder) = self.holder(command) else {
+            return Verdict::Code(match command.action {
+                Action::Refused { code, .. } => code,
+                _ => Code::Unauthorized,
+            });
+        };
+        let body = format!("{:?} {:?}", command.base, command.action);
+        let key = command.key.as_ref().map(ToString::to_string);
+        let seen = self.answers.iter().find(|answer| answer.who == holder.name && Some(&answer.key) == key.as_ref());
+        match seen {
+            Some(answer) if answer.body == body => return Verdict::Again(answer.reply.clone()),
+            Some(_) => return Verdict::Code(Code::KeyReused),
+            None => {}
+        }
+        let code = self.decide(&holder, command);
+        if let Some(key) = key.filter(|_| code != Code::Forbidden) {
+            let reply = Reply { code, version: Version::default(), detail: String::new() };
+            self.answers.push(Answered { who: holder.name, key, at_ms: command.at_ms, body, reply });
+            if self.answers.len() > self.most {
+                self.answers.remove(0);
+            }
+        }
+        Verdict::Code(code)
+    }
+
+    /// Notes the reply that was given, so that a resend can be compared with it.
+    pub fn note(&mut self, command: &Command, given: &Reply) {
+        let key = command.key.as_ref().map(ToString::to_string);
+        let body = format!("{:?} {:?}", command.base, command.action);
+        let fits = |answer: &&mut Answered| Some(&answer.key) == key.as_ref() && answer.body == body;
+        if let Some(answer) = self.answers.iter_mut().rev().find(fits) {
+            answer.reply = given.clone();
+        }
+    }
+
+    fn holder(&self, command: &Command) -> Option<Holder> {
+        match command.caller {
+            Caller::Nobody => None,
+            Caller::Bootstrap => {
+                let role = Role::Administrator;
+                Some(Holder { name: "bootstrap".into(), role, ends_ms: u64::MAX, revoked: false })
+            }
+            Caller::Token(id) => {
+                let live = |holder: &&Holder| !holder.revoked && command.at_ms < holder.ends_ms;
+                self.tokens.get(&id.0).filter(live).cloned()
+            }
+        }
+    }
+
+    fn decide(&mut self, holder: &Holder, command: &Command) -> Code {
+        let is_admin = holder.role == Role::Administrator;
+        let boots = command.caller == Caller::Bootstrap;
+        let edits = matches!(
+            command.action,
+            Action::Put { .. }
+                | Action::Delete { .. }
+                | Action::PutOwner { .. }
+                | Action::DeleteOwner { .. }
+                | Action::Apply { .. }
+                | Action::Rollback { .. }
+        );
+        match &command.action {
+            Action::Issue { .. } if !is_admin => return Code::Forbidden,
+            Action::Issue { .. } => {}
+            _ if boots => return Code::Forbidden,
+            Action::Shift { .. } if !is_admin => return Code::Forbidden,
+            _ if edits && holder.role == Role::Viewer => return Code::Forbidden,
+            _ => {}
+        }
+        if edits {
+            return self.edit(holder, command);
+        }
+        match &command.action {
+            Action::Shift { open } if *open == self.shift => Code::ShiftState,
+            Action::Shift { open } => {
+                self.shift = *open;
+                Code::Answered
+            }
+            Action::Issue { id, name, role, expires_ms, .. } => {
+                let live = |holder: &Holder| holder.role == Role::Administrator && !holder.revoked;
+                let exists = self.tokens.values().any(|holder| live(holder) && command.at_ms < holder.ends_ms);
+                match () {
+                    () if boots && (*role != Role::Administrator || exists) => Code::Forbidden,
+                    () if self.tokens.contains_key(&id.0) => Code::BadRequest,
+                    () => {
+                        let (name, role) = (name.clone(), role.clone());
+                        self.tokens.insert(id.0, Holder { name, role, ends_ms: *expires_ms, revoked: false });
+                        Code::Answered
+                    }
+                }
+            }
+            Action::Revoke { id } => match self.tokens.get_mut(&id.0) {
+                None => Code::UnknownToken,
+                Some(token) if !is_admin && (&token.name, &token.role) != (&holder.name, &holder.role) => {
+                    Code::Forbidden
+                }
+                Some(token) => {
+                    token.revoked = true;
+                    Code::Answered
+                }
+            },
+            Action::Refused { code, .. } => *code,
+            other => panic!("an edit came here: {other:?}"),
+        }
+    }
+
+    fn edit(&mut self, holder: &Holder, command: &Command) -> Code {
+        match command.base {
+            _ if self.shift => return Code::ShiftOpen,
+            None => return Code::NeedsVersion,
+            Some(base) if base.0 != self.version() => return Code::LostRace,
+            Some(_) => {}
+        }
+        let next = match self.next(&command.action) {
+            Ok(next) => next,
+            Err(code) => return code,
+        };
+        if !may(&holder.role, &command.action, self.current(), &next) {
+            return Code::Forbidden;
+        }
+        self.versions.push(next);
+        Code::Answered
+    }
+
+    fn next(&self, action: &Action) -> Result<Set, Code> {
+        let mut next = self.current().clone();
+        match action {
+            Action::Put { name, entry } => {
+                next.entries.insert(name.to_string(), (**entry).clone());
+            }
+            Action::Delete { name } => {
+                next.entries.remove(name.as_str()).ok_or(Code::UnknownEntry)?;
+            }
+            Action::PutOwner { name, team } => {
+                next.owners.insert(name.to_string(), team.clone());
+            }
+            Action::DeleteOwner { name } => {
+                next.owners.remove(name.as_str()).ok_or(Code::UnknownEntry)?;
+            }
+            Action::Apply { owners, entries } => {
+                next.owners = owners.iter().map(|(name, team)| (name.to_string(), team.clone())).collect();
+                next.entries = entries.iter().map(|(name, entry)| (name.to_string(), (**entry).clone())).collect();
+            }
+            Action::Rollback { to } => {
+                next = self.versions.get(to.0 as usize).cloned().ok_or(Code::UnknownVersion)?;
+            }
+            other => panic!("no edit: {other:?}"),
+        }
+        let owned = |entry: &Entry| next.owners.contains_key(entry.owner.as_str()) && entry.deadline_ms > 0;
+        if next.entries.values().all(owned) { Ok(next) } else { Err(Code::BadCatalogue) }
+    }
+}
+
+/// What names one record touches it, even if it changes nothing; a whole set touches what differs.
+fn may(role: &Role, action: &Action, old: &Set, new: &Set) -> bool {
+    let Role::Team(team) = role else { return true };
+    let own = |entry: Option<&Entry>| entry.is_none_or(|entry| entry.owner == *team);
+    let both = |name: &str| own(old.entries.get(name)) && own(new.entries.get(name));
+    let same = |name: &str| old.entries.get(name) == new.entries.get(name);
+    match action {
+        Action::PutOwner { .. } | Action::DeleteOwner { .. } => false,
+        Action::Put { name, .. } | Action::Delete { name } => both(name.as_str()),
+        _ => {
+            let mut names = old.entries.keys().chain(new.entries.keys());
+            old.owners == new.owners && names.all(|name| same(name) || both(name))
+        }
+    }
+}
+
+/// A token of a random role, made for `id`.
+pub fn issue_for(id: u128, role: Role) -> Action {
+    let token = token(id);
+    Action::Issue {
+        id: token.id(),
+        hash: token.hash(),
+        name: format!("holder-{id}"),
+        role,
+        expires_ms: START_MS + 1_000_000_000,
+    }
+}
