Load and demo: an open loop against real daemons, and three zones in one process

Cause: nothing measured the whole path. Change: mangogw load (planned from a seed, Poisson or bursts, requests and jobs, resubmits at another host, cancels, answers checked against their own request) and mangogw demo (either deployment: hosts in three zones, 50 executors whose speeds spread 1 to 8, failures on the way). The status view counts messages beside one start for each task.

--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -90,6 +90,8 @@
     pub records: usize,
     /// Bytes of them.
     pub record_bytes: usize,
+    /// Messages beside one start for each task, since the start of the process.
+    pub wasted: u64,
     /// Its role in the control group, if it belongs to it.
     pub role: Option<String>,
     /// The hosts that were behind when they last asked here.
@@ -165,6 +167,7 @@
             relayed: self.relay.len(),
             records: self.records.count(),
             record_bytes: self.records.bytes(),
+            wasted: self.dispatch.waste().messages(),
             role: self.group.as_ref().map(|group| format!("{:?}", group.status().role).to_lowercase()),
             behind: behind.map(|(host, _)| host).collect(),
         }
--- a/crates/mangogw/src/command.rs
+++ b/crates/mangogw/src/command.rs
@@ -1,6 +1,8 @@
 //! The commands of the tool, as a table.
 
 use crate::client::{BadCall, Client, Response};
+use crate::demo;
+use crate::load;
 use crate::target::{Fault, Settings as TargetSettings, Target};
 use bytes::Bytes;
 use http::Method;
@@ -11,6 +13,7 @@
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
 /// One command.
 #[derive(Debug, Clone, Copy)]
@@ -31,46 +34,57 @@
     Command { name: "submit", args: "FILE", help: "submit a job from a JSON file; - is standard input", flags: CALL },
     Command { name: "job", args: "KEY", help: "read a job", flags: CALL },
     Command { name: "cancel", args: "KEY", help: "cancel a job", flags: CALL },
+    Command { name: "load", args: "", help: "send load to a cluster and report what came of it", flags: LOAD },
+    Command { name: "demo", args: "", help: "run three zones, their targets and traffic in one process", flags: DEMO },
     Command { name: "target", args: "", help: "run a stand-in target", flags: TARGET },
 ];
 
-const HOST: Flag =
-    Flag { group: "Host", name: "host", value: "IP:PORT", default: "127.0.0.1:7070", help: "entry host" };
+const HOST: Flag = Flag::new("Host", "host", "IP:PORT", "127.0.0.1:7070", "entry host");
+
+const LOAD: &[Flag] = &[
+    Flag::new("Host", "hosts", "LIST", "127.0.0.1:7070", "entry hosts, joined by commas, asked in turn"),
+    Flag::new("Load", "rate", "N", "100", "calls a second"),
+    Flag::new("Load", "seconds", "S", "10", "how long calls are sent"),
+    Flag::new("Load", "shape", "SHAPE", "poisson", "poisson, or burst: ten times the rate for 0.1 s every 2 s"),
+    Flag::new("Load", "entries", "LIST", "", "entries of single requests, joined by commas"),
+    Flag::new("Load", "jobs", "ENTRY", "", "entry of jobs"),
+    Flag::new("Load", "job-percent", "N", "0", "how many of a hundred calls are jobs"),
+    Flag::new("Load", "tasks", "N", "20", "tasks of a job"),
+    Flag::new("Load", "resubmit-percent", "N", "50", "how many of a hundred jobs are sent again to another host"),
+    Flag::new("Load", "cancel-percent", "N", "0", "how many of a hundred jobs are cancelled"),
+    Flag::new("Load", "run-ms", "MS", "60", "mean run time at speed 1"),
+    Flag::new("Load", "deadline-ms", "MS", "20000", "deadline of jobs"),
+    Flag::new("Load", "seed", "N", "1", "seed of the plan"),
+    Flag::new("Output", "json", "", "", "print the report as JSON"),
+];
+
+const DEMO: &[Flag] = &[
+    Flag::new("Demo", "deployment", "NAME", "candle-desk", "candle-desk or foldplan"),
+    Flag::new("Demo", "hosts", "N", "6", "entry hosts"),
+    Flag::new("Demo", "executors", "N", "50", "executors"),
+    Flag::new("Demo", "rate", "N", "600", "calls a second"),
+    Flag::new("Demo", "seconds", "S", "10", "how long calls are sent"),
+    Flag::new("Demo", "calm", "", "", "no failures"),
+    Flag::new("Demo", "seed", "N", "1", "seed of speeds and calls"),
+    Flag::new("Output", "json", "", "", "print the report as JSON"),
+];
 
 const CALL: &[Flag] = &[
     HOST,
-    Flag { group: "Request", name: "key", value: "KEY", default: "", help: "idempotency key" },
-    Flag {
-        group: "Request",
-        name: "deadline-ms",
-        value: "MS",
-        default: "",
-        help: "deadline; the entry's own if missing",
-    },
-    Flag {
-        group: "Request",
-        name: "wait-ms",
-        value: "MS",
-        default: "0",
-        help: "how long to wait for the end of a job",
-    },
+    Flag::new("Request", "key", "KEY", "", "idempotency key"),
+    Flag::new("Request", "deadline-ms", "MS", "", "deadline; the entry's own if missing"),
+    Flag::new("Request", "wait-ms", "MS", "0", "how long to wait for the end of a job"),
 ];
 
 const TARGET: &[Flag] = &[
     HOST,
-    Flag { group: "Target", name: "name", value: "NAME", default: "target-1", help: "name to announce" },
-    Flag { group: "Target", name: "zone", value: "ZONE", default: "zone-1", help: "zone to announce" },
-    Flag { group: "Target", name: "listen", value: "IP:PORT", default: "127.0.0.1:0", help: "where tasks are taken" },
-    Flag { group: "Target", name: "entries", value: "LIST", default: "", help: "entries to serve, joined by commas" },
-    Flag { group: "Target", name: "slots", value: "N", default: "8", help: "tasks at once" },
-    Flag { group: "Target", name: "speed", value: "FACTOR", default: "1", help: "how many times faster than speed 1" },
-    Flag {
-        group: "Target",
-        name: "fault",
-        value: "FAULT",
-        default: "none",
-        help: "none, stall, fail, cut, late, cross, silent or refuse",
-    },
+    Flag::new("Target", "name", "NAME", "target-1", "name to announce"),
+    Flag::new("Target", "zone", "ZONE", "zone-1", "zone to announce"),
+    Flag::new("Target", "listen", "IP:PORT", "127.0.0.1:0", "where tasks are taken"),
+    Flag::new("Target", "entries", "LIST", "", "entries to serve, joined by commas"),
+    Flag::new("Target", "slots", "N", "8", "tasks at once"),
+    Flag::new("Target", "speed", "FACTOR", "1", "how many times faster than speed 1"),
+    Flag::new("Target", "fault", "FAULT", "none", "none, stall, fail, cut, late, cross, silent or refuse"),
 ];
 
 /// Why a command failed.
@@ -104,6 +118,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The demo can't run.
+    #[snafu(display("{source}"))]
+    Demo {
+        /// What is wrong.
+        source: demo::BadDemo,
+    },
     /// The host gave no answer.
     #[snafu(display("{source}"))]
     Call {
@@ -126,6 +146,8 @@
     let given = flags::parse(command.flags, rest, env).context(FlagsSnafu)?;
     match command.name {
         "target" => target(&given).await,
+        "load" => load(&given).await,
+        "demo" => demo(&given).await,
         _ => call(command, &given).await,
     }
 }
@@ -181,6 +203,82 @@
     text.parse().map_err(|_bad| "give an IP number and a port, such as 127.0.0.1:7070".to_owned())
 }
 
+async fn load(given: &Given) -> Result<ExitCode, BadCommand> {
+    let settings = load_settings(given).context(FlagsSnafu)?;
+    let report = load::run(&settings).await;
+    print_report(given, &report);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn load_settings(given: &Given) -> Result<load::Settings, BadFlag> {
+    let percent = |name| given.read(name, between(0, 100)).map(|percent| percent as f64 / 100.0);
+    let jobs = Some(given.text("jobs")).filter(|name| !name.is_empty()).map(EntryName::from);
+    let entries = names(given.text("entries"));
+    if entries.is_empty() && jobs.is_none() {
+        return Err(given.fault("entries", "give at least one entry, or --jobs"));
+    }
+    Ok(load::Settings {
+        hosts: given.read("hosts", |text| text.split(',').map(host).collect::<Result<Vec<_>, _>>())?,
+        rate: given.read("rate", between(1, 1_000_000))? as f64,
+        span: Duration::from_secs(given.read("seconds", between(1, 86_400))?),
+        shape: given.read("shape", shape)?,
+        job_share: if entries.is_empty() { 1.0 } else { percent("job-percent")? },
+        entries,
+        jobs,
+        tasks: given.read("tasks", between(1, 10_000))? as u32,
+        resubmit: percent("resubmit-percent")?,
+        cancel: percent("cancel-percent")?,
+        run: Duration::from_millis(given.read("run-ms", between(1, 60_000))?),
+        deadline: Duration::from_millis(given.read("deadline-ms", between(1, 3_600_000))?),
+        seed: given.read("seed", between(0, u64::MAX))?,
+        bar: !given.is_set("json"),
+    })
+}
+
+async fn demo(given: &Given) -> Result<ExitCode, BadCommand> {
+    let settings = demo_settings(given).context(FlagsSnafu)?;
+    let report = demo::run(&settings).await.context(DemoSnafu)?;
+    print_report(given, &report);
+    Ok(if report.wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn demo_settings(given: &Given) -> Result<demo::Settings, BadFlag> {
+    Ok(demo::Settings {
+        deployment: given.read("deployment", deployment)?,
+        hosts: given.read("hosts", between(2, 60))? as usize,
+        executors: given.read("executors", between(3, 2_000))? as usize,
+        rate: given.read("rate", between(1, 1_000_000))? as f64,
+        span: Duration::from_secs(given.read("seconds", between(1, 86_400))?),
+        faults: !given.is_set("calm"),
+        seed: given.read("seed", between(0, u64::MAX))?,
+        bar: !given.is_set("json"),
+    })
+}
+
+fn print_report(given: &Given, report: &load::Report) {
+    match serde_json::to_string(report) {
+        Ok(json) if given.is_set("json") => println!("{json}"),
+        _ => print!("{report}"),
+    }
+}
+
+fn deployment(text: &str) -> Result<demo::Deployment, String> {
+    let found = demo::DEPLOYMENTS.iter().find(|deployment| deployment.name == text);
+    found.copied().ok_or_else(|| "give candle-desk or foldplan".to_owned())
+}
+
+fn shape(text: &str) -> Result<load::Shape, String> {
+    match text {
+        "poisson" => Ok(load::Shape::Poisson),
+        "burst" => Ok(load::Shape::Burst),
+        _ => Err("give poisson or burst".to_owned()),
+    }
+}
+
+fn names(text: &str) -> Vec<EntryName> {
+    text.split(',').filter(|name| !name.is_empty()).map(EntryName::from).collect()
+}
+
 async fn target(given: &Given) -> Result<ExitCode, BadCommand> {
     let settings = target_settings(given).context(FlagsSnafu)?;
     let listen = given.read("listen", host).context(FlagsSnafu)?;
@@ -194,7 +292,7 @@
 }
 
 fn target_settings(given: &Given) -> Result<TargetSettings, BadFlag> {
-    let entries = given.text("entries").split(',').filter(|name| !name.is_empty()).map(EntryName::from).collect();
+    let entries = names(given.text("entries"));
     let slots = given.read("slots", between(1, 10_000))? as u32;
     Ok(TargetSettings {
         name: given.text("name").into(),
--- /dev/null
+++ b/crates/mangogw/src/demo.rs
@@ -0,0 +1,250 @@
+//! One process with three zones of hosts, targets of one deployment, traffic, and a few failures on the way.
+
+use crate::load::{self, Report, Shape};
+use crate::target::{Fault, Settings as TargetSettings, Target};
+use mangogw_catalogue::Catalogue;
+use mangogw_model::{Capacity, EntryName, Kind};
+use mangogwd::flags::BadFlag;
+use mangogwd::server::{BadStart, Daemon};
+use mangogwd::settings::Settings as HostSettings;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use snafu::{ResultExt, Snafu};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+/// Slots of an executor.
+const SLOTS: u32 = 8;
+/// The slowest target runs at this speed, the fastest at eight times of it.
+const SLOWEST: f64 = 0.4;
+/// How many times faster the fastest target is than the slowest.
+const SPREAD: f64 = 8.0;
+/// How long the parts may take to find each other.
+const SETTLE: Duration = Duration::from_secs(20);
+/// Between two looks at whether they have.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// One of the two deployments that the examples describe.
+#[derive(Debug, Clone, Copy)]
+pub struct Deployment {
+    /// Its name.
+    pub name: &'static str,
+    /// Its zones.
+    pub zones: [&'static str; 3],
+    /// One way between zones, in microseconds.
+    pub far_us: u64,
+    /// Its catalogue.
+    pub catalogue: &'static str,
+    /// Entries of single requests.
+    pub entries: &'static [&'static str],
+    /// The entry of jobs.
+    pub jobs: &'static str,
+}
+
+/// The deployments, by name.
+pub const DEPLOYMENTS: &[Deployment] = &[
+    Deployment {
+        name: "candle-desk",
+        zones: ["regina-a", "moose-jaw", "swift-cur"],
+        far_us: 1_000,
+        catalogue: include_str!("../../../examples/candle-desk/catalogue.toml"),
+        entries: &["gate-scan", "marshal-route"],
+        jobs: "section-recount",
+    },
+    Deployment {
+        name: "foldplan",
+        zones: ["cheongju-a", "osong-b", "jincheon-c"],
+        far_us: 500,
+        catalogue: include_str!("../../../examples/foldplan/catalogue.toml"),
+        entries: &["paper-grade-switch", "glue-seam-recheck", "handle-patch"],
+        jobs: "order-plan",
+    },
+];
+
+/// What a demo is made of.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Entry hosts, over all zones.
+    pub hosts: usize,
+    /// Executors, over all zones.
+    pub executors: usize,
+    /// Calls a second.
+    pub rate: f64,
+    /// How long calls are sent.
+    pub span: Duration,
+    /// True to kill a target and a host, and let two targets fail, on the way.
+    pub faults: bool,
+    /// The seed of speeds and calls.
+    pub seed: u64,
+    /// True to draw a progress bar.
+    pub bar: bool,
+}
+
+/// Why a demo can't run.
+#[derive(Debug, Snafu)]
+pub enum BadDemo {
+    /// A folder or socket can't be had.
+    #[snafu(display("{source}"))]
+    System {
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A setting is wrong.
+    #[snafu(display("{source}"))]
+    Flag {
+        /// What is wrong.
+        source: BadFlag,
+    },
+    /// A host can't start.
+    #[snafu(display("{source}"))]
+    Start {
+        /// What is wrong.
+        source: BadStart,
+    },
+    /// The parts did not find each other.
+    #[snafu(display("{what} did not happen within {} s", SETTLE.as_secs()))]
+    Slow {
+        /// What was awaited.
+        what: &'static str,
+    },
+}
+
+/// Runs a demo and reports what came of its traffic.
+///
+/// # Errors
+/// [`BadDemo`]
+pub async fn run(settings: &Settings) -> Result<Report, BadDemo> {
+    let folder = tempfile::tempdir().context(SystemSnafu)?;
+    let mut daemons = start_hosts(settings, folder.path()).await?;
+    let hosts: Vec<SocketAddr> = daemons.iter().map(Daemon::address).collect();
+    let mut targets = start_targets(settings, &hosts).await?;
+    until("that every target is owned", || owned(&daemons) == targets.len()).await?;
+    let traffic = load_settings(settings, &hosts);
+    let report = if settings.faults {
+        // The host that is killed gets no traffic of its own: its callers would only see their connections cut.
+        let kept = load::Settings { hosts: hosts[..hosts.len() - 1].to_vec(), ..traffic };
+        let (report, ()) = tokio::join!(load::run(&kept), fail(settings.span, &mut daemons, &mut targets));
+        report
+    } else {
+        load::run(&traffic).await
+    };
+    targets.into_iter().for_each(Target::kill);
+    daemons.into_iter().for_each(Daemon::kill);
+    Ok(report)
+}
+
+/// Two targets begin to fail at a quarter of the time, one dies at half of it, and a host at three quarters.
+async fn fail(span: Duration, daemons: &mut Vec<Daemon>, targets: &mut Vec<Target>) {
+    tokio::time::sleep(span / 4).await;
+    targets[0].set_fault(Fault::Fail);
+    targets[1].set_fault(Fault::Silent);
+    tokio::time::sleep(span / 4).await;
+    if let Some(target) = targets.pop() {
+        target.kill();
+    }
+    tokio::time::sleep(span / 4).await;
+    if let Some(daemon) = daemons.pop() {
+        daemon.kill();
+    }
+}
+
+async fn start_hosts(settings: &Settings, folder: &Path) -> Result<Vec<Daemon>, BadDemo> {
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for number in 0..settings.hosts {
+        let seed = daemons.first().map(Daemon::peers_at);
+        let parsed = host_settings(settings, folder, number, seed)?;
+        daemons.push(Daemon::bind(&parsed).await.context(StartSnafu)?);
+    }
+    let serves =
+        |daemon: &Daemon| daemon.node().with(|host, now| host.is_ready() && host.status_view(now).catalogue.0 > 0);
+    until("that every host is ready", || daemons.iter().all(serves)).await?;
+    let hosts = settings.hosts;
+    let reached = |daemon: &Daemon| daemon.node().with(|host, now| host.status_view(now).reachable);
+    until("that every host reaches all others", || daemons.iter().all(|daemon| reached(daemon) == hosts)).await?;
+    Ok(daemons)
+}
+
+fn host_settings(
+    settings: &Settings,
+    folder: &Path,
+    number: usize,
+    seed: Option<SocketAddr>,
+) -> Result<HostSettings, BadDemo> {
+    let Deployment { zones, far_us, catalogue, .. } = settings.deployment;
+    let file = folder.join("catalogue.toml");
+    std::fs::write(&file, catalogue).context(SystemSnafu)?;
+    let data = folder.join(format!("host-{number}")).display().to_string();
+    let (id, far, file) = ((number + 1).to_string(), far_us.to_string(), file.display().to_string());
+    let peers = seed.map(|seed| seed.to_string()).unwrap_or_default();
+    let mut args = vec!["--zone", zones[number % zones.len()], "--host-id", &id, "--far-us", &far];
+    args.extend(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0", "--notice-ms", "0"]);
+    match number {
+        0 => args.extend(["--found", "--data", &data, "--catalogue", &file]),
+        1 | 2 => args.extend(["--peers", &peers, "--data", &data]),
+        _ => args.extend(["--peers", &peers]),
+    }
+    HostSettings::parse(args, &|_| None).context(FlagSnafu)
+}
+
+async fn start_targets(settings: &Settings, hosts: &[SocketAddr]) -> Result<Vec<Target>, BadDemo> {
+    let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+    // The catalogue is part of the program and a test reads it.
+    let entries = Catalogue::parse(settings.deployment.catalogue).map(|catalogue| catalogue.entries().clone());
+    let entries: Vec<EntryName> = entries.unwrap_or_default().into_keys().collect();
+    let mut targets = Vec::new();
+    for number in 0..settings.executors {
+        let mut hosts = hosts.to_vec();
+        let shift = number % hosts.len();
+        hosts.rotate_left(shift);
+        let own = TargetSettings {
+            name: format!("executor-{number}").into(),
+            zone: settings.deployment.zones[number % 3].into(),
+            rack: format!("rack-{}", number / SLOTS as usize).into(),
+            kind: Kind::Executor,
+            entries: entries.clone(),
+            capacity: Capacity { slots: SLOTS, ..Capacity::default() },
+            speed: SLOWEST * SPREAD.powf(rng.random::<f64>()),
+            fault: Fault::None,
+            hosts,
+        };
+        let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        targets.push(Target::bind(address, own).await.context(SystemSnafu)?);
+    }
+    Ok(targets)
+}
+
+fn load_settings(settings: &Settings, hosts: &[SocketAddr]) -> load::Settings {
+    load::Settings {
+        hosts: hosts.to_vec(),
+        rate: settings.rate,
+        span: settings.span,
+        shape: Shape::Poisson,
+        entries: settings.deployment.entries.iter().copied().map(EntryName::from).collect(),
+        jobs: Some(settings.deployment.jobs.into()),
+        job_share: 0.01,
+        tasks: 20,
+        resubmit: 0.5,
+        cancel: 0.05,
+        run: Duration::from_millis(60),
+        deadline: Duration::from_secs(20),
+        seed: settings.seed,
+        bar: settings.bar,
+    }
+}
+
+/// Waits until `done`.
+async fn until(what: &'static str, done: impl Fn() -> bool) -> Result<(), BadDemo> {
+    let waiting = async {
+        while !done() {
+            tokio::time::sleep(LOOK).await;
+        }
+    };
+    tokio::time::timeout(SETTLE, waiting).await.map_err(|_elapsed| BadDemo::Slow { what })
+}
+
+fn owned(daemons: &[Daemon]) -> usize {
+    daemons.iter().map(|daemon| daemon.node().with(|host, now| host.status_view(now).targets)).sum()
+}
--- a/crates/mangogw/src/lib.rs
+++ b/crates/mangogw/src/lib.rs
@@ -9,4 +9,6 @@
 
 pub mod client;
 pub mod command;
+pub mod demo;
+pub mod load;
 pub mod target;
--- /dev/null
+++ b/crates/mangogw/src/load.rs
@@ -0,0 +1,187 @@
+//! Load on a cluster: an open loop of requests and jobs, with resubmits and cancels, and what came of them.
+
+mod plan;
+mod report;
+
+pub use plan::{Arrival, Plan, Shape};
+pub use report::{Quantiles, Report};
+
+use crate::client::{Client, Response};
+use crate::target::Work;
+use bytes::Bytes;
+use http::Method;
+use indexmap::IndexMap;
+use indicatif::{ProgressBar, ProgressStyle};
+use mangogw_model::{EntryName, JobState, JobView};
+use plan::{Call, Kind};
+use report::Tally;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+/// What a load is made of.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The hosts, asked in turn.
+    pub hosts: Vec<SocketAddr>,
+    /// Requests and jobs a second.
+    pub rate: f64,
+    /// How long requests are sent.
+    pub span: Duration,
+    /// How they arrive.
+    pub shape: Shape,
+    /// The entries that single requests are spread over.
+    pub entries: Vec<EntryName>,
+    /// The entry of jobs.
+    pub jobs: Option<EntryName>,
+    /// The part of calls that are jobs, from 0 to 1.
+    pub job_share: f64,
+    /// Tasks of a job.
+    pub tasks: u32,
+    /// The part of jobs that are sent again to another host, from 0 to 1.
+    pub resubmit: f64,
+    /// The part of jobs that are cancelled, from 0 to 1.
+    pub cancel: f64,
+    /// The mean run time at speed 1.
+    pub run: Duration,
+    /// The deadline of every job; single requests have that of their entry.
+    pub deadline: Duration,
+    /// The seed of the plan.
+    pub seed: u64,
+    /// True to draw a progress bar.
+    pub bar: bool,
+}
+
+/// Sends the planned calls at their times and reports what came of them.
+pub async fn run(settings: &Settings) -> Report {
+    let client = Client::default();
+    let plan = Plan::draw(settings);
+    let before = waste(&client, &settings.hosts).await;
+    let bar = bar(settings, plan.calls.len() as u64);
+    let tally = Arc::new(Mutex::new(Tally::default()));
+    let start = Instant::now();
+    let mut open = JoinSet::new();
+    for (number, call) in plan.calls.into_iter().enumerate() {
+        sleep_until(start + call.at).await;
+        let caller = Caller {
+            client: client.clone(),
+            host: settings.hosts[number % settings.hosts.len()],
+            other: settings.hosts[(number + 1) % settings.hosts.len()],
+            deadline: settings.deadline,
+            tally: Arc::clone(&tally),
+            key: format!("load-{}-{number}", settings.seed),
+        };
+        let due = start + call.at;
+        open.spawn(async move { caller.call(call, due).await });
+        while open.try_join_next().is_some() {}
+        bar.inc(1);
+    }
+    open.join_all().await;
+    bar.finish_and_clear();
+    let after = waste(&client, &settings.hosts).await;
+    let tally = std::mem::take(&mut *tally.lock().unwrap_or_else(PoisonError::into_inner));
+    tally.report(start.elapsed(), after.saturating_sub(before))
+}
+
+fn bar(settings: &Settings, calls: u64) -> ProgressBar {
+    if !settings.bar {
+        return ProgressBar::hidden();
+    }
+    let style =
+        ProgressStyle::with_template("{bar:40} {pos}/{len} {eta}").unwrap_or_else(|_| ProgressStyle::default_bar());
+    ProgressBar::new(calls).with_style(style)
+}
+
+/// Messages beside one start for each task, over all hosts that answer.
+async fn waste(client: &Client, hosts: &[SocketAddr]) -> u64 {
+    let mut total = 0;
+    for &host in hosts {
+        let status = client.call(host, Method::GET, "/v1/status", &[], Bytes::new()).await;
+        let value: Value = status.ok().and_then(|status| serde_json::from_slice(&status.body).ok()).unwrap_or_default();
+        total += value["wasted"].as_u64().unwrap_or(0);
+    }
+    total
+}
+
+/// One caller with one call.
+#[derive(Debug)]
+struct Caller {
+    client: Client,
+    host: SocketAddr,
+    other: SocketAddr,
+    deadline: Duration,
+    tally: Arc<Mutex<Tally>>,
+    key: String,
+}
+
+impl Caller {
+    async fn call(self, call: Call, due: Instant) {
+        match call.kind {
+            Kind::Run { entry, millis } => self.run(&entry, millis, due).await,
+            Kind::Job { entry, ref millis, again, cancel } => self.job(&entry, millis, again, cancel, due).await,
+        }
+    }
+
+    async fn run(&self, entry: &EntryName, millis: f64, due: Instant) {
+        let work = Work { ran: Some(0.0), ..Work::new(millis, &self.key) };
+        let path = format!("/v1/run/{entry}");
+        let response = self.send(self.host, Method::POST, &path, work.to_bytes()).await;
+        let took = due.elapsed();
+        let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(response) = response else { return tally.lost() };
+        tally.code(response.code());
+        if response.outcome() == "answered" {
+            let answer = Work::parse(&response.body);
+            let whole = answer.note == self.key;
+            tally.answered(took, answer.ran.unwrap_or(millis), whole);
+        }
+    }
+
+    async fn job(&self, entry: &EntryName, millis: &[f64], again: bool, cancel: bool, due: Instant) {
+        let tasks: Vec<Value> = millis.iter().map(|&millis| task(millis, &self.key)).collect();
+        let mut fields = IndexMap::new();
+        fields.insert("entry", Value::from(entry.as_str()));
+        fields.insert("key", Value::from(self.key.as_str()));
+        fields.insert("deadline_ms", Value::from(self.deadline.as_millis() as u64));
+        fields.insert("tasks", Value::from(tasks));
+        let body = Bytes::from(serde_json::to_vec(&fields).unwrap_or_default());
+        let taken = self.send(self.host, Method::POST, "/v1/jobs", body.clone()).await;
+        if again {
+            self.send(self.other, Method::POST, "/v1/jobs", body).await;
+        }
+        if cancel {
+            self.send(self.other, Method::DELETE, &format!("/v1/jobs/{}", self.key), Bytes::new()).await;
+        }
+        let view = match taken {
+            Some(response) if response.status == 202 => self.wait().await,
+            other => other,
+        };
+        let took = due.elapsed();
+        let mut tally = self.tally.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(response) = view else { return tally.lost() };
+        tally.code(response.code());
+        if let Ok(view) = serde_json::from_slice::<JobView>(&response.body) {
+            let whole = view.state != JobState::Complete || view.tasks.len() == millis.len();
+            tally.job(took, view.state, millis.iter().copied().fold(0.0, f64::max), whole);
+        }
+    }
+
+    /// Waits for the end of a job at the other host.
+    async fn wait(&self) -> Option<Response> {
+        let wait = self.deadline.as_millis();
+        self.send(self.other, Method::GET, &format!("/v1/jobs/{}?wait_ms={wait}", self.key), Bytes::new()).await
+    }
+
+    async fn send(&self, host: SocketAddr, method: Method, path: &str, body: Bytes) -> Option<Response> {
+        let call = self.client.call(host, method, path, &[], body);
+        tokio::time::timeout(self.deadline * 2, call).await.ok()?.ok()
+    }
+}
+
+fn task(millis: f64, key: &str) -> Value {
+    let body = String::from_utf8_lossy(&Work::new(millis, key).to_bytes()).into_owned();
+    serde_json::json!({ "body": body, "estimate_ms": millis as u64 })
+}
--- /dev/null
+++ b/crates/mangogw/src/load/plan.rs
@@ -0,0 +1,112 @@
+//! The calls of a load, drawn before it starts.
+
+use super::Settings;
+use mangogw_model::EntryName;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// The part of the tasks of jobs that run for several times the mean.
+const LONG_SHARE: f64 = 0.02;
+/// How many times the mean those run.
+const LONG_FACTOR: f64 = 10.0;
+/// How many times the rate a burst has.
+const BURST_FACTOR: f64 = 10.0;
+/// The part of the time that bursts take.
+const BURST_SHARE: f64 = 0.05;
+/// The time from one burst to the next.
+const BURST_PERIOD: f64 = 2.0;
+
+/// How calls arrive.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Shape {
+    /// Independently, at a constant rate.
+    #[default]
+    Poisson,
+    /// The same, with short bursts of ten times the rate.
+    Burst,
+}
+
+/// A time at which a call arrives.
+pub type Arrival = Duration;
+
+/// Every call of a load, by time.
+#[derive(Debug)]
+pub struct Plan {
+    pub(super) calls: Vec<Call>,
+}
+
+#[derive(Debug)]
+pub(super) struct Call {
+    pub at: Arrival,
+    pub kind: Kind,
+}
+
+#[derive(Debug)]
+pub(super) enum Kind {
+    Run { entry: EntryName, millis: f64 },
+    Job { entry: EntryName, millis: Vec<f64>, again: bool, cancel: bool },
+}
+
+impl Plan {
+    /// Draws the calls of a load; equal settings draw equal plans.
+    pub fn draw(settings: &Settings) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(settings.seed);
+        let mut calls = Vec::new();
+        let mut at = 0.0;
+        loop {
+            let rate = settings.rate * settings.shape.factor(at);
+            at += -(1.0 - rng.random::<f64>()).ln() / rate;
+            if at >= settings.span.as_secs_f64() {
+                return Self { calls };
+            }
+            let kind = Kind::draw(settings, &mut rng);
+            calls.push(Call { at: Duration::from_secs_f64(at), kind });
+        }
+    }
+
+    /// The number of calls.
+    pub const fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// True if there are none.
+    pub const fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+}
+
+impl Shape {
+    /// The rate at a time, as a multiple of the mean rate between bursts.
+    fn factor(self, at: f64) -> f64 {
+        match self {
+            Self::Burst if (at % BURST_PERIOD) < BURST_PERIOD * BURST_SHARE => BURST_FACTOR,
+            Self::Poisson | Self::Burst => 1.0,
+        }
+    }
+}
+
+impl Kind {
+    fn draw(settings: &Settings, rng: &mut Pcg64Mcg) -> Self {
+        let is_job = rng.random::<f64>() < settings.job_share;
+        match &settings.jobs {
+            Some(entry) if is_job => Self::Job {
+                entry: entry.clone(),
+                millis: (0..settings.tasks).map(|_| run_time(settings, LONG_SHARE, rng)).collect(),
+                again: rng.random::<f64>() < settings.resubmit,
+                cancel: rng.random::<f64>() < settings.cancel,
+            },
+            _ => Self::Run {
+                entry: settings.entries[rng.random_range(0..settings.entries.len())].clone(),
+                millis: run_time(settings, 0.0, rng),
+            },
+        }
+    }
+}
+
+/// A run time in milliseconds: half to one and a half of the mean, and a part `long` that is much longer.
+fn run_time(settings: &Settings, long: f64, rng: &mut Pcg64Mcg) -> f64 {
+    let mean = settings.run.as_secs_f64() * 1e3;
+    let factor = if rng.random::<f64>() < long { LONG_FACTOR } else { 1.0 };
+    mean * factor * (0.5 + rng.random::<f64>())
+}
--- /dev/null
+++ b/crates/mangogw/src/load/report.rs
@@ -0,0 +1,151 @@
+//! What came of a load.
+
+use hdrhistogram::Histogram;
+use indexmap::IndexMap;
+use mangogw_model::{Code, JobState};
+use serde::Serialize;
+use std::fmt;
+use std::time::Duration;
+
+/// Slowdowns are kept in thousandths.
+const SCALE: f64 = 1_000.0;
+
+/// Counts while a load runs.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    slowdowns: Vec<f64>,
+    added: Vec<f64>,
+    codes: IndexMap<u16, u64>,
+    jobs: IndexMap<&'static str, u64>,
+    job_slowdowns: Vec<f64>,
+    lost: u64,
+    wrong: u64,
+}
+
+/// What came of a load.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Seconds from the first call to the last answer.
+    pub seconds: f64,
+    /// Single requests answered.
+    pub answered: u64,
+    /// Calls without any response.
+    pub lost: u64,
+    /// Answers that were not the caller's own, or partial. Anything but 0 is a fault.
+    pub wrong: u64,
+    /// Responses by code.
+    pub codes: IndexMap<u16, u64>,
+    /// Jobs by state.
+    pub jobs: IndexMap<&'static str, u64>,
+    /// Response time of single requests over their run time.
+    pub slowdown: Quantiles,
+    /// Response time of single requests beyond their run time, in milliseconds.
+    pub added_ms: Quantiles,
+    /// Response time of jobs over the run time of their longest task at speed 1.
+    pub job_slowdown: Quantiles,
+    /// Messages beside one start for each task, for each answered request and complete job.
+    pub wasted: f64,
+}
+
+/// Quantiles of one figure.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct Quantiles {
+    /// The median.
+    pub p50: f64,
+    /// The 99th percentile.
+    pub p99: f64,
+    /// The 99.9th percentile.
+    pub p999: f64,
+}
+
+impl Tally {
+    pub(super) const fn lost(&mut self) {
+        self.lost += 1;
+    }
+
+    pub(super) fn code(&mut self, code: u16) {
+        *self.codes.entry(code).or_default() += 1;
+    }
+
+    pub(super) fn answered(&mut self, took: Duration, ran: f64, whole: bool) {
+        let took = took.as_secs_f64() * 1e3;
+        self.slowdowns.push(took / ran);
+        self.added.push(took - ran);
+        self.wrong += u64::from(!whole);
+    }
+
+    pub(super) fn job(&mut self, took: Duration, state: JobState, longest: f64, whole: bool) {
+        let name = match state {
+            JobState::Running => "running",
+            JobState::Complete => "complete",
+            JobState::Failed => "failed",
+        };
+        *self.jobs.entry(name).or_default() += 1;
+        self.wrong += u64::from(!whole);
+        if state == JobState::Complete {
+            self.job_slowdowns.push(took.as_secs_f64() * 1e3 / longest);
+        }
+    }
+
+    pub(super) fn report(self, span: Duration, waste: u64) -> Report {
+        let answered = self.slowdowns.len() as u64;
+        let done = answered + self.jobs.get("complete").copied().unwrap_or(0);
+        Report {
+            seconds: span.as_secs_f64(),
+            answered,
+            lost: self.lost,
+            wrong: self.wrong,
+            codes: self.codes,
+            jobs: self.jobs,
+            slowdown: Quantiles::of(&self.slowdowns),
+            added_ms: Quantiles::of(&self.added),
+            job_slowdown: Quantiles::of(&self.job_slowdowns),
+            wasted: if done == 0 { 0.0 } else { waste as f64 / done as f64 },
+        }
+    }
+}
+
+impl Quantiles {
+    /// The quantiles of figures that are at least 0; lower ones count as 0.
+    ///
+    /// ```
+    /// use mangogw::load::Quantiles;
+    /// let quantiles = Quantiles::of(&[1.0, 2.0, 3.0]);
+    /// assert!((quantiles.p50 - 2.0).abs() < 0.01);
+    /// ```
+    pub fn of(figures: &[f64]) -> Self {
+        // Three digits are valid for any histogram.
+        let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Self::default() };
+        for figure in figures {
+            histogram.saturating_record((figure.max(0.0) * SCALE) as u64);
+        }
+        let at = |quantile| histogram.value_at_quantile(quantile) as f64 / SCALE;
+        Self { p50: at(0.5), p99: at(0.99), p999: at(0.999) }
+    }
+}
+
+impl fmt::Display for Quantiles {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "p50 {:.3}  p99 {:.3}  p99.9 {:.3}", self.p50, self.p99, self.p999)
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "answered      {} in {:.1} s", self.answered, self.seconds)?;
+        for (state, count) in &self.jobs {
+            writeln!(f, "jobs          {count} {state}")?;
+        }
+        writeln!(f, "lost          {}", self.lost)?;
+        writeln!(f, "wrong         {}", self.wrong)?;
+        writeln!(f, "slowdown      {}", self.slowdown)?;
+        writeln!(f, "added ms      {}", self.added_ms)?;
+        writeln!(f, "job slowdown  {}", self.job_slowdown)?;
+        writeln!(f, "wasted        {:.4} messages for each completed request", self.wasted)?;
+        for (number, count) in &self.codes {
+            let title = Code::from_number(*number).map_or("", Code::title);
+            writeln!(f, "code {number}     {count} {title}")?;
+        }
+        Ok(())
+    }
+}
--- a/crates/mangogw/src/target.rs
+++ b/crates/mangogw/src/target.rs
@@ -44,18 +44,21 @@
     pub millis: f64,
     /// Anything; it tells one request from another.
     pub note: String,
+    /// If it is there, the answer has the real run time here, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub ran: Option<f64>,
 }
 
 impl Default for Work {
     fn default() -> Self {
-        Self { millis: 50.0, note: String::new() }
+        Self { millis: 50.0, note: String::new(), ran: None }
     }
 }
 
 impl Work {
     /// Work of `millis` with a note.
     pub fn new(millis: f64, note: &str) -> Self {
-        Self { millis, note: note.to_owned() }
+        Self { millis, note: note.to_owned(), ran: None }
     }
 
     /// Reads a payload; what is no such JSON counts as the default.
@@ -287,9 +290,14 @@
         Fault::Refuse => return marked(header::NOT_STARTED, "true", Bytes::new()),
         _ => {}
     }
-    let span = Duration::from_secs_f64(Work::parse(&body).millis / 1_000.0 / inner.settings.speed);
-    tokio::time::sleep(span).await;
+    let asked = Work::parse(&body);
+    let begun = Instant::now();
+    tokio::time::sleep(Duration::from_secs_f64(asked.millis / 1_000.0 / inner.settings.speed)).await;
     drop(running);
+    let body = match asked.ran {
+        Some(_) => Work { ran: Some(begun.elapsed().as_secs_f64() * 1e3), ..asked }.to_bytes(),
+        None => body,
+    };
     match fault {
         Fault::Cut => cut(&body),
         Fault::Cross => marked(header::ATTEMPT, "1-1-1", body),
