Driver, rivals and bounds; slower targets take part only when faster ones are taken up

Cause: slow targets were used as soon as fast ones were busy for a moment, a speed once learned too low was never tried again, and a few late tasks made healthy targets look silent. Change: a target takes part once the faster ones are 0.9 taken up by what comes in, or the queue outweighs it; speeds are ranked with a bonus that falls with the samples; a target is silent only if that is less likely than 1e-6.

--- /dev/null
+++ b/crates/dispatch/examples/weigh.rs
@@ -0,0 +1,78 @@
+//! Weighs ways to place tasks against a central queue that knows everything.
+//!
+//! `cargo run --release -p mangogw-dispatch --example weigh -- [SEED] [SECONDS] [RIVALS]`, RIVALS 0 to leave the other ways out.
+
+#[expect(dead_code, reason = "the driver is shared with tests")]
+#[path = "../tests/driver/mod.rs"]
+mod driver;
+
+use driver::core::Ours;
+use driver::rivals::{Rival, Way};
+use driver::trace::{CANDLE_DESK, FOLDPLAN, PLAIN, Stream, Trace, quantile};
+use driver::{Fault, Outcome, run};
+use mangogw_model::Time;
+
+/// Seconds before anything is measured.
+const WARM: u64 = 20;
+
+fn main() {
+    let mut args = std::env::args().skip(1).filter_map(|text| text.parse::<u64>().ok());
+    let (seed, seconds) = (args.next().unwrap_or(1), args.next().unwrap_or(60));
+    for deployment in [CANDLE_DESK, FOLDPLAN] {
+        for load in [0.7, 0.9] {
+            let trace = Trace::open(seed, deployment, &[Stream { load, ..PLAIN }], WARM, seconds);
+            compare(&trace, &format!("{} at {load}", deployment.name), 0.003);
+        }
+        let trace = Trace::open(seed, deployment, &[PLAIN], WARM, seconds);
+        let at = Time::from_millis(WARM * 1_000);
+        let faults = [
+            (3, Fault::Fails),
+            (20, Fault::Fails),
+            (41, Fault::Fails),
+            (11, Fault::Slow(10.0)),
+            (30, Fault::Slow(10.0)),
+            (45, Fault::Silent),
+        ];
+        compare(&trace.with_faults(at, &faults), &format!("{} at 0.7 with faults", deployment.name), 0.003);
+    }
+}
+
+fn compare(trace: &Trace, title: &str, hedge: f64) {
+    println!("\n{title}: seed {}, {} tasks", trace.seed, trace.measured().count());
+    println!(
+        "{:34} {:>8} {:>8} {:>8} {:>7} {:>7} {:>8} {:>9}",
+        "way", "p50", "p99", "p99.9", "p50/o", "p99/o", "lost", "wasted"
+    );
+    let ideal = trace.slowdowns(&trace.omniscient());
+    line(trace, "omniscient central queue", &trace.omniscient(), &ideal);
+    let rivals = std::env::args().nth(3).is_none_or(|text| text != "0");
+    for way in Way::ALL.into_iter().filter(|_| rivals) {
+        let out = run(trace, &mut Rival::open(way, trace));
+        line(trace, way.name(), &out, &ideal);
+    }
+    let mut ours = Ours::open(trace, hedge);
+    let out = run(trace, &mut ours);
+    line(trace, "granted slots, late binding", &out, &ideal);
+    println!("{:?}", ours.core.waste());
+    let mut codes = std::collections::BTreeMap::new();
+    for (_, refusal) in &ours.refused {
+        *codes.entry(refusal.code).or_insert(0) += 1;
+    }
+    println!("without an answer: {codes:?}");
+}
+
+fn line(trace: &Trace, name: &str, out: &Outcome, ideal: &[f64]) {
+    let list = trace.slowdowns(out);
+    let at = |q| quantile(&list, q);
+    let over = |q| quantile(&list, q) / quantile(ideal, q);
+    let lost = trace.measured().count() - list.len();
+    let wasted = out.wasted as f64 / list.len().max(1) as f64;
+    println!(
+        "{name:34} {:8.2} {:8.2} {:8.2} {:7.3} {:7.3} {lost:8} {wasted:9.4}",
+        at(0.5),
+        at(0.99),
+        at(0.999),
+        over(0.5),
+        over(0.99)
+    );
+}
--- a/crates/dispatch/src/admit.rs
+++ b/crates/dispatch/src/admit.rs
@@ -58,6 +58,8 @@
             attempts: SmallVec::new(),
             avoid: None,
         });
+        let entry = &self.entries[work.entry];
+        self.pools[entry.pool].flow[entry.entry.class.index()].push(now, f64::from(weight));
         self.timers.push(work.deadline, Timer::Deadline(task));
         if !self.offer(now, task) {
             self.enqueue(task);
--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -17,6 +17,8 @@
 
 /// How often the systems that keep tables small and scales centred run.
 const UPKEEP: Duration = Duration::from_secs(1);
+/// Upkeeps between two fadings of learned speeds.
+const FADE_EVERY: u64 = 10;
 /// Timers above this are looked through for dead ones.
 const TIMERS: usize = 4096;
 
@@ -47,6 +49,7 @@
     /// True while the pools are out of date.
     pub(crate) scattered: bool,
     kept: Time,
+    beats: u64,
 }
 
 /// Entries that share targets.
@@ -66,7 +69,7 @@
 }
 
 impl Flow {
-    const SPAN: f64 = 1.0;
+    const SPAN: f64 = 2.0;
 
     pub(crate) fn push(&mut self, now: Time, amount: f64) {
         self.sum = self.rate(now) * Self::SPAN + amount;
@@ -108,6 +111,7 @@
             reserved: 0,
             scattered: false,
             kept: Time::ZERO,
+            beats: 0,
         }
     }
 
@@ -195,6 +199,10 @@
             self.queue.prune();
         }
         self.centre();
+        self.beats += 1;
+        if self.beats.is_multiple_of(FADE_EVERY) {
+            self.entries.values_mut().for_each(|row| row.speeds.fade());
+        }
     }
 
     /// Offers every free place to what waits.
--- a/crates/dispatch/src/hedge.rs
+++ b/crates/dispatch/src/hedge.rs
@@ -10,13 +10,10 @@
 
 /// The part of an entry's hedge budget that counts, by class.
 pub(crate) const BY_CLASS: [f64; 3] = [1.0, 0.5, 0.25];
-/// Attempts that must be late at a target before it is taken for silent.
-const LATE: usize = 2;
+/// How unlikely it must be that healthy attempts run so long, all of them, for a target to be taken for silent.
+const CHANCE: f32 = 1e-6;
 /// The shortest time after which an attempt is looked at again.
 const AGAIN: Duration = Duration::from_millis(20);
-/// A single late attempt shows a silent target only after so many times the usual run time.
-const ALONE: u32 = 4;
-
 /// What became of a second attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Second {
@@ -33,7 +30,6 @@
     pub(crate) fn overdue(&mut self, now: Time, serial: u64) {
         let Some(row) = self.attempts.get_mut(&serial).filter(|row| row.phase != Phase::Stopping) else { return };
         let (target, ran) = (row.target, now - row.started);
-        row.overdue = row.phase == Phase::Running;
         self.listen(now, target);
         if self.attempts.contains_key(&serial) && self.second(now, serial) != Second::Sent {
             self.timers.push(now + (ran / 2).max(AGAIN), Timer::Overdue(serial));
@@ -43,25 +39,23 @@
     /// Takes a target out that has gone silent: attempts are late, and it has answered nothing since they started.
     fn listen(&mut self, now: Time, key: TargetKey) {
         let Some(target) = self.targets.get(key).filter(|row| !row.health.probing() && row.lease > now) else { return };
-        let late = target
-            .attempts
-            .iter()
-            .filter_map(|serial| self.attempts.get(serial))
-            .filter(|row| row.overdue && row.phase == Phase::Running && row.started > target.health.heard);
-        let (count, longest) = late.fold((0, 0.0), |(count, longest), row| {
-            let usual = (row.size - self.speed_at(key, row.entry)).exp2();
-            (count + 1, f32::max(longest, (now - row.started).as_micros() as f32 / usual))
-        });
-        let alone = count > 0 && longest > f32::from(ALONE as u16) * self.latest(key);
-        if count >= LATE && longest > self.latest(key) || alone {
+        let unheard = target.attempts.iter().filter_map(|serial| self.attempts.get(serial));
+        let unheard = unheard.filter(|row| row.phase == Phase::Running && row.started > target.health.heard);
+        let chance: f32 = unheard
+            .map(|row| {
+                let usual = row.size - self.speed_at(key, row.entry);
+                let ran = ((now - row.started).as_micros().max(1) as f32).log2();
+                self.entries[row.entry].sizes.spread.beyond(ran - usual - self.doubt_at(key, row.entry))
+            })
+            .product();
+        if chance < CHANCE {
             self.eject(now, key, Reason::Silent);
         }
     }
 
-    /// How many times the prediction nearly every task of a target's first entry stays below.
-    fn latest(&self, key: TargetKey) -> f32 {
-        let entry = self.targets.rows[key].entries.first().and_then(|&entry| self.entries.get(entry));
-        entry.map_or(16.0, |row| row.sizes.spread.quantile(0.99, 4.0).exp2().max(2.0))
+    fn doubt_at(&self, key: TargetKey, entry: crate::EntryKey) -> f32 {
+        let (row, target) = (&self.entries[entry], &self.targets.rows[key]);
+        if row.speeds.serves(target.id) { row.speeds.doubt(target.id) } else { 0.0 }
     }
 
     fn speed_at(&self, key: TargetKey, entry: crate::EntryKey) -> f32 {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -20,6 +20,8 @@
 const SOON: Duration = Duration::from_millis(20);
 /// A queue that takes more than so many run times counts as long: then the first in line takes any target.
 const LONG: f64 = 2.0;
+/// The part of their capacity at which targets count as taken up, so that slower ones take part.
+const TAKEN_UP: f64 = 0.9;
 /// How long a task that fits nowhere waits before a target is kept clear for it.
 const CLEARING: Duration = Duration::from_millis(200);
 
@@ -100,10 +102,20 @@
     }
 
     /// True if a task should start on a free target now rather than wait for a faster one, with `ahead` microseconds of
-    /// work before it in the queue.
-    pub(crate) fn worth(&self, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
+    /// work before it in the queue: because the faster ones are nearly taken up by what comes in, or because the wait
+    /// for them would cost more than it gains.
+    pub(crate) fn worth(&self, now: Time, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
         let row = &self.entries[entry];
-        let here = (size - row.speeds.speed(id)).exp2();
+        let step = row.speeds.step(id);
+        let flow: f64 = self.pools[row.pool].flow.iter().map(|flow| flow.rate(now) / 1e6).sum();
+        let faster = if step == 0 { 0.0 } else { row.supply.upto[step - 1] };
+        flow > f64::from(faster) * TAKEN_UP || self.shorter(entry, size, id, ahead)
+    }
+
+    /// True if a task ends earlier here than on each faster target, its wait included.
+    fn shorter(&self, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
+        let row = &self.entries[entry];
+        let here = (size - row.speeds.hoped(id)).exp2();
         let own = row.speeds.step(id);
         let used = row.speeds.used.iter().fold(0, |all, steps| all | steps);
         let faster = used & ((1u64 << own) - 1);
@@ -128,11 +140,11 @@
         let row = &self.entries[seek.entry];
         let ahead: f64 = self.pools[row.pool].work[..=row.entry.class.index()].iter().sum();
         let id = self.targets.rows[target].id;
-        if self.worth(seek.entry, seek.size, id, ahead) {
+        if self.worth(now, seek.entry, seek.size, id, ahead) {
             self.start(now, task, target, false);
             return true;
         }
-        let here = (seek.size - self.entries[seek.entry].speeds.speed(id)).exp2();
+        let here = (seek.size - self.entries[seek.entry].speeds.hoped(id)).exp2();
         self.timers.push(now + Duration::from_micros(here as u64), Timer::Patience(task));
         false
     }
@@ -239,9 +251,9 @@
         let whole = above + work[class.index()];
         let size = |task: TaskKey| self.tasks[task].size;
         match () {
-            () if self.worth(entry, size(first), id, above) => Some(first),
-            () if !self.worth(entry, size(last), id, whole) => None,
-            () if self.worth(entry, size(first), id, whole / LONG) => Some(first),
+            () if self.worth(now, entry, size(first), id, above) => Some(first),
+            () if !self.worth(now, entry, size(last), id, whole) => None,
+            () if self.worth(now, entry, size(first), id, whole / LONG) => Some(first),
             () => {
                 let seek = self.seek(last);
                 suits(now, &self.targets.rows[target], target, &seek).then_some(last)
@@ -262,7 +274,6 @@
         let entry = &mut self.entries[work.entry];
         let (owner, class) = (entry.owner, entry.entry.class);
         entry.held.add(&work.needs);
-        self.pools[entry.pool].flow[class.index()].push(now, f64::from(charge));
         self.queue.charge(class, owner, f64::from(charge));
         self.queue.served(class, owner);
         let to = &mut self.targets.rows[target];
@@ -301,7 +312,6 @@
                 started: now,
                 phase: Phase::Running,
                 hedge,
-                overdue: false,
                 aside: false,
                 disturbed: false,
             },
@@ -314,7 +324,9 @@
     pub(crate) fn supply(&mut self, now: Time, entry: EntryKey) {
         let row = &mut self.entries[entry];
         let age = now - row.supply.at;
-        if row.supply.at != Time::ZERO && age < if row.supply.stale { SOON } else { OLD } {
+        let fresh = if row.supply.stale { SOON } else { OLD };
+        let empty = row.supply.stale && row.supply.slots == 0;
+        if !empty && row.supply.at != Time::ZERO && age < fresh {
             return;
         }
         let (mut sum, mut slots) = (0.0, 0);
@@ -327,9 +339,9 @@
                     let Some((_, target)) = self.targets.by_id(id) else { continue };
                     let held = if target.usable(now) { row.places(target) } else { 0.0 };
                     if held > 0.0 && slots == 0 {
-                        row.supply.fastest = row.speeds.speed(id);
+                        row.supply.fastest = row.speeds.hoped(id);
                     }
-                    sum += held * row.speeds.speed(id).exp2();
+                    sum += held * row.speeds.hoped(id).exp2();
                     slots += held.ceil() as u32;
                 }
             }
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -9,6 +9,14 @@
 const STEPS: f32 = 8.0;
 /// Speeds told apart: from 16 times faster to 16 times slower than average.
 pub(crate) const SPEEDS: usize = 64;
+/// Samples after which a learned speed is believed.
+const SETTLED: u32 = 12;
+/// Doublings by which the speed of a target that is not known yet may be off.
+const SPEED_RANGE: f32 = 3.0;
+/// Doublings by which a single sample of a speed may well be too low.
+const HOPE: f32 = 2.0;
+/// One of so many samples is forgotten at each fading.
+const FADING: u32 = 16;
 /// The step of a target that is not in the index.
 const ABSENT: u8 = u8::MAX;
 /// The size of a task of which nothing is known: 0.3 s.
@@ -67,6 +75,21 @@
         }
     }
 
+    /// The share of tasks whose ratio is above `log`; past what was seen it falls with the third power.
+    pub(crate) fn beyond(&self, log: f32) -> f32 {
+        if self.total < TRUST {
+            return 1.0;
+        }
+        let cell = ((log + 8.0) * 4.0).clamp(0.0, (CELLS - 1) as f32) as usize;
+        let above: f32 = self.cells[cell + 1..].iter().sum();
+        let least = 1.0 / (self.total + 8.0);
+        if above > 0.0 {
+            return (above / self.total).max(least);
+        }
+        let top = self.cells.iter().rposition(|&count| count > 0.0).map_or(4.0, |at| (at + 1) as f32 / 4.0 - 8.0);
+        least * (-3.0 * (log - top).max(0.0)).exp2()
+    }
+
     /// The logarithm of the ratio below which a share `q` of tasks stay; `fallback` until enough was seen.
     pub(crate) fn quantile(&self, q: f64, fallback: f32) -> f32 {
         if self.total < TRUST {
@@ -202,7 +225,7 @@
         self.place(id, ABSENT);
         self.flavours[at] = flavour;
         self.pairs[at] = Centre { value: speed, count: 0 };
-        self.place(id, step(speed));
+        self.place(id, step(hoped(&self.pairs[at])));
     }
 
     /// Takes a target out.
@@ -217,6 +240,23 @@
         self.pairs[id as usize].value
     }
 
+    /// The speed it may well have: the learned one and more, the less it was tried.
+    pub(crate) fn hoped(&self, id: u32) -> f32 {
+        hoped(&self.pairs[id as usize])
+    }
+
+    /// Trusts what was learned a little less, so that targets that are no longer tried get their turn again.
+    pub(crate) fn fade(&mut self) {
+        for id in 0..self.steps.len() as u32 {
+            if self.serves(id) {
+                let pair = &mut self.pairs[id as usize];
+                pair.count -= pair.count / FADING;
+                let fresh = step(hoped(pair));
+                self.place(id, fresh);
+            }
+        }
+    }
+
     /// The step of a target; 0 is the fastest.
     pub(crate) fn step(&self, id: u32) -> usize {
         usize::from(self.steps[id as usize])
@@ -227,6 +267,11 @@
         &self.sets[flavour][step]
     }
 
+    /// How many doublings the learned speed may be off.
+    pub(crate) fn doubt(&self, id: u32) -> f32 {
+        if self.pairs[id as usize].count < SETTLED { SPEED_RANGE } else { 0.0 }
+    }
+
     /// Takes a sample of a target's speed; `forget` makes it count as if little was known.
     pub(crate) fn push(&mut self, id: u32, sample: f32, prior: Centre, forget: bool) {
         let pair = &mut self.pairs[id as usize];
@@ -238,7 +283,7 @@
             pair.count = pair.count.min(8);
         }
         pair.push(sample);
-        let fresh = step(pair.value);
+        let fresh = step(hoped(pair));
         if fresh != self.steps[id as usize] {
             self.place(id, fresh);
         }
@@ -249,7 +294,7 @@
         for id in 0..self.steps.len() as u32 {
             if self.serves(id) {
                 self.pairs[id as usize].value += shift;
-                self.place(id, step(self.pairs[id as usize].value));
+                self.place(id, step(hoped(&self.pairs[id as usize])));
             }
         }
     }
@@ -272,6 +317,10 @@
     }
 }
 
+fn hoped(pair: &Centre) -> f32 {
+    pair.value + HOPE / ((pair.count + 1) as f32).sqrt()
+}
+
 /// The step of a speed.
 fn step(speed: f32) -> u8 {
     ((SPEEDS as f32 / 2.0 - speed * STEPS).round()).clamp(0.0, (SPEEDS - 1) as f32) as u8
--- a/crates/dispatch/src/tasks.rs
+++ b/crates/dispatch/src/tasks.rs
@@ -59,8 +59,6 @@
     pub(crate) phase: Phase,
     /// True for the second of two.
     pub(crate) hedge: bool,
-    /// True once it has run longer than such tasks do.
-    pub(crate) overdue: bool,
     /// True if it was set aside, and so holds nothing, when it was told to stop.
     pub(crate) aside: bool,
     /// True once it was slowed or set aside; its run time then teaches nothing.
--- /dev/null
+++ b/crates/dispatch/tests/driver/core.rs
@@ -0,0 +1,158 @@
+//! The core of this crate as a policy.
+
+use super::trace::Trace;
+use super::{Order, Policy, Said};
+use indexmap::IndexMap;
+use mangogw_dispatch::{Action, Dispatch, End, EntryKey, Refusal, Repeat, Report, Settings, TargetKey, TaskKey, Work};
+use mangogw_model::{
+    Announcement, AttemptId, Capacity, Entry, EntryName, Hedge, HostId, Incarnation, Kind, Limits, Needs, TargetName,
+    Time,
+};
+use std::time::Duration;
+
+/// How often targets renew their leases.
+const BEAT: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+pub struct Ours {
+    pub core: Dispatch,
+    entries: Vec<EntryKey>,
+    names: Vec<TargetName>,
+    keys: IndexMap<TargetKey, u32>,
+    tasks: IndexMap<TaskKey, u32>,
+    pub refused: Vec<(u32, Refusal)>,
+    orders: Vec<Order>,
+    beat: Time,
+}
+
+impl Ours {
+    pub fn open(trace: &Trace, hedge: f64) -> Self {
+        let settings =
+            Settings { seed: trace.seed, zone: "z0".into(), distance: trace.deployment.far * 2, ..Settings::default() };
+        let mut core = Dispatch::open(settings);
+        let catalogue: IndexMap<EntryName, Entry> = trace
+            .streams
+            .iter()
+            .enumerate()
+            .map(|(at, stream)| {
+                let entry = Entry {
+                    owner: stream.owner.into(),
+                    class: stream.class,
+                    weight: stream.weight,
+                    repeatable: true,
+                    limits: Limits { queue: 100_000, ..Limits::default() },
+                    hedge: Hedge { budget: hedge, ..Hedge::default() },
+                    ..Entry::default()
+                };
+                (format!("e{at}").as_str().into(), entry)
+            })
+            .collect();
+        core.install(Time::ZERO, &catalogue);
+        let entries = catalogue.keys().filter_map(|name| core.entry(name)).collect();
+        let mut keys = IndexMap::new();
+        let mut names = Vec::new();
+        for (at, target) in trace.targets.iter().enumerate() {
+            let said = Announcement {
+                name: format!("t{at}").as_str().into(),
+                address: ([127, 0, 0, 1], 9000).into(),
+                zone: format!("z{}", target.zone).as_str().into(),
+                rack: format!("r{}", at / 8).as_str().into(),
+                kind: Kind::Executor,
+                entries: catalogue.keys().cloned().collect(),
+                capacity: Capacity { slots: target.slots as u32, ..Capacity::default() },
+                incarnation: Incarnation(1),
+                running: Vec::new(),
+                connections: 60,
+            };
+            let key = core.announce(Time::ZERO, &said).expect("a first announcement is taken");
+            keys.insert(key, at as u32);
+            names.push(said.name);
+        }
+        Self {
+            core,
+            entries,
+            names,
+            keys,
+            tasks: IndexMap::new(),
+            refused: Vec::new(),
+            orders: Vec::new(),
+            beat: Time::ZERO + BEAT,
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for action in self.core.drain() {
+            match action {
+                Action::Start { task, attempt, target } => self.orders.push(Order::Start {
+                    task: self.tasks[&task],
+                    attempt: attempt.serial(),
+                    target: self.keys[&target],
+                }),
+                Action::Stop { attempt, target } => {
+                    self.orders.push(Order::Stop { attempt: attempt.serial(), target: self.keys[&target] });
+                }
+                Action::End { task, end } => {
+                    let at = self.tasks[&task];
+                    self.tasks.swap_remove(&task);
+                    if let End::Refused(refusal) = end {
+                        self.refused.push((at, refusal));
+                    }
+                    self.orders.push(Order::End { task: at, answered: matches!(end, End::Answered(_)) });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Policy for Ours {
+    fn arrive(&mut self, now: Time, trace: &Trace, task: u32) {
+        let arrival = trace.arrivals[task as usize];
+        let work = Work {
+            entry: self.entries[arrival.stream],
+            needs: Needs { estimate_ms: arrival.hint, ..Needs::default() },
+            deadline: now + trace.streams[arrival.stream].deadline,
+            repeat: Repeat::Allowed,
+            job: 0,
+        };
+        match self.core.admit(now, work) {
+            Ok(key) => {
+                self.tasks.insert(key, task);
+            }
+            Err(refusal) => {
+                self.refused.push((task, refusal));
+                self.orders.push(Order::End { task, answered: false });
+            }
+        }
+        self.carry_out();
+    }
+
+    fn hear(&mut self, now: Time, attempt: u64, _target: u32, said: Said) {
+        let report = if said == Said::Answered { Report::Answered } else { Report::Failed };
+        self.core.report(now, AttemptId::new(HostId(1), Incarnation(1), attempt), report);
+        self.carry_out();
+    }
+
+    fn tick(&mut self, now: Time) {
+        if now >= self.beat {
+            self.beat = now + BEAT;
+            for name in &self.names {
+                self.core.heartbeat(now, name, Incarnation(1)).expect("it is known");
+            }
+        }
+        self.core.tick(now);
+        self.carry_out();
+    }
+
+    fn wake(&self) -> Option<Time> {
+        Some(self.core.wake().map_or(self.beat, |at| at.min(self.beat)))
+    }
+
+    fn orders(&mut self) -> Vec<Order> {
+        std::mem::take(&mut self.orders)
+    }
+
+    fn wasted(&self) -> u64 {
+        self.core.waste().messages()
+    }
+}
