Overload: shares kept, deadlines weighed against the risk of missing them

Cause: entries learned on scales of their own, so owners were charged unlike for like work; tasks waited so long that long ones could not end in time; answers to older tasks cleared the strikes of a target that failed all new ones. Change: the speeds of each entry are brought to the common scale; a class may wait for 0.25, 0.3 or 0.5 of its time; a safer task takes the place of one that would miss its deadline there; only answers to later tasks clear strikes.

--- a/crates/dispatch/src/admit.rs
+++ b/crates/dispatch/src/admit.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// The part of the time to its deadline that a task may be expected to wait, by class.
-const WAITING: [f64; 3] = [0.5, 0.6, 0.8];
+const WAITING: [f64; 3] = [0.25, 0.3, 0.5];
 /// The least part of its targets that a class can count on, whatever the classes above do.
 const LEAST: f64 = 0.05;
 /// The quantile of run times that has to fit before a deadline.
--- a/crates/dispatch/src/eject.rs
+++ b/crates/dispatch/src/eject.rs
@@ -49,6 +49,8 @@
     pub(crate) out: Option<Out>,
     /// The last time it answered anything, a failure included.
     pub(crate) heard: Time,
+    /// The serial of the last attempt that failed.
+    failed: u64,
     /// Times it was ejected without a calm stretch between.
     bouts: u32,
     back: Time,
@@ -74,6 +76,7 @@
             proven: false,
             out: None,
             heard: Time::ZERO,
+            failed: 0,
             bouts: 0,
             back: Time::ZERO,
             failing: 0.0,
@@ -100,8 +103,11 @@
     /// Takes a whole answer of attempt `serial`. True if that lets it back.
     pub(crate) fn answered(&mut self, now: Time, serial: u64) -> bool {
         self.heard = now;
-        self.proven = true;
-        self.strikes = 0;
+        // An answer to a task from before the last failed one says nothing of the target as it is now.
+        if serial > self.failed {
+            self.proven = true;
+            self.strikes = 0;
+        }
         self.seen = (self.seen + 1.0).min(MEMORY);
         self.failing *= 1.0 - 1.0 / MEMORY;
         match self.out {
@@ -121,6 +127,7 @@
     /// Takes a failure of attempt `serial`. True if it should be ejected.
     pub(crate) fn failed(&mut self, now: Time, serial: u64, draw: f64) -> bool {
         self.strikes += 1;
+        self.failed = self.failed.max(serial);
         self.seen = (self.seen + 1.0).min(MEMORY);
         self.failing += (1.0 - self.failing) / MEMORY.min(self.seen.max(1.0) + 4.0);
         match self.out {
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -22,6 +22,8 @@
 const LONG: f64 = 2.0;
 /// The part of their capacity at which targets count as taken up, so that slower ones take part.
 const TAKEN_UP: f64 = 0.9;
+/// The chance of missing the deadline above which another task takes the place, if that is safer there.
+const RISK: f32 = 0.01;
 /// How long a task that fits nowhere waits before a target is kept clear for it.
 const CLEARING: Duration = Duration::from_millis(200);
 
@@ -250,17 +252,24 @@
         let above: f64 = work[..class.index()].iter().sum();
         let whole = above + work[class.index()];
         let size = |task: TaskKey| self.tasks[task].size;
+        let fits = |task: TaskKey| suits(now, &self.targets.rows[target], target, &self.seek(task));
+        let safer = || self.risk(now, first, id) > RISK && self.risk(now, last, id) <= RISK && fits(last);
         match () {
-            () if self.worth(now, entry, size(first), id, above) => Some(first),
+            () if self.worth(now, entry, size(first), id, above) && !safer() => Some(first),
             () if !self.worth(now, entry, size(last), id, whole) => None,
-            () if self.worth(now, entry, size(first), id, whole / LONG) => Some(first),
-            () => {
-                let seek = self.seek(last);
-                suits(now, &self.targets.rows[target], target, &seek).then_some(last)
-            }
+            () if self.worth(now, entry, size(first), id, whole / LONG) && !safer() => Some(first),
+            () => fits(last).then_some(last),
         }
     }
 
+    /// The chance that a task started on a target now misses its deadline.
+    fn risk(&self, now: Time, task: TaskKey, id: u32) -> f32 {
+        let row = &self.tasks[task];
+        let entry = &self.entries[row.work.entry];
+        let left = ((row.work.deadline - now).as_micros().max(1) as f32).log2();
+        if entry.sizes.known() { entry.sizes.spread.beyond(left - (row.size - entry.speeds.hoped(id))) } else { 0.0 }
+    }
+
     /// Sends a task to a target.
     pub(crate) fn start(&mut self, now: Time, task: TaskKey, target: TargetKey, hedge: bool) {
         self.unqueue(task);
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -346,6 +346,7 @@
 
     /// Brings the learned speeds back around 1, so that sizes and speeds can't drift apart together.
     pub(crate) fn centre(&mut self) {
+        self.align();
         let (mut sum, mut count) = (0.0, 0.0);
         for row in self.targets.rows.values().filter(|row| row.speed.count > 0) {
             sum += row.speed.value;
@@ -362,6 +363,22 @@
             row.supply.stale = true;
         }
     }
+
+    /// Brings the speeds learned by each entry to the common scale, so that owners are charged alike.
+    fn align(&mut self) {
+        for entry in self.entries.values_mut() {
+            let (mut sum, mut count) = (0.0, 0.0);
+            for row in self.targets.rows.values().filter(|row| entry.speeds.settled(row.id)) {
+                sum += row.speed.value - entry.speeds.speed(row.id);
+                count += 1.0;
+            }
+            let shift: f32 = if count > 0.0 { sum / count } else { 0.0 };
+            if shift.abs() > 0.02 {
+                entry.speeds.shift(shift);
+                entry.sizes.shift(shift);
+            }
+        }
+    }
 }
 
 /// The tasks a target may hold at once, after its speed has changed by `drift` doublings.
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -267,9 +267,14 @@
         &self.sets[flavour][step]
     }
 
+    /// True if the learned speed of a target is believed.
+    pub(crate) fn settled(&self, id: u32) -> bool {
+        self.serves(id) && self.pairs[id as usize].count >= SETTLED
+    }
+
     /// How many doublings the learned speed may be off.
     pub(crate) fn doubt(&self, id: u32) -> f32 {
-        if self.pairs[id as usize].count < SETTLED { SPEED_RANGE } else { 0.0 }
+        if self.settled(id) { 0.0 } else { SPEED_RANGE }
     }
 
     /// Takes a sample of a target's speed; `forget` makes it count as if little was known.
