Bench of placement; no scan where nothing is free

Cause: each urgent arrival looked at every target for batch work to set aside, and at every speed step though nothing was free. Change: only workers count as places of batch work, at most 32 are looked at, and empty sets end the search.

--- /dev/null
+++ b/crates/dispatch/benches/place.rs
@@ -0,0 +1,190 @@
+//! The time of one placement, and the memory of a queued task.
+//!
+//! `cargo bench -p mangogw-dispatch --bench place`
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use indexmap::IndexMap;
+use mangogw_dispatch::{Action, Dispatch, EntryKey, Repeat, Report, Settings, Work};
+use mangogw_model::{
+    Announcement, AttemptId, Capacity, Class, Entry, EntryName, Incarnation, Kind, Limits, Needs, Time,
+};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Counts the bytes that are allocated.
+struct Counting;
+
+static BYTES: AtomicUsize = AtomicUsize::new(0);
+
+#[expect(unsafe_code, reason = "an allocator can't be written without")]
+// SAFETY: every call goes to the allocator of the system unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        BYTES.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: as promised by the caller.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: as promised by the caller.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Owners, each with one entry.
+const OWNERS: usize = 8;
+
+/// A core with warmed-up targets, the queue filled to `queued` tasks, and the attempts that run.
+struct Bench {
+    core: Dispatch,
+    entries: Vec<EntryKey>,
+    running: Vec<AttemptId>,
+    now: Time,
+    turn: usize,
+}
+
+impl Bench {
+    fn open(targets: usize, queued: usize) -> Self {
+        let mut core = Dispatch::open(Settings { lease: Duration::from_hours(1000), ..Settings::default() });
+        let catalogue: IndexMap<EntryName, Entry> = (0..OWNERS)
+            .map(|at| {
+                let entry = Entry {
+                    owner: format!("o{at}").as_str().into(),
+                    class: Class::ALL[at % 3],
+                    repeatable: true,
+                    limits: Limits { queue: 1_000_000, ..Limits::default() },
+                    ..Entry::default()
+                };
+                (format!("e{at}").as_str().into(), entry)
+            })
+            .collect();
+        core.install(Time::ZERO, &catalogue);
+        for at in 0..targets {
+            let said = Announcement {
+                name: format!("t{at}").as_str().into(),
+                address: ([127, 0, 0, 1], 9000).into(),
+                zone: "z".into(),
+                rack: format!("r{}", at / 8).as_str().into(),
+                kind: Kind::Executor,
+                entries: catalogue.keys().cloned().collect(),
+                capacity: Capacity { slots: 8, ..Capacity::default() },
+                incarnation: Incarnation(1),
+                running: Vec::new(),
+                connections: 60,
+            };
+            core.announce(Time::ZERO, &said).expect("it is new");
+        }
+        let entries = catalogue.keys().filter_map(|name| core.entry(name)).collect();
+        let mut bench = Self { core, entries, running: Vec::new(), now: Time::from_millis(1), turn: 0 };
+        // Learn speeds, then fill every slot and the queue.
+        for _ in 0..targets * 100 {
+            bench.admit();
+            bench.answer();
+        }
+        for _ in 0..targets * 8 + queued {
+            bench.admit();
+        }
+        bench
+    }
+
+    fn admit(&mut self) {
+        self.turn += 1;
+        self.now += Duration::from_micros(10);
+        let work = Work {
+            entry: self.entries[self.turn % OWNERS],
+            needs: Needs { estimate_ms: 50 + (self.turn as u64 * 37) % 950, ..Needs::default() },
+            deadline: self.now + Duration::from_hours(100) + Duration::from_micros((self.turn as u64 * 7919) % 100_000),
+            repeat: Repeat::Allowed,
+            job: 0,
+        };
+        self.core.admit(self.now, work).expect("the queue is long enough");
+        self.collect();
+    }
+
+    fn answer(&mut self) {
+        if self.running.is_empty() {
+            return;
+        }
+        self.now += Duration::from_micros(10);
+        let at = (self.turn * 31) % self.running.len();
+        let attempt = self.running.swap_remove(at);
+        self.core.report(self.now, attempt, Report::Answered);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        for action in self.core.drain() {
+            if let Action::Start { attempt, .. } = action {
+                self.running.push(attempt);
+            }
+        }
+    }
+}
+
+/// Placements: an answer frees a slot, which takes a waiting task; and a task comes in and takes a free slot. Taking the
+/// answer or the task in is part of the time.
+fn place(c: &mut Criterion) {
+    for (targets, queued) in [(50, 1_000), (1_200, 100_000)] {
+        let mut bench = Bench::open(targets, queued);
+        c.bench_function(&format!("answer and placement of a queued task, {targets} targets, {queued} queued"), |b| {
+            b.iter_custom(|rounds| {
+                let mut took = Duration::ZERO;
+                for _ in 0..rounds {
+                    let start = Instant::now();
+                    bench.answer();
+                    took += start.elapsed();
+                    bench.admit();
+                }
+                took
+            });
+        });
+        c.bench_function(&format!("admission to the queue, {targets} targets, {queued} queued"), |b| {
+            b.iter_custom(|rounds| {
+                let mut took = Duration::ZERO;
+                for _ in 0..rounds {
+                    bench.answer();
+                    let start = Instant::now();
+                    bench.admit();
+                    took += start.elapsed();
+                }
+                took
+            });
+        });
+        let mut bench = Bench::open(targets, 0);
+        // A third of the slots stay free, so that each arrival is placed at once.
+        for _ in 0..targets * 8 / 3 {
+            bench.answer();
+        }
+        c.bench_function(&format!("arrival and placement on a free slot, {targets} targets"), |b| {
+            b.iter_custom(|rounds| {
+                let mut took = Duration::ZERO;
+                for _ in 0..rounds {
+                    let start = Instant::now();
+                    bench.admit();
+                    took += start.elapsed();
+                    bench.answer();
+                }
+                took
+            });
+        });
+    }
+}
+
+/// Bytes for each of 100,000 queued tasks.
+fn memory(_: &mut Criterion) {
+    let mut bench = Bench::open(50, 0);
+    let before = BYTES.load(Ordering::Relaxed);
+    for _ in 0..100_000 {
+        bench.admit();
+    }
+    let each = (BYTES.load(Ordering::Relaxed) - before) / 100_000;
+    println!("memory: {each} bytes for each queued task");
+}
+
+criterion_group!(benches, place, memory);
+criterion_main!(benches);
--- a/crates/dispatch/examples/weigh.rs
+++ b/crates/dispatch/examples/weigh.rs
@@ -65,10 +65,10 @@
     let list = trace.slowdowns(out);
     let at = |q| quantile(&list, q);
     let over = |q| quantile(&list, q) / quantile(ideal, q);
-    let lost = trace.measured().count() - list.len();
+    let missing = trace.measured().count() - list.len();
     let wasted = out.wasted as f64 / list.len().max(1) as f64;
     println!(
-        "{name:34} {:8.2} {:8.2} {:8.2} {:7.3} {:7.3} {lost:8} {wasted:9.4}",
+        "{name:34} {:8.2} {:8.2} {:8.2} {:7.3} {:7.3} {missing:8} {wasted:9.4}",
         at(0.5),
         at(0.99),
         at(0.999),
--- a/crates/dispatch/src/bits.rs
+++ b/crates/dispatch/src/bits.rs
@@ -43,6 +43,9 @@
 
     /// The first member of both sets that `accept` takes, seen from `start` upwards and then from 0.
     pub(crate) fn find_both(&self, other: &Self, start: u32, mut accept: impl FnMut(u32) -> bool) -> Option<u32> {
+        if self.words.len().min(other.words.len()) <= WORD && !self.meets(other) {
+            return None;
+        }
         let from = start as usize / WORD;
         let low = u64::MAX << (start as usize % WORD);
         let first = self.both(other, from) & low;
@@ -54,6 +57,11 @@
             })
     }
 
+    /// True if the first 64 words may share a member.
+    fn meets(&self, other: &Self) -> bool {
+        self.summary.first().zip(other.summary.first()).is_some_and(|(one, two)| one & two != 0)
+    }
+
     fn both(&self, other: &Self, word: usize) -> u64 {
         self.words.get(word).copied().unwrap_or(0) & other.words.get(word).copied().unwrap_or(0)
     }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -56,6 +56,9 @@
     pub(crate) fn best(&self, now: Time, seek: &Seek) -> Option<TargetKey> {
         let speeds = &self.entries[seek.entry].speeds;
         let room = self.targets.with_room(seek.needs.cores);
+        if room.is_empty() {
+            return None;
+        }
         let mut best: Option<(f32, TargetKey)> = None;
         for flavour in 0..FLAVOURS {
             if seek.needs.accelerators > 0 && flavour & 1 == 0 {
--- a/crates/dispatch/src/preempt.rs
+++ b/crates/dispatch/src/preempt.rs
@@ -12,6 +12,8 @@
 
 /// One of so many targets may be kept clear at once.
 const PART: usize = 8;
+/// Workers looked at for one urgent task.
+const TRIED: u32 = 32;
 /// How long a target is kept clear for one task.
 const CLEAR: Duration = Duration::from_secs(2);
 
@@ -21,21 +23,23 @@
         let seek = self.seek(task);
         let entry = &self.entries[seek.entry];
         if entry.entry.class != Class::Urgent
+            || self.targets.batch.is_empty()
             || !self.may_reserve()
             || blocked(&entry.entry, &entry.share, &entry.held, &seek.needs).is_some()
             || self.best(now, &seek).is_some()
         {
             return;
         }
-        let mut plan = None;
+        let (mut plan, mut tried) = (None, 0);
         'search: for flavour in 0..FLAVOURS {
             for step in ones(entry.speeds.used[flavour]) {
                 let set = entry.speeds.set(flavour, step as usize);
                 let hit = set.find_both(&self.targets.batch, self.cursor, |id| {
                     plan = self.targets.by_id(id).and_then(|(key, row)| self.relief(now, key, row, &seek.needs));
-                    plan.is_some()
+                    tried += 1;
+                    plan.is_some() || tried >= TRIED
                 });
-                if hit.is_some() {
+                if hit.is_some() || tried >= TRIED {
                     break 'search;
                 }
             }
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -225,7 +225,7 @@
         self.place(id, ABSENT);
         self.flavours[at] = flavour;
         self.pairs[at] = Centre { value: speed, count: 0 };
-        self.place(id, step(hoped(&self.pairs[at])));
+        self.place(id, step(hoped(self.pairs[at])));
     }
 
     /// Takes a target out.
@@ -242,7 +242,7 @@
 
     /// The speed it may well have: the learned one and more, the less it was tried.
     pub(crate) fn hoped(&self, id: u32) -> f32 {
-        hoped(&self.pairs[id as usize])
+        hoped(self.pairs[id as usize])
     }
 
     /// Trusts what was learned a little less, so that targets that are no longer tried get their turn again.
@@ -251,7 +251,7 @@
             if self.serves(id) {
                 let pair = &mut self.pairs[id as usize];
                 pair.count -= pair.count / FADING;
-                let fresh = step(hoped(pair));
+                let fresh = step(hoped(*pair));
                 self.place(id, fresh);
             }
         }
@@ -288,7 +288,7 @@
             pair.count = pair.count.min(8);
         }
         pair.push(sample);
-        let fresh = step(hoped(pair));
+        let fresh = step(hoped(*pair));
         if fresh != self.steps[id as usize] {
             self.place(id, fresh);
         }
@@ -299,7 +299,7 @@
         for id in 0..self.steps.len() as u32 {
             if self.serves(id) {
                 self.pairs[id as usize].value += shift;
-                self.place(id, step(hoped(&self.pairs[id as usize])));
+                self.place(id, step(hoped(self.pairs[id as usize])));
             }
         }
     }
@@ -322,7 +322,7 @@
     }
 }
 
-fn hoped(pair: &Centre) -> f32 {
+fn hoped(pair: Centre) -> f32 {
     pair.value + HOPE / ((pair.count + 1) as f32).sqrt()
 }
 
--- a/crates/dispatch/src/targets.rs
+++ b/crates/dispatch/src/targets.rs
@@ -5,7 +5,7 @@
 use crate::speed::Centre;
 use crate::{EntryKey, TargetKey};
 use indexmap::IndexMap;
-use mangogw_model::{Announcement, Needs, Rack, TargetName, Time, Usage};
+use mangogw_model::{Announcement, Kind, Needs, Rack, TargetName, Time, Usage};
 use slotmap::SlotMap;
 
 /// Steps of free cores: none asked, 1, 2, 4 ... 1,024.
@@ -158,7 +158,7 @@
     pub(crate) keys: Vec<Option<TargetKey>>,
     pub(crate) racks: IndexMap<Rack, RackRow>,
     idle: Vec<u32>,
-    /// The targets that hold batch attempts.
+    /// The workers that hold batch attempts.
     pub(crate) batch: Bits,
     /// The targets with room for a task, by steps of free cores.
     rooms: [Bits; ROOMS],
@@ -217,7 +217,7 @@
     pub(crate) fn count_batch(&mut self, key: TargetKey, more: bool) {
         let Some(row) = self.rows.get_mut(key) else { return };
         row.batch = if more { row.batch + 1 } else { row.batch - 1 };
-        self.batch.set(row.id, row.batch > 0);
+        self.batch.set(row.id, row.batch > 0 && row.said.kind == Kind::Worker);
     }
 
     /// Takes a target out for good.
--- a/crates/dispatch/tests/driver/trace.rs
+++ b/crates/dispatch/tests/driver/trace.rs
@@ -25,7 +25,7 @@
     targets: 50,
     slots: 8,
     near: Duration::from_micros(250),
-    far: Duration::from_micros(1_000),
+    far: Duration::from_millis(1),
 };
 
 pub const FOLDPLAN: Deployment = Deployment { name: "foldplan", far: Duration::from_micros(500), ..CANDLE_DESK };
@@ -45,7 +45,7 @@
 
 /// All traffic in one stream, with deadlines that never bind.
 pub const PLAIN: Stream =
-    Stream { owner: "team", class: Class::Normal, weight: 1, load: 0.7, long: 50, deadline: Duration::from_secs(600) };
+    Stream { owner: "team", class: Class::Normal, weight: 1, load: 0.7, long: 50, deadline: Duration::from_mins(10) };
 
 #[derive(Debug, Clone, Copy)]
 pub struct FakeTarget {
@@ -116,7 +116,7 @@
             }
         }
         arrivals.sort_by_key(|arrival| (arrival.at, arrival.stream));
-        let end = last + Duration::from_secs(120);
+        let end = last + Duration::from_mins(2);
         Self { seed, deployment, streams: streams.to_vec(), targets, arrivals, warm, last, end }
     }
 
