Fuzz of the replicated log over fake disks and a fake network

Cause: nothing had driven the state machine against faults. Change: fakes (disk that forgets what was not synced, network, clocks, clients with an oracle) and a fuzz of 3 and 5 voters. Found: outputs of a nested drain carried out before those that wait reorder writes and hang a voter (the harness did so); Folder::write now refuses writes out of order.

--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -54,6 +54,14 @@
         /// The host.
         host: u64,
     },
+    /// Writes were handed in out of order: outputs of the state machine were not carried out in order.
+    #[snafu(display("store: write {id} was handed in after write {before}"))]
+    Order {
+        /// The write.
+        id: u64,
+        /// The write before it.
+        before: u64,
+    },
     /// An earlier write failed; what the disk holds is not known until the folder is opened again.
     #[snafu(display("store: an earlier write failed; restart once the disk is mended"))]
     Stopped,
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -1,11 +1,11 @@
 //! The durable store: one data folder with the identity, log segments and snapshots of one host.
 
 use crate::disk::{Disk, DiskFile, FolderDisk};
-use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, StoppedSnafu, TakenSnafu};
+use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, OrderSnafu, StoppedSnafu, TakenSnafu};
 use crate::files::{self, Identity};
 use crate::frame::{Record, frame, read_segment, segment_header};
 use crate::replay::Replay;
-use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write};
+use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write, WriteId};
 use snafu::{ResultExt, ensure};
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -34,6 +34,8 @@
     segments: BTreeMap<u64, Index>,
     /// Snapshot files by their last entry.
     snapshots: BTreeMap<Index, String>,
+    /// The last write taken in.
+    written: WriteId,
     failed: bool,
 }
 
@@ -85,7 +87,19 @@
         files::write_identity(&disk, identity)?;
         let segments = BTreeMap::from([(1, tail.map_or(Index(0), |entry| entry.id.index))]);
         let (length, state) = (bytes.len(), stored.state);
-        Ok(Self { disk, identity, file, number: 1, length, next: 2, state, segments, snapshots, failed: false })
+        Ok(Self {
+            disk,
+            identity,
+            file,
+            number: 1,
+            length,
+            next: 2,
+            state,
+            segments,
+            snapshots,
+            written: WriteId(0),
+            failed: false,
+        })
     }
 
     /// Opens the folder on `disk`. A torn tail of the log is cut; damage elsewhere is refused.
@@ -121,6 +135,7 @@
             state,
             segments: log.segments,
             snapshots,
+            written: WriteId(0),
             failed: false,
             disk,
         };
@@ -135,11 +150,20 @@
     /// it is opened again; tell the state machine by `on_failed`.
     pub fn write(&mut self, writes: &[Write]) -> Result<(), StoreError> {
         ensure!(!self.failed, StoppedSnafu);
-        let done = self.write_all(writes);
+        let done = self.check_order(writes).and_then(|()| self.write_all(writes));
         self.failed = done.is_err();
         done
     }
 
+    /// Writes out of order would spoil the log.
+    fn check_order(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        for write in writes {
+            ensure!(write.id > self.written, OrderSnafu { id: write.id.0, before: self.written.0 });
+            self.written = write.id;
+        }
+        Ok(())
+    }
+
     fn write_all(&mut self, writes: &[Write]) -> Result<(), StoreError> {
         let mut records = Vec::new();
         for op in writes.iter().flat_map(|write| &write.ops) {
--- /dev/null
+++ b/crates/store/tests/fake/disk.rs
@@ -0,0 +1,201 @@
+//! A disk in memory that forgets what was not synced.
+
+use mangogw_store::{Disk, DiskFile};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+#[derive(Debug, Default, Clone)]
+struct Content {
+    bytes: Vec<u8>,
+    synced: usize,
+}
+
+type Inode = Rc<RefCell<Content>>;
+
+#[derive(Debug, Clone)]
+enum Step {
+    Link(String, Inode),
+    Unlink(String),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    names: BTreeMap<String, Inode>,
+    durable: BTreeMap<String, Inode>,
+    pending: Vec<Step>,
+    /// File operations until one fails, and all after it.
+    fuse: Option<u64>,
+    /// Total operations, to try a crash at each.
+    ops: u64,
+    /// Syncs answer well but do nothing: a disk that lies.
+    lying: bool,
+}
+
+/// A handle to the disk; clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct FakeDisk(Rc<RefCell<State>>);
+
+/// A file of a [`FakeDisk`].
+#[derive(Debug)]
+pub struct FakeFile(Rc<RefCell<State>>, Inode);
+
+impl State {
+    fn spend(&mut self) -> io::Result<()> {
+        self.ops += 1;
+        match &mut self.fuse {
+            Some(0) => Err(io::Error::other("no space left on device (injected)")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        apply(&mut self.names, &step);
+        self.pending.push(step);
+    }
+}
+
+fn apply(names: &mut BTreeMap<String, Inode>, step: &Step) {
+    match step {
+        Step::Link(name, inode) => names.insert(name.clone(), Rc::clone(inode)),
+        Step::Unlink(name) => names.remove(name),
+    };
+}
+
+impl FakeDisk {
+    /// Fails every operation after the next `ops`; `None` mends the disk.
+    pub fn fail_after(&self, ops: Option<u64>) {
+        self.0.borrow_mut().fuse = ops;
+    }
+
+    /// Operations so far.
+    pub fn ops(&self) -> u64 {
+        self.0.borrow().ops
+    }
+
+    /// Makes the disk lie about syncs.
+    pub fn lie(&self) {
+        self.0.borrow_mut().lying = true;
+    }
+
+    /// The power goes: what was not synced is lost in part, torn or kept.
+    pub fn crash(&self, rng: &mut Pcg64Mcg) {
+        let mut state = self.0.borrow_mut();
+        let kept = rng.random_range(0..=state.pending.len());
+        let pending = std::mem::take(&mut state.pending);
+        for step in &pending[..kept] {
+            apply(&mut state.durable, step);
+        }
+        state.names = state.durable.clone();
+        state.fuse = None;
+        for inode in state.names.values() {
+            tear(&mut inode.borrow_mut(), rng);
+        }
+    }
+
+    /// Changes one byte of a file.
+    pub fn flip(&self, name: &str, at: usize) {
+        self.0.borrow().names[name].borrow_mut().bytes[at] ^= 0x40;
+    }
+
+    /// The length of a file.
+    pub fn length(&self, name: &str) -> usize {
+        self.0.borrow().names[name].borrow().bytes.len()
+    }
+
+    /// A copy that shares nothing.
+    pub fn copy(&self) -> Self {
+        let state = self.0.borrow();
+        let names =
+            state.names.iter().map(|(name, inode)| (name.clone(), Rc::new(RefCell::new(inode.borrow().clone()))));
+        let names: BTreeMap<_, _> = names.collect();
+        Self(Rc::new(RefCell::new(State { durable: names.clone(), names, ..State::default() })))
+    }
+}
+
+/// Cuts the unsynced part anywhere, and spoils a page of what is left of it.
+fn tear(content: &mut Content, rng: &mut Pcg64Mcg) {
+    let (synced, length) = (content.synced, content.bytes.len());
+    content.bytes.truncate(rng.random_range(synced..=length));
+    if content.bytes.len() > synced && rng.random_bool(0.5) {
+        let from = rng.random_range(synced..content.bytes.len());
+        let to = content.bytes.len().min(from + 64);
+        content.bytes[from..to].fill(0);
+    }
+    content.synced = content.bytes.len();
+}
+
+impl Disk for FakeDisk {
+    type File = FakeFile;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.0.borrow().names.keys().cloned().collect())
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        let state = self.0.borrow();
+        let inode = state.names.get(name).ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))?;
+        let bytes = inode.borrow().bytes.clone();
+        Ok(bytes)
+    }
+
+    fn create(&self, name: &str) -> io::Result<FakeFile> {
+        let mut state = self.0.borrow_mut();
+        state.spend()?;
+        let inode = Inode::default();
+        state.step(Step::Link(name.to_owned(), Rc::clone(&inode)));
+        Ok(FakeFile(Rc::clone(&self.0), inode))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        state.spend()?;
+        let inode = state.names.get(from).cloned().ok_or_else(|| io::Error::from(io::ErrorKind::NotFound))?;
+        state.step(Step::Link(to.to_owned(), inode));
+        state.step(Step::Unlink(from.to_owned()));
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        state.spend()?;
+        state.step(Step::Unlink(name.to_owned()));
+        Ok(())
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        let mut state = self.0.borrow_mut();
+        state.spend()?;
+        if !state.lying {
+            state.pending.clear();
+            state.durable = state.names.clone();
+        }
+        Ok(())
+    }
+}
+
+impl DiskFile for FakeFile {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let failed = self.0.borrow_mut().spend();
+        // A failing write may leave a part behind.
+        let part = if failed.is_ok() { bytes.len() } else { bytes.len() / 2 };
+        self.1.borrow_mut().bytes.extend_from_slice(&bytes[..part]);
+        failed
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.0.borrow_mut().spend()?;
+        let mut content = self.1.borrow_mut();
+        if !self.0.borrow().lying {
+            content.synced = content.bytes.len();
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/store/tests/fake/world.rs
@@ -0,0 +1,482 @@
+//! A group of hosts over a fake network and fake disks, watched by an oracle.
+
+use super::FakeDisk;
+use mangogw_model::{HostId, Time};
+use mangogw_store::{
+    Birth, Change, Folder, GroupId, Index, LogId, Members, Message, Output, Payload, Raft, Refusal, Role, Settings,
+    Stored, Tag, Term, Write,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+/// The applied state: a plain map, and the entry it stands at.
+#[derive(Debug, Clone, Default, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct App {
+    pub at: Index,
+    pub map: BTreeMap<u64, u64>,
+}
+
+/// A host that runs.
+#[derive(Debug)]
+pub struct Live {
+    pub raft: Raft,
+    folder: Folder<FakeDisk>,
+    pub app: App,
+    writes: Vec<Write>,
+    /// When the writes that wait are synced.
+    sync: Option<Time>,
+}
+
+/// A host, running or not.
+#[derive(Debug)]
+pub struct Node {
+    pub disk: FakeDisk,
+    pub live: Option<Live>,
+    /// True if its disk was replaced: it never runs again.
+    pub lost: bool,
+    /// The members it knew when it last stopped.
+    members: Members,
+    /// Parts per hundred that its clock runs at, and its offset.
+    pace: u64,
+    offset: u64,
+}
+
+/// What a client waits for.
+#[derive(Debug, Clone, Copy)]
+enum Call {
+    /// Unique value; entries acknowledged before the call.
+    Write(u64, Index),
+    /// Entries acknowledged before the call.
+    Read(Index),
+    Other,
+}
+
+/// The hosts, the network between them and what is known to be true.
+#[derive(Debug)]
+pub struct World {
+    pub now: Time,
+    pub nodes: BTreeMap<HostId, Node>,
+    pub rng: Pcg64Mcg,
+    pub settings: Settings,
+    pub cuts: BTreeSet<(HostId, HostId)>,
+    /// Lost and doubled messages in a hundred; longest usual delay in microseconds.
+    pub loss: u32,
+    pub delay: u64,
+    packets: BTreeMap<(Time, u64), (HostId, HostId, Message)>,
+    serial: u64,
+    calls: BTreeMap<Tag, Call>,
+    /// Every committed entry, as first applied by anyone.
+    pub log: BTreeMap<Index, (LogId, Payload)>,
+    pub leaders: BTreeMap<Term, HostId>,
+    /// The newest entry that a client has seen to be in force.
+    seen: Index,
+    pub acked: BTreeSet<u64>,
+    never: BTreeSet<u64>,
+    pub reads: usize,
+    pub refused: BTreeMap<Tag, Refusal>,
+    pub done: BTreeSet<Tag>,
+    pub messages: u64,
+    pub restores: usize,
+    /// How many syncs a write takes, in microseconds at most.
+    pub sync_delay: u64,
+}
+
+const KEYS: u64 = 8;
+
+pub fn settings() -> Settings {
+    Settings {
+        log_bytes: 2_000,
+        log_tail: 20,
+        chunk_bytes: 48,
+        message_bytes: 400,
+        window: 4,
+        learner_lag: 5,
+        ..Settings::default()
+    }
+}
+
+impl World {
+    /// A group of `voters` founded together, with as many more learners as told.
+    pub fn new(seed: u64, voters: u64, settings: Settings) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1),
+            nodes: BTreeMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            settings,
+            cuts: BTreeSet::new(),
+            loss: 0,
+            delay: 1_000,
+            packets: BTreeMap::new(),
+            serial: 0,
+            calls: BTreeMap::new(),
+            log: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            seen: Index(1),
+            acked: BTreeSet::new(),
+            never: BTreeSet::new(),
+            reads: 0,
+            refused: BTreeMap::new(),
+            done: BTreeSet::new(),
+            messages: 0,
+            restores: 0,
+            sync_delay: 5_000,
+        };
+        let members = Members::of((1..=voters).map(|id| (HostId(id), birth(HostId(id)))));
+        let state = encode(&App { at: Index(1), map: BTreeMap::new() });
+        for id in (1..=voters).map(HostId) {
+            let stored = Stored::founding(id, birth(id), GroupId(7), members.clone(), state.clone().into());
+            world.create(id, &stored);
+        }
+        world
+    }
+
+    /// A new host, with an id never used, that waits to be added.
+    pub fn join(&mut self) -> HostId {
+        let id = HostId(self.nodes.len() as u64 + 1);
+        self.create(id, &Stored::joining(id, birth(id)));
+        id
+    }
+
+    fn create(&mut self, id: HostId, stored: &Stored) {
+        let disk = FakeDisk::default();
+        drop(Folder::create(disk.clone(), stored).unwrap());
+        let offset = 1_000_000_000 + self.rng.random_range(0..10_000_000);
+        self.nodes.insert(id, Node { disk, live: None, lost: false, members: stored.members(), pace: 100, offset });
+        self.start(id);
+    }
+
+    /// Starts a host from its disk.
+    pub fn start(&mut self, id: HostId) {
+        let now = self.clock(id);
+        let node = self.nodes.get_mut(&id).unwrap();
+        if node.lost || node.live.is_some() {
+            return;
+        }
+        node.disk.fail_after(None);
+        let (folder, stored) = Folder::open_on(node.disk.clone()).unwrap();
+        let settings = Settings { seed: self.rng.random(), ..self.settings.clone() };
+        let raft = Raft::open(settings, stored, now);
+        node.live = Some(Live { raft, folder, app: App::default(), writes: Vec::new(), sync: None });
+        self.drain(id);
+    }
+
+    /// Kills a host. With `power`, its disk forgets what was not synced.
+    pub fn crash(&mut self, id: HostId, power: bool) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        if let Some(live) = node.live.take() {
+            node.members = live.raft.members().clone();
+        }
+        if power {
+            node.disk.crash(&mut self.rng);
+        }
+    }
+
+    /// A host's disk is gone for good.
+    pub fn lose(&mut self, id: HostId) {
+        self.crash(id, true);
+        self.nodes.get_mut(&id).unwrap().lost = true;
+    }
+
+    /// Sets how fast a host's clock runs, in hundredths.
+    pub fn skew(&mut self, id: HostId, pace: u64) {
+        let before = self.clock(id);
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.pace = pace;
+        node.offset = before.as_micros() - self.now.as_micros() * pace / 100;
+    }
+
+    fn clock(&self, id: HostId) -> Time {
+        self.nodes
+            .get(&id)
+            .map_or(self.now, |node| Time::from_micros(node.offset + self.now.as_micros() * node.pace / 100))
+    }
+
+    pub fn live(&self) -> Vec<HostId> {
+        self.nodes.iter().filter(|(_, node)| node.live.is_some()).map(|(id, _)| *id).collect()
+    }
+
+    pub fn raft(&self, id: HostId) -> &Raft {
+        &self.nodes[&id].live.as_ref().unwrap().raft
+    }
+
+    /// The leader of the newest term, as it sees itself.
+    pub fn leader(&self) -> Option<HostId> {
+        let leads = |id: &HostId| self.raft(*id).status().role == Role::Leader;
+        self.live().into_iter().filter(leads).max_by_key(|id| self.raft(*id).status().term)
+    }
+
+    fn tag(&mut self, call: Call) -> Tag {
+        self.serial += 1;
+        self.calls.insert(Tag(self.serial), call);
+        Tag(self.serial)
+    }
+
+    /// Runs an input on a live host and carries out what it asks for.
+    fn input(&mut self, id: HostId, input: impl FnOnce(&mut Raft, Time)) {
+        let now = self.clock(id);
+        let Some(live) = self.nodes.get_mut(&id).and_then(|node| node.live.as_mut()) else { return };
+        input(&mut live.raft, now);
+        self.drain(id);
+    }
+
+    pub fn write(&mut self, id: HostId) -> Tag {
+        let value = self.serial + 1;
+        let tag = self.tag(Call::Write(value, self.seen));
+        let command = encode(&(value % KEYS, value));
+        self.input(id, |raft, now| raft.propose(now, command.into(), tag));
+        tag
+    }
+
+    pub fn read(&mut self, id: HostId) -> Tag {
+        let tag = self.tag(Call::Read(self.seen));
+        self.input(id, |raft, now| raft.read(now, tag));
+        tag
+    }
+
+    pub fn change(&mut self, id: HostId, change: Change) -> Tag {
+        let tag = self.tag(Call::Other);
+        self.input(id, |raft, now| raft.change(now, change, tag));
+        tag
+    }
+
+    pub fn transfer(&mut self, id: HostId, to: HostId) -> Tag {
+        let tag = self.tag(Call::Other);
+        self.input(id, |raft, now| raft.transfer(now, to, tag));
+        tag
+    }
+
+    /// Lets `millis` pass in steps of one: messages arrive, syncs end, clocks tick.
+    pub fn run(&mut self, millis: u64) {
+        for _ in 0..millis {
+            self.now += Duration::from_millis(1);
+            while let Some(entry) = self.packets.first_entry().filter(|entry| entry.key().0 <= self.now) {
+                let (from, to, message) = entry.remove();
+                self.input(to, |raft, now| raft.on_message(now, from, message));
+            }
+            for id in self.live() {
+                self.sync(id);
+                if self.now.as_micros() / 1_000 % 10 == id.0 % 10 {
+                    self.input(id, Raft::on_tick);
+                }
+            }
+        }
+    }
+
+    /// Runs until `done`, at most `millis`. True if it came about.
+    pub fn run_until(&mut self, millis: u64, mut done: impl FnMut(&mut Self) -> bool) -> bool {
+        (0..millis / 10).any(|_| {
+            self.run(10);
+            done(self)
+        })
+    }
+
+    fn sync(&mut self, id: HostId) {
+        let now = self.now;
+        let Some(live) = self.nodes.get_mut(&id).and_then(|node| node.live.as_mut()) else { return };
+        if live.sync.is_none_or(|at| at > now) {
+            return;
+        }
+        live.sync = None;
+        let writes = std::mem::take(&mut live.writes);
+        let last = writes.last().unwrap().id;
+        match live.folder.write(&writes) {
+            Ok(()) => self.input(id, |raft, now| raft.on_synced(now, last)),
+            Err(_) => self.input(id, Raft::on_failed),
+        }
+    }
+
+    fn drain(&mut self, id: HostId) {
+        let mut outputs = VecDeque::new();
+        loop {
+            outputs.extend(self.nodes.get_mut(&id).unwrap().live.as_mut().unwrap().raft.drain());
+            let Some(output) = outputs.pop_front() else { return };
+            self.carry_out(id, output);
+        }
+    }
+
+    fn carry_out(&mut self, id: HostId, output: Output) {
+        let due = self.now + Duration::from_micros(self.rng.random_range(0..self.sync_delay));
+        let live = self.nodes.get_mut(&id).unwrap().live.as_mut().unwrap();
+        match output {
+            Output::Send { to, message } => self.post(id, to, &message),
+            Output::Write(write) => {
+                live.writes.push(write);
+                live.sync.get_or_insert(due);
+            }
+            Output::Restore(snapshot) => {
+                let app: App = postcard::from_bytes(&snapshot.data).unwrap();
+                assert!(app.at >= live.app.at, "the applied state of {id} fell back");
+                assert_eq!(app.at, snapshot.meta.id.index, "a snapshot that stands elsewhere");
+                live.app = app;
+                self.restores += 1;
+                let known = replay(&self.log, live.app.at);
+                assert!(known.is_none_or(|map| map == live.app.map), "a snapshot differs from the log");
+            }
+            Output::Apply { entries } => {
+                for entry in entries {
+                    self.apply(id, entry.id, entry.payload, entry.tag);
+                }
+            }
+            Output::ReadReady { tag, index } => self.answer_read(id, tag, index),
+            Output::Refused { tag, why, .. } => self.note_refused(tag, why),
+            Output::Transferred { tag } => {
+                self.done.insert(tag);
+            }
+            Output::Role { role: Role::Leader, term, .. } => self.note_leader(id, term),
+            Output::Role { .. } => {}
+            Output::Compact { index } => {
+                assert_eq!(index, live.app.at, "a snapshot is asked for elsewhere than at the applied state");
+                let state = encode(&live.app);
+                let now = self.clock(id);
+                let live = self.nodes.get_mut(&id).unwrap().live.as_mut().unwrap();
+                live.raft.compact(now, index, state.into());
+            }
+        }
+    }
+
+    fn post(&mut self, from: HostId, to: HostId, message: &Message) {
+        self.messages += 1;
+        // Over the wire, as the daemon does it.
+        let message: Message = postcard::from_bytes(&postcard::to_stdvec(message).unwrap()).unwrap();
+        if self.cuts.contains(&(from, to)) || self.rng.random_range(0..100) < self.loss {
+            return;
+        }
+        let copies = if self.rng.random_range(0..100) < self.loss { 2 } else { 1 };
+        for _ in 0..copies {
+            let slow = self.loss > 0 && self.rng.random_range(0..200) == 0;
+            let longest = if slow { 700_000 } else { self.delay };
+            let at = self.now + Duration::from_micros(self.rng.random_range(0..longest));
+            self.serial += 1;
+            self.packets.insert((at, self.serial), (from, to, message.clone()));
+        }
+    }
+
+    fn note_refused(&mut self, tag: Tag, why: Refusal) {
+        self.refused.insert(tag, why);
+        match self.calls.remove(&tag).expect("each call is answered once") {
+            Call::Write(value, _) if !matches!(why, Refusal::Unsure | Refusal::Failed) => self.never.insert(value),
+            _ => false,
+        };
+    }
+
+    fn note_leader(&mut self, id: HostId, term: Term) {
+        let other = *self.leaders.entry(term).or_insert(id);
+        assert_eq!(other, id, "two leaders in term {term}");
+        let last = self.raft(id).status().last;
+        let committed = self.log.last_key_value().map_or(Index(0), |(index, _)| *index);
+        assert!(last >= committed, "leader {id} of term {term} holds {last}, yet {committed} is committed");
+    }
+
+    fn apply(&mut self, id: HostId, at: LogId, payload: Payload, tag: Option<Tag>) {
+        let live = self.nodes.get_mut(&id).unwrap().live.as_mut().unwrap();
+        assert_eq!(live.app.at.next(), at.index, "host {id} skips or repeats an entry");
+        live.app.at = at.index;
+        if let Payload::Command(command) = &payload {
+            let (key, value): (u64, u64) = postcard::from_bytes(command).unwrap();
+            assert!(!self.never.contains(&value), "write {value} was refused and yet took hold");
+            live.app.map.insert(key, value);
+        }
+        let first = self.log.entry(at.index).or_insert_with(|| (at, payload.clone()));
+        assert_eq!(*first, (at, payload), "two hosts applied different entries");
+        let Some(tag) = tag else { return };
+        self.done.insert(tag);
+        if let Call::Write(value, before) = self.calls.remove(&tag).expect("each call is answered once") {
+            assert!(at.index > before, "a write took hold before one that was acknowledged earlier");
+            self.acked.insert(value);
+        }
+        self.seen = self.seen.max(at.index);
+    }
+
+    fn answer_read(&mut self, id: HostId, tag: Tag, index: Index) {
+        let app = &self.nodes[&id].live.as_ref().unwrap().app;
+        assert!(app.at >= index, "a read is ready before its entry is applied");
+        let Call::Read(before) = self.calls.remove(&tag).expect("each call is answered once") else { unreachable!() };
+        assert!(
+            app.at >= before,
+            "a read at {id} misses entries {} to {before}, acknowledged before it",
+            app.at.next()
+        );
+        let known = replay(&self.log, app.at).expect("what a host applied is known");
+        assert_eq!(known, app.map, "a read differs from the plain map");
+        self.seen = self.seen.max(app.at);
+        self.reads += 1;
+        self.done.insert(tag);
+    }
+
+    /// All faults end, and all hosts with a disk run.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss = 0;
+        self.delay = 1_000;
+        for id in self.nodes.keys().copied().collect::<Vec<_>>() {
+            let failed = self.nodes[&id].live.as_ref().is_some_and(|live| live.raft.status().role == Role::Failed);
+            self.nodes[&id].disk.fail_after(None);
+            if failed {
+                self.crash(id, true);
+            }
+            self.skew(id, 100);
+            self.start(id);
+        }
+    }
+
+    /// One line for each host, for failure messages.
+    pub fn statuses(&self) -> Vec<String> {
+        let line = |(id, node): (&HostId, &Node)| match &node.live {
+            Some(live) => {
+                let s = live.raft.status();
+                let (voters, learners) = (s.members.voters.keys(), s.members.learners.keys());
+                let ids = |ids: Vec<&HostId>| ids.iter().map(|id| id.0).collect::<Vec<_>>();
+                let members = (ids(voters.collect()), ids(learners.collect()));
+                format!("{id} {:?} {} {:?} {} {} {} {members:?}", s.role, s.term, s.leader, s.last, s.commit, s.applied)
+            }
+            None => format!("{id} down, lost: {}", node.lost),
+        };
+        self.nodes.iter().map(line).collect()
+    }
+
+    /// True if the newest members that anyone knows still have a quorum of disks.
+    pub fn recoverable(&self) -> bool {
+        let lost = |id: &HostId| self.nodes[id].lost;
+        // A host that joins knows no members yet.
+        let whole = |members: &Members| {
+            members.voters.is_empty() || members.voters.keys().filter(|id| !lost(id)).count() >= members.quorum()
+        };
+        let known = |node: &Node| node.live.as_ref().map_or(node.members.clone(), |live| live.raft.members().clone());
+        let committed = self.log.values().rev().find_map(|(_, payload)| match payload {
+            Payload::Members(members) => Some(whole(members)),
+            _ => None,
+        });
+        committed.unwrap_or(true) && self.nodes.values().all(|node| node.lost || whole(&known(node)))
+    }
+
+    /// Nothing acknowledged is missing from the log.
+    pub fn check_acked(&self) {
+        let held: BTreeSet<u64> =
+            self.log.values().filter_map(|(_, payload)| value_of(payload)).map(|(_, v)| v).collect();
+        assert!(self.acked.is_subset(&held), "acknowledged writes are lost");
+    }
+}
+
+fn value_of(payload: &Payload) -> Option<(u64, u64)> {
+    match payload {
+        Payload::Command(command) => postcard::from_bytes(command).ok(),
+        _ => None,
+    }
+}
+
+/// The plain map after the entries up to `at`; `None` if some are not known.
+fn replay(log: &BTreeMap<Index, (LogId, Payload)>, at: Index) -> Option<BTreeMap<u64, u64>> {
+    let entries = log.range(Index(2)..at.next());
+    (entries.clone().count() as u64 + 1 == at.0)
+        .then(|| entries.filter_map(|(_, (_, payload))| value_of(payload)).collect())
+}
+
+pub fn birth(id: HostId) -> Birth {
+    Birth(id.0 * 1_000 + 1)
+}
+
+fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    postcard::to_stdvec(value).unwrap()
+}
--- /dev/null
+++ b/crates/store/tests/fuzz.rs
@@ -0,0 +1,205 @@
+//! Stateful fuzz of 3 and 5 voters: random faults against the oracle in `fake::World`.
+//!
+//! `MANGOGW_FUZZ_RUNS=5000 cargo test --release -p mangogw-store --test fuzz` runs longer, from
+//! `MANGOGW_FUZZ_SEED` on.
+
+mod fake;
+
+use arbitrary::{Result, Unstructured};
+use fake::{World, settings};
+use mangogw_model::HostId;
+use mangogw_store::{Change, Payload, Role};
+
+/// Runs in CI, for each number of voters.
+const RUNS: u64 = 60;
+/// Bytes of choices in one run.
+const CHOICES: u64 = 1_500;
+
+fn runs() -> std::ops::Range<u64> {
+    let number = |name| std::env::var(name).ok().and_then(|text| text.parse().ok());
+    let first = number("MANGOGW_FUZZ_SEED").unwrap_or(1);
+    first..first + number("MANGOGW_FUZZ_RUNS").unwrap_or(RUNS)
+}
+
+#[test]
+fn three_voters_keep_what_they_acknowledge() {
+    fuzz(3);
+}
+
+#[test]
+fn five_voters_keep_what_they_acknowledge() {
+    fuzz(5);
+}
+
+/// What the runs came across.
+#[derive(Debug, Default)]
+struct Seen {
+    acked: usize,
+    reads: usize,
+    terms: usize,
+    lost: usize,
+    changes: usize,
+    restores: usize,
+    served: usize,
+}
+
+fn fuzz(voters: u64) {
+    let mut seen = Seen::default();
+    for run in runs() {
+        arbtest::arbtest(|u| trial(u, run, voters, &mut seen)).seed((run << 32) | CHOICES).run();
+    }
+    println!("{voters} voters, {:?}: {seen:?}", runs());
+    let runs = runs().count();
+    // A fuzz that comes across little proves little.
+    assert!(seen.acked > 10 * runs && seen.reads > 5 * runs && seen.terms > 3 * runs, "{seen:?}");
+    assert!(seen.lost > runs / 4 && seen.changes > runs && seen.restores > runs && seen.served > runs / 2, "{seen:?}");
+}
+
+impl Seen {
+    fn add(&mut self, world: &World) {
+        self.acked += world.acked.len();
+        self.reads += world.reads;
+        self.terms += world.leaders.len();
+        self.lost += world.nodes.values().filter(|node| node.lost).count();
+        self.changes += world.log.values().filter(|(_, payload)| matches!(payload, Payload::Members(_))).count();
+        self.restores += world.restores;
+        self.served += usize::from(world.recoverable());
+    }
+}
+
+fn trial(u: &mut Unstructured<'_>, seed: u64, voters: u64, seen: &mut Seen) -> Result<()> {
+    let mut world = World::new(seed, voters, settings());
+    world.loss = u.int_in_range(0..=5)?;
+    world.delay = *u.choose(&[500, 3_000, 30_000])?;
+    world.run(1_000);
+    while u.len() > 8 {
+        act(u, &mut world)?;
+    }
+    finish(&mut world);
+    seen.add(&world);
+    Ok(())
+}
+
+fn any(u: &mut Unstructured<'_>, hosts: &[HostId]) -> Result<HostId> {
+    u.choose(hosts).copied()
+}
+
+fn act(u: &mut Unstructured<'_>, world: &mut World) -> Result<()> {
+    let all: Vec<HostId> = world.nodes.iter().filter(|(_, node)| !node.lost).map(|(id, _)| *id).collect();
+    let host = any(u, &all)?;
+    let other = any(u, &all)?;
+    let leader = world.leader().unwrap_or(host);
+    let up = world.nodes[&host].live.is_some();
+    match u.int_in_range(0..=38)? {
+        0..=7 => world.run(u.int_in_range(1..=300)?),
+        8..=11 => {
+            for _ in 0..u.int_in_range(1..=6)? {
+                world.write(leader);
+            }
+        }
+        12 if up => {
+            world.write(host);
+        }
+        13 | 14 => {
+            world.read(leader);
+        }
+        15 if up => {
+            world.read(host);
+        }
+        16 | 17 => {
+            world.cuts.insert((host, other));
+        }
+        18 => isolate(world, host),
+        19 | 20 => world.cuts.clear(),
+        21 | 22 if up => world.crash(host, u.arbitrary()?),
+        23..=25 => world.start(host),
+        26 if up => world.nodes[&host].disk.fail_after(Some(u.int_in_range(0..=6)?)),
+        27 if up && world.raft(host).status().role == Role::Failed => world.crash(host, true),
+        28 => replace(u, world, host, leader)?,
+        29 => world.skew(host, u.int_in_range(80..=120)?),
+        30 if up && world.nodes[&leader].live.is_some() => {
+            world.transfer(leader, other);
+        }
+        31 | 32 => calm(world),
+        33..=38 => change(u, world, leader, other)?,
+        _ => {}
+    }
+    Ok(())
+}
+
+/// Hosts start, links heal, and time passes; the disks and clocks stay as they are.
+fn calm(world: &mut World) {
+    world.cuts.clear();
+    for host in world.nodes.keys().copied().collect::<Vec<_>>() {
+        world.start(host);
+    }
+    world.run_until(1_500, |world| world.leader().is_some());
+}
+
+fn isolate(world: &mut World, host: HostId) {
+    for other in world.nodes.keys().copied().collect::<Vec<_>>() {
+        world.cuts.extend([(host, other), (other, host)]);
+    }
+}
+
+/// A disk is lost, unless that would cost the group its quorum; a new host stands by in its place.
+fn replace(u: &mut Unstructured<'_>, world: &mut World, host: HostId, leader: HostId) -> Result<()> {
+    world.nodes.get_mut(&host).unwrap().lost = true;
+    let bearable = world.recoverable();
+    world.nodes.get_mut(&host).unwrap().lost = false;
+    if world.nodes.len() > 16 || !bearable {
+        return Ok(());
+    }
+    if u.arbitrary()? {
+        world.lose(host);
+    }
+    let new = world.join();
+    if world.nodes[&leader].live.is_some() {
+        world.change(leader, Change::AddLearner(new, fake::birth(new)));
+    }
+    Ok(())
+}
+
+/// A change that makes sense to the leader: a learner gets a vote, a lost voter leaves; or any other.
+fn change(u: &mut Unstructured<'_>, world: &mut World, leader: HostId, other: HostId) -> Result<()> {
+    if world.nodes[&leader].live.is_none() {
+        return Ok(());
+    }
+    let members = world.raft(leader).members().clone();
+    let lost = members.peers(leader).find(|id| world.nodes[id].lost);
+    let change = match (u.int_in_range(0..=5)?, lost, members.learners.keys().next()) {
+        (0, _, _) => Change::AddLearner(other, fake::birth(other)),
+        (1, _, _) => Change::Remove(other),
+        (2 | 3, Some(lost), _) => Change::Remove(lost),
+        (_, _, Some(learner)) => Change::Promote(*learner),
+        _ => Change::Promote(other),
+    };
+    world.change(leader, change);
+    Ok(())
+}
+
+/// After the faults end the group serves again soon, every member catches up, and nothing acknowledged is missing.
+fn finish(world: &mut World) {
+    world.heal();
+    if !world.recoverable() {
+        world.run(3_000);
+        return world.check_acked();
+    }
+    let led = world.run_until(3_000, |world| world.leader().is_some());
+    assert!(led, "no leader after the faults ended: {:#?}", world.statuses());
+    let served = world.run_until(4_000, |world| {
+        let Some(leader) = world.leader() else { return false };
+        let (write, read) = (world.write(leader), world.read(leader));
+        world.run(150);
+        world.done.contains(&write) && world.done.contains(&read)
+    });
+    assert!(served, "the group does not serve after the faults ended");
+    world.check_acked();
+    let leader = world.leader().unwrap();
+    let whole = world.run_until(5_000, |world| {
+        let target = world.raft(leader).status().commit;
+        let members: Vec<_> = world.raft(leader).members().peers(leader).collect();
+        members.iter().all(|id| world.nodes[id].live.as_ref().is_none_or(|live| live.app.at >= target))
+    });
+    assert!(whole, "a member does not catch up: {:#?}", world.statuses());
+}
