--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -4,7 +4,7 @@
 use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, OrderSnafu, StoppedSnafu, TakenSnafu};
 use crate::files::{self, Identity};
 use crate::frame::{Record, frame, read_segment, segment_header};
-use crate::replay::Replay;
+use crate::replay::{Found, Replay};
 use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write, WriteId};
 use snafu::{ResultExt, ensure};
 use std::collections::BTreeMap;
@@ -117,14 +117,16 @@
             Some((_, name)) => Some(files::read_snapshot(&disk, name)?),
             None => None,
         };
-        let log = read_log(&disk, identity)?;
-        let newest = log.newest;
-        let (state, entries) = match log.replay.finish(snapshot.as_ref()) {
+        let ReadLog { replay, segments, mut newest } = read_log(&disk, identity)?;
+        let name = files::segment_name(newest.number);
+        let Found { state, entries, reset } = match replay.finish(snapshot.as_ref()) {
             Ok(found) => found,
-            Err(what) => return DamagedSnafu { file: files::segment_name(newest.number), offset: 0u64, what }.fail(),
+            Err(what) => return DamagedSnafu { file: name, offset: 0u64, what }.fail(),
         };
+        if let Some(base) = reset {
+            newest.push(identity, &[Record::Reset(base)]);
+        }
         // What the newest segment was seen to hold may not be durable, if a sync failed before. Write it anew.
-        let name = files::segment_name(newest.number);
         let file = files::write_aside(&disk, &name, &newest.bytes)?;
         let folder = Self {
             file,
@@ -133,7 +135,7 @@
             length: newest.bytes.len(),
             next: newest.next,
             state,
-            segments: log.segments,
+            segments,
             snapshots,
             written: WriteId(0),
             failed: false,
@@ -268,6 +270,13 @@
     bytes: Vec<u8>,
 }
 
+impl Newest {
+    fn push(&mut self, identity: Identity, records: &[Record]) {
+        self.bytes.extend_from_slice(&frame(self.next, identity.birth, records));
+        self.next += 1;
+    }
+}
+
 /// All segments as read back.
 #[derive(Debug)]
 struct ReadLog {
--- a/crates/store/src/replay.rs
+++ b/crates/store/src/replay.rs
@@ -10,6 +10,16 @@
     entries: Vec<LogEntry>,
 }
 
+/// What a folder was found to hold.
+#[derive(Debug)]
+pub(crate) struct Found {
+    pub(crate) state: HardState,
+    /// The entries after the snapshot.
+    pub(crate) entries: Vec<LogEntry>,
+    /// Set if a crash came between a leader's snapshot and the reset of the log to it.
+    pub(crate) reset: Option<LogId>,
+}
+
 impl Replay {
     /// Takes in one record. The error says what is wrong with it.
     pub(crate) fn push(&mut self, record: Record) -> Result<(), String> {
@@ -42,14 +52,15 @@
         self.entries.last().map_or(Index(0), |entry| entry.id.index)
     }
 
-    /// The hard state and the entries after `snapshot`. The error says what is missing.
-    pub(crate) fn finish(mut self, snapshot: Option<&Snapshot>) -> Result<(HardState, Vec<LogEntry>), String> {
+    /// What the records and `snapshot` add up to. The error says what is missing.
+    pub(crate) fn finish(mut self, snapshot: Option<&Snapshot>) -> Result<Found, String> {
         let base = snapshot.map(|snapshot| snapshot.meta.id).unwrap_or_default();
         let first = self.entries.first().map_or(Index(0), |entry| entry.id.index);
         if self.last() > base.index && first > base.index.next() {
             return Err(format!("entries {} to {} are missing", base.index.next(), first.prev()));
         }
-        if self.replaced(base) {
+        let reset = !self.entries.is_empty() && (self.last() < base.index || self.replaced(base));
+        if reset {
             self.entries.clear();
         }
         let keep = self.entries.partition_point(|entry| entry.id.index <= base.index);
@@ -59,7 +70,7 @@
             self.state.vote = None;
         }
         self.state.commit = self.state.commit.max(base.index);
-        Ok((self.state, self.entries))
+        Ok(Found { state: self.state, entries: self.entries, reset: reset.then_some(base) })
     }
 
     /// True if the snapshot was taken over from a leader and the log was not yet reset to it.
