Store: focused failure tests and a measuring example

Cause: each promise of the consensus needs a test that shows it alone; the bounds need a measurement.

--- /dev/null
+++ b/crates/store/examples/measure.rs
@@ -0,0 +1,214 @@
+//! Measures the replicated log with real files: acknowledged changes a second, latency, cost of a change, replay.
+//!
+//! `cargo run --release -p mangogw-store --example measure [FOLDER]`
+
+use mangogw_model::{HostId, Time};
+use mangogw_store::{
+    Birth, Folder, FolderDisk, GroupId, Members, Message, Output, Raft, Role, Settings, Stored, Tag, Write,
+};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Bytes of a change: about one catalogue entry.
+const CHANGE_BYTES: usize = 200;
+/// Changes that wait for their acknowledgement at once, where they are batched.
+const WINDOW: usize = 256;
+
+/// What reaches the thread of a voter.
+enum Input {
+    Message(HostId, Message),
+    Synced(mangogw_store::WriteId),
+    Propose(u64),
+    Stop,
+}
+
+/// One voter: a thread that decides and a thread that syncs.
+struct Voter {
+    raft: Raft,
+    peers: BTreeMap<HostId, Sender<Input>>,
+    disk: Sender<Write>,
+    done: Sender<u64>,
+    led: Sender<HostId>,
+    bytes: u64,
+    messages: u64,
+}
+
+fn clock(start: Instant) -> Time {
+    Time::from_micros(start.elapsed().as_micros() as u64)
+}
+
+impl Voter {
+    fn run(mut self, id: HostId, inbox: &Receiver<Input>, start: Instant) -> (u64, u64, Duration) {
+        let mut tick = Time::ZERO;
+        loop {
+            let first = inbox.recv_timeout(Duration::from_millis(5));
+            let now = clock(start);
+            match first {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return (self.bytes, self.messages, cpu()),
+                Ok(input) => self.take(now, input),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            // Everything that waits goes into one batch.
+            while let Ok(input) = inbox.try_recv() {
+                match input {
+                    Input::Stop => return (self.bytes, self.messages, cpu()),
+                    input => self.take(now, input),
+                }
+            }
+            if now - tick >= Duration::from_millis(10) {
+                tick = now;
+                self.raft.on_tick(now);
+            }
+            for output in self.raft.drain() {
+                self.carry_out(id, output);
+            }
+        }
+    }
+
+    fn take(&mut self, now: Time, input: Input) {
+        match input {
+            Input::Message(from, message) => self.raft.on_message(now, from, message),
+            Input::Synced(id) => self.raft.on_synced(now, id),
+            Input::Propose(number) => self.raft.propose(now, vec![number as u8; CHANGE_BYTES].into(), Tag(number)),
+            Input::Stop => {}
+        }
+    }
+
+    fn carry_out(&mut self, id: HostId, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let bytes = postcard::to_stdvec(&message).expect("messages encode");
+                self.bytes += bytes.len() as u64;
+                self.messages += 1;
+                let message = postcard::from_bytes(&bytes).expect("messages decode");
+                drop(self.peers[&to].send(Input::Message(id, message)));
+            }
+            Output::Write(write) => drop(self.disk.send(write)),
+            Output::Apply { entries } => {
+                for tag in entries.iter().filter_map(|entry| entry.tag) {
+                    self.done.send(tag.0).expect("the load listens");
+                }
+            }
+            Output::Role { role: Role::Leader, .. } => drop(self.led.send(id)),
+            Output::Refused { tag, why, .. } => panic!("{tag:?} was refused: {why:?}"),
+            _ => {}
+        }
+    }
+}
+
+/// Processor time of this thread.
+fn cpu() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    Duration::from_nanos(text.split(' ').next().and_then(|nanos| nanos.parse().ok()).unwrap_or(0))
+}
+
+fn sync_loop(mut folder: Folder, writes: &Receiver<Write>, voter: &Sender<Input>) -> Duration {
+    while let Ok(first) = writes.recv() {
+        let batch: Vec<_> = std::iter::once(first).chain(writes.try_iter()).collect();
+        folder.write(&batch).expect("the disk takes it");
+        drop(voter.send(Input::Synced(batch[batch.len() - 1].id)));
+    }
+    cpu()
+}
+
+/// What one run showed.
+struct Run {
+    rate: f64,
+    p50: Duration,
+    p99: Duration,
+    bytes: u64,
+    messages: u64,
+    cpu: Duration,
+}
+
+/// `changes` changes by a group of three voters in `folder`, at most `window` at once.
+fn run(folder: &Path, changes: u64, window: usize) -> Run {
+    let members = Members::of((1..=3).map(|id| (HostId(id), Birth(id))));
+    let (done, acked) = channel();
+    let (led, leaders) = channel();
+    let start = Instant::now();
+    let boxes: Vec<_> = (1..=3).map(|id| (HostId(id), channel())).collect();
+    let peers: BTreeMap<_, _> = boxes.iter().map(|(id, (sender, _))| (*id, sender.clone())).collect();
+    let mut threads = Vec::new();
+    let mut disks = Vec::new();
+    for (id, (sender, inbox)) in boxes {
+        let stored = Stored::founding(id, Birth(id.0), GroupId(1), members.clone(), bytes::Bytes::new());
+        let disk = FolderDisk::open(folder.join(id.to_string())).expect("a folder");
+        let store = Folder::create(disk, &stored).expect("a new folder");
+        let (disk, writes) = channel();
+        let settings = Settings { seed: id.0, log_bytes: usize::MAX, ..Settings::default() };
+        let raft = Raft::open(settings, stored, clock(start));
+        let voter =
+            Voter { raft, peers: peers.clone(), disk, done: done.clone(), led: led.clone(), bytes: 0, messages: 0 };
+        disks.push(thread::spawn(move || sync_loop(store, &writes, &sender)));
+        threads.push(thread::spawn(move || voter.run(id, &inbox, start)));
+    }
+    let leader = &peers[&leaders.recv().expect("a leader")];
+    thread::sleep(Duration::from_millis(50));
+    let (rate, mut latencies) = load(leader, &acked, changes, window);
+    latencies.sort_unstable();
+    for peer in peers.values() {
+        drop(peer.send(Input::Stop));
+    }
+    let sums: Vec<_> = threads.into_iter().map(|thread| thread.join().expect("a voter")).collect();
+    let disk_cpu: Duration = disks.into_iter().map(|thread| thread.join().expect("a disk")).sum();
+    Run {
+        rate,
+        p50: latencies[latencies.len() / 2],
+        p99: latencies[latencies.len() * 99 / 100],
+        bytes: sums.iter().map(|sum| sum.0).sum(),
+        messages: sums.iter().map(|sum| sum.1).sum(),
+        cpu: sums.iter().map(|sum| sum.2).sum::<Duration>() + disk_cpu,
+    }
+}
+
+/// Proposes `changes` changes and gives the rate and each one's time to its acknowledgement.
+fn load(leader: &Sender<Input>, acked: &Receiver<u64>, changes: u64, window: usize) -> (f64, Vec<Duration>) {
+    let mut sent = vec![Instant::now(); changes as usize];
+    let mut latencies = Vec::new();
+    let (start, mut next) = (Instant::now(), 0);
+    while (latencies.len() as u64) < changes {
+        while next < changes && next as usize - latencies.len() < window {
+            sent[next as usize] = Instant::now();
+            drop(leader.send(Input::Propose(next)));
+            next += 1;
+        }
+        let number = acked.recv().expect("an acknowledgement");
+        latencies.push(sent[number as usize].elapsed());
+    }
+    (changes as f64 / start.elapsed().as_secs_f64(), latencies)
+}
+
+fn replay(folder: &Path, changes: u64) {
+    let start = Instant::now();
+    let (_folder, stored) = Folder::open(folder).expect("the folder opens");
+    let opened = start.elapsed();
+    assert!(stored.entries.len() as u64 >= changes, "{} entries", stored.entries.len());
+    let mut raft = Raft::open(Settings::default(), stored, Time::ZERO);
+    let applied: usize =
+        raft.drain().iter().map(|output| if let Output::Apply { entries } = output { entries.len() } else { 0 }).sum();
+    println!("replay of {changes}: folder {opened:.1?}, with state machine {:.1?}, {applied} applied", start.elapsed());
+}
+
+fn main() {
+    let base = std::env::args().nth(1).map_or_else(std::env::temp_dir, Into::into);
+    println!("changes of {CHANGE_BYTES} bytes, 3 voters, real syncs in {}", base.display());
+    for (changes, window) in [(500, 1), (2_000, 16), (10_000, WINDOW), (30_000, WINDOW), (100_000, WINDOW)] {
+        let folder = tempfile::tempdir_in(&base).expect("a folder");
+        let run = run(folder.path(), changes, window);
+        println!(
+            "{changes} changes, {window} at once: {:.0}/s, p50 {:.1?}, p99 {:.1?}; all voters: {} bytes, {:.2} messages, \
+             {:.1} us of processor a change",
+            run.rate,
+            run.p50,
+            run.p99,
+            run.bytes / changes,
+            run.messages as f64 / changes as f64,
+            run.cpu.as_secs_f64() * 1e6 / changes as f64,
+        );
+        replay(&folder.path().join("1"), changes);
+    }
+}
--- a/crates/store/tests/fake/world.rs
+++ b/crates/store/tests/fake/world.rs
@@ -1,6 +1,6 @@
 //! A group of hosts over a fake network and fake disks, watched by an oracle.
 
-use super::FakeDisk;
+use super::disk::FakeDisk;
 use mangogw_model::{HostId, Time};
 use mangogw_store::{
     Birth, Change, Folder, GroupId, Index, LogId, Members, Message, Output, Payload, Raft, Refusal, Role, Settings,
@@ -179,6 +179,20 @@
         self.nodes.get_mut(&id).unwrap().lost = true;
     }
 
+    /// A host's disk is replaced, and someone starts it again under its old id.
+    pub fn impostor(&mut self, id: HostId) {
+        self.crash(id, true);
+        let disk = FakeDisk::default();
+        drop(Folder::create(disk.clone(), &Stored::joining(id, Birth(id.0 * 1_000 + 2))).unwrap());
+        self.nodes.get_mut(&id).unwrap().disk = disk;
+        self.start(id);
+    }
+
+    /// Hands a message to a host.
+    pub fn deliver(&mut self, to: HostId, from: HostId, message: &Message) {
+        self.input(to, |raft, now| raft.on_message(now, from, message.clone()));
+    }
+
     /// Sets how fast a host's clock runs, in hundredths.
     pub fn skew(&mut self, id: HostId, pace: u64) {
         let before = self.clock(id);
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -3,7 +3,7 @@
 #[expect(dead_code, reason = "each test file uses a part of the fakes")]
 mod fake;
 
-use fake::FakeDisk;
+use fake::disk::FakeDisk;
 use mangogw_model::HostId;
 use mangogw_store::{
     Birth, Disk, Folder, FolderDisk, GroupId, HardState, Index, LogEntry, LogId, Members, Op, Payload, Snapshot,
@@ -11,6 +11,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use std::path::Path;
 
 const SEGMENT: usize = 600;
 
@@ -38,7 +39,9 @@
 
 fn after(stored: &Stored, ops: &[Op]) -> Stored {
     let mut next = stored.clone();
-    ops.iter().for_each(|op| apply(&mut next, op));
+    for op in ops {
+        apply(&mut next, op);
+    }
     next
 }
 
@@ -164,6 +167,14 @@
     assert!(matches!(folder.write(&writes[1..]), Err(StoreError::Stopped)), "the disk may have lost the first write");
 }
 
+fn is_log(name: &str) -> bool {
+    Path::new(name).extension().is_some_and(|extension| extension == "log")
+}
+
+fn is_snapshot(name: &str) -> bool {
+    Path::new(name).extension().is_some_and(|extension| extension == "snap")
+}
+
 /// A folder of several segments, a snapshot and its files.
 fn grown() -> (FakeDisk, Vec<String>) {
     let disk = FakeDisk::default();
@@ -179,8 +190,8 @@
 #[test]
 fn damage_is_refused_with_file_and_offset() {
     let (disk, names) = grown();
-    let logs: Vec<_> = names.iter().filter(|name| name.ends_with(".log")).collect();
-    let newest_snapshot = names.iter().filter(|name| name.ends_with(".snap")).next_back().unwrap();
+    let logs: Vec<_> = names.iter().filter(|name| is_log(name)).collect();
+    let newest_snapshot = names.iter().rfind(|name| is_snapshot(name)).unwrap();
     assert!(logs.len() >= 2, "{names:?}");
     let mut tried = 0;
     for name in names.iter().filter(|name| *name != *logs.last().unwrap()) {
@@ -191,7 +202,7 @@
                 Err(StoreError::Damaged { file, offset, .. }) => file == *name && offset as usize <= at,
                 Err(StoreError::Format { file, .. }) => file == *name && (8..12).contains(&at),
                 // An older snapshot is not read while the newest is whole.
-                Ok(_) => name.ends_with(".snap") && name != newest_snapshot,
+                Ok(_) => is_snapshot(name) && name != newest_snapshot,
                 Err(_) => false,
             };
             assert!(refused, "byte {at} of {name}");
@@ -233,7 +244,7 @@
 #[test]
 fn a_missing_file_is_refused() {
     let (disk, names) = grown();
-    let logs: Vec<_> = names.iter().filter(|name| name.ends_with(".log")).collect();
+    let logs: Vec<_> = names.iter().filter(|name| is_log(name)).collect();
     let (newest, middle) = (logs[logs.len() - 1], logs[logs.len() - 2]);
     for name in [middle, "identity"] {
         let copy = disk.copy();
@@ -245,7 +256,7 @@
     assert!(newest > middle);
     // The snapshot before the newest is kept, and the log from there on: together they still hold everything.
     let whole = Folder::open_on(disk.copy()).unwrap().1;
-    disk.remove(names.iter().rfind(|name| name.ends_with(".snap")).unwrap()).unwrap();
+    disk.remove(names.iter().rfind(|name| is_snapshot(name)).unwrap()).unwrap();
     let older = Folder::open_on(disk).unwrap().1;
     assert!(older.base() < whole.base() && older.entries.ends_with(&whole.entries));
 }
@@ -258,7 +269,7 @@
         folder.write(&[write]).unwrap();
     }
     let names = disk.list().unwrap();
-    assert!(names.iter().filter(|name| name.ends_with(".snap")).count() == 2, "{names:?}");
+    assert!(names.iter().filter(|name| is_snapshot(name)).count() == 2, "{names:?}");
     assert!(names.len() < 60, "{names:?}");
 }
 
--- a/crates/store/tests/fuzz.rs
+++ b/crates/store/tests/fuzz.rs
@@ -7,7 +7,7 @@
 mod fake;
 
 use arbitrary::{Result, Unstructured};
-use fake::{World, settings};
+use fake::world::{World, birth, settings};
 use mangogw_model::HostId;
 use mangogw_store::{Change, Payload, Role};
 
@@ -68,8 +68,8 @@
     }
 }
 
-fn trial(u: &mut Unstructured<'_>, seed: u64, voters: u64, seen: &mut Seen) -> Result<()> {
-    let mut world = World::new(seed, voters, settings());
+fn trial(u: &mut Unstructured<'_>, run: u64, voters: u64, seen: &mut Seen) -> Result<()> {
+    let mut world = World::new(run, voters, settings());
     world.loss = u.int_in_range(0..=5)?;
     world.delay = *u.choose(&[500, 3_000, 30_000])?;
     world.run(1_000);
@@ -156,7 +156,7 @@
     }
     let new = world.join();
     if world.nodes[&leader].live.is_some() {
-        world.change(leader, Change::AddLearner(new, fake::birth(new)));
+        world.change(leader, Change::AddLearner(new, birth(new)));
     }
     Ok(())
 }
@@ -169,7 +169,7 @@
     let members = world.raft(leader).members().clone();
     let lost = members.peers(leader).find(|id| world.nodes[id].lost);
     let change = match (u.int_in_range(0..=5)?, lost, members.learners.keys().next()) {
-        (0, _, _) => Change::AddLearner(other, fake::birth(other)),
+        (0, _, _) => Change::AddLearner(other, birth(other)),
         (1, _, _) => Change::Remove(other),
         (2 | 3, Some(lost), _) => Change::Remove(lost),
         (_, _, Some(learner)) => Change::Promote(*learner),
--- /dev/null
+++ b/crates/store/tests/raft.rs
@@ -0,0 +1,396 @@
+//! Each promise of the consensus, one fault at a time.
+
+#[expect(dead_code, reason = "each test file uses a part of the fakes")]
+mod fake;
+
+use fake::world::{World, birth, settings};
+use mangogw_model::HostId;
+use mangogw_store::{Body, Change, GroupId, Index, Message, Raft, Refusal, Role, Settings, Term};
+
+const ONE: HostId = HostId(1);
+
+/// A group that has a leader.
+fn led(seed: u64, voters: u64) -> (World, HostId) {
+    let mut world = World::new(seed, voters, settings());
+    assert!(world.run_until(3_000, |world| world.leader().is_some()), "no first leader");
+    world.run(200);
+    let leader = world.leader().unwrap();
+    (world, leader)
+}
+
+fn cut(world: &mut World, host: HostId) {
+    for other in world.nodes.keys().copied().collect::<Vec<_>>() {
+        world.cuts.extend([(host, other), (other, host)]);
+    }
+}
+
+fn write_done(world: &mut World, leader: HostId, millis: u64) -> bool {
+    let tag = world.write(leader);
+    world.run_until(millis, |world| world.done.contains(&tag))
+}
+
+fn follower(world: &World, leader: HostId) -> HostId {
+    world.live().into_iter().find(|id| *id != leader).unwrap()
+}
+
+/// Makes a change and waits for it; it may be too early at first.
+fn changed(world: &mut World, leader: HostId, change: Change) {
+    let done = world.run_until(5_000, |world| {
+        let tag = world.change(leader, change);
+        world.run(100);
+        world.done.contains(&tag)
+    });
+    assert!(done, "{change:?} does not come about: {:?}", world.refused.values().last());
+}
+
+#[test]
+fn one_voter_serves_at_once() {
+    let mut world = World::new(1, 1, settings());
+    world.run(50);
+    assert_eq!(world.leader(), Some(ONE));
+    assert!(write_done(&mut world, ONE, 50));
+    world.crash(ONE, true);
+    world.start(ONE);
+    world.run(50);
+    let read = world.read(ONE);
+    world.run(50);
+    assert!(world.done.contains(&read));
+    world.check_acked();
+}
+
+#[test]
+fn nothing_is_acknowledged_before_it_is_synced() {
+    let (mut world, leader) = led(2, 3);
+    world.sync_delay = 3_600_000_000;
+    let tag = world.write(leader);
+    world.run(1_000);
+    assert!(!world.done.contains(&tag), "acknowledged without a sync");
+    // All disks forget what they did not sync: the group goes on from what it acknowledged.
+    world.sync_delay = 5_000;
+    for id in world.live() {
+        world.crash(id, true);
+        world.start(id);
+    }
+    assert!(world.run_until(3_000, |world| world.leader().is_some()));
+    world.check_acked();
+}
+
+#[test]
+fn a_vote_is_not_given_before_it_is_synced() {
+    let mut world = World::new(3, 3, settings());
+    world.sync_delay = 3_600_000_000;
+    world.run(10_000);
+    assert_eq!(world.leader(), None, "elected without a synced vote");
+}
+
+#[test]
+fn failover_takes_at_most_two_seconds() {
+    let mut worst = 0;
+    for seed in 0..60 {
+        let (mut world, old) = led(seed, if seed % 2 == 0 { 3 } else { 5 });
+        world.crash(old, true);
+        let from = world.now;
+        let served = world.run_until(4_000, |world| {
+            world.leader().is_some_and(|leader| {
+                let tag = world.write(leader);
+                world.run(20);
+                world.done.contains(&tag)
+            })
+        });
+        let took = (world.now - from).as_millis();
+        assert!(served && took <= 2_000, "seed {seed}: {took} ms");
+        worst = worst.max(took);
+    }
+    println!("worst failover of 60: {worst} ms");
+}
+
+#[test]
+fn a_leader_cut_off_stops_within_its_election_timeout() {
+    for seed in 0..10 {
+        let (mut world, leader) = led(seed, 3);
+        cut(&mut world, leader);
+        let early = (world.write(leader), world.read(leader));
+        world.run(Settings::default().election.as_millis() as u64 + 20);
+        assert_eq!(world.raft(leader).status().role, Role::Follower, "still leads");
+        assert_eq!(world.refused.get(&early.0), Some(&Refusal::Unsure));
+        assert_eq!(world.refused.get(&early.1), Some(&Refusal::NotLeader));
+        let late = (world.write(leader), world.read(leader));
+        assert_eq!(world.refused.get(&late.0), Some(&Refusal::NotLeader));
+        assert_eq!(world.refused.get(&late.1), Some(&Refusal::NotLeader));
+    }
+}
+
+#[test]
+fn a_leader_that_hears_no_one_stops_even_if_it_is_heard() {
+    let (mut world, leader) = led(4, 3);
+    for other in world.live() {
+        world.cuts.insert((other, leader));
+    }
+    world.run(1_500);
+    let new = world.leader();
+    assert!(new.is_some() && new != Some(leader), "the deaf leader holds the others in its lease: {new:?}");
+}
+
+#[test]
+fn a_host_that_returns_from_a_cut_does_not_disturb() {
+    let (mut world, leader) = led(5, 3);
+    let term = world.raft(leader).status().term;
+    let other = follower(&world, leader);
+    cut(&mut world, other);
+    world.run(10_000);
+    assert_eq!(world.raft(other).status().term, term, "a campaign without hope raised the term");
+    world.cuts.clear();
+    world.run(1_000);
+    assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
+}
+
+#[test]
+fn a_follower_that_hears_no_leader_while_the_others_do_does_not_disturb() {
+    let (mut world, leader) = led(6, 3);
+    let other = follower(&world, leader);
+    world.cuts.insert((leader, other));
+    let term = world.raft(leader).status().term;
+    world.run(5_000);
+    assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
+}
+
+#[test]
+fn a_read_needs_a_round_of_heartbeats() {
+    let (mut world, leader) = led(7, 3);
+    assert!(write_done(&mut world, leader, 1_000));
+    cut(&mut world, leader);
+    let read = world.read(leader);
+    world.run(100);
+    assert!(!world.done.contains(&read), "answered without a quorum");
+    world.cuts.clear();
+    let read = world.read(leader);
+    assert!(world.run_until(500, |world| world.done.contains(&read)));
+}
+
+#[test]
+fn leadership_is_handed_over_without_a_gap() {
+    let (mut world, leader) = led(8, 5);
+    let to = follower(&world, leader);
+    for _ in 0..20 {
+        world.write(leader);
+    }
+    let from = world.now;
+    world.transfer(leader, to);
+    let tag = world.write(leader);
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::Transferring));
+    assert!(world.run_until(300, |world| world.raft(to).status().role == Role::Leader), "no handover");
+    println!("handover took {} ms", (world.now - from).as_millis());
+    assert!(write_done(&mut world, to, 500));
+    world.check_acked();
+}
+
+#[test]
+fn a_transfer_to_a_dead_host_is_given_up() {
+    let (mut world, leader) = led(9, 3);
+    let to = follower(&world, leader);
+    world.crash(to, false);
+    world.write(leader);
+    let tag = world.transfer(leader, to);
+    world.run(600);
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::NotCaughtUp));
+    assert!(write_done(&mut world, leader, 1_000));
+}
+
+#[test]
+fn a_learner_votes_only_once_it_has_caught_up() {
+    let (mut world, leader) = led(10, 3);
+    for _ in 0..200 {
+        world.write(leader);
+        world.run(2);
+    }
+    let new = world.join();
+    cut(&mut world, new);
+    changed(&mut world, leader, Change::AddLearner(new, birth(new)));
+    let tag = world.change(leader, Change::Promote(new));
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::NotCaughtUp));
+    world.cuts.clear();
+    changed(&mut world, leader, Change::Promote(new));
+    assert!(world.raft(leader).members().votes(new));
+}
+
+#[test]
+fn a_group_grows_from_one_to_five_and_shrinks_again() {
+    let mut world = World::new(11, 1, settings());
+    world.run(100);
+    for _ in 0..4 {
+        let new = world.join();
+        changed(&mut world, ONE, Change::AddLearner(new, birth(new)));
+        changed(&mut world, ONE, Change::Promote(new));
+    }
+    assert_eq!(world.raft(ONE).members().voters.len(), 5);
+    let tag = world.change(ONE, Change::Remove(ONE));
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::Leading));
+    for id in 2..=5 {
+        changed(&mut world, ONE, Change::Remove(HostId(id)));
+    }
+    world.run(2_000);
+    assert!(write_done(&mut world, ONE, 100));
+    assert_eq!(world.leader(), Some(ONE), "removed hosts disturb");
+}
+
+#[test]
+fn one_change_at_a_time_and_none_without_a_quorum() {
+    let (mut world, leader) = led(12, 3);
+    let (a, b) = (world.join(), world.join());
+    let first = world.change(leader, Change::AddLearner(a, birth(a)));
+    let second = world.change(leader, Change::AddLearner(b, birth(b)));
+    assert_eq!(world.refused.get(&second), Some(&Refusal::ChangePending));
+    world.run(500);
+    assert!(world.done.contains(&first));
+    let dead = follower(&world, leader);
+    world.crash(dead, false);
+    world.run(600);
+    let alive = world.raft(leader).members().voters.keys().copied().find(|id| *id != leader && *id != dead).unwrap();
+    let tag = world.change(leader, Change::Remove(alive));
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::NoQuorum));
+}
+
+#[test]
+fn a_second_loss_right_after_a_repair_loses_nothing() {
+    for seed in 0..10 {
+        let (mut world, leader) = led(seed, 3);
+        for _ in 0..100 {
+            world.write(leader);
+            world.run(1);
+        }
+        let lost = follower(&world, leader);
+        world.lose(lost);
+        let new = world.join();
+        changed(&mut world, leader, Change::AddLearner(new, birth(new)));
+        changed(&mut world, leader, Change::Remove(lost));
+        changed(&mut world, leader, Change::Promote(new));
+        let second =
+            world.raft(leader).members().voters.keys().copied().find(|id| ![leader, new].contains(id)).unwrap();
+        world.lose(if seed % 2 == 0 { leader } else { second });
+        assert!(world.run_until(3_000, |world| world.leader().is_some()), "no leader after the second loss");
+        let leader = world.leader().unwrap();
+        assert!(write_done(&mut world, leader, 1_000));
+        world.check_acked();
+    }
+}
+
+#[test]
+fn a_lost_disk_under_its_old_id_is_not_heard() {
+    let (mut world, leader) = led(13, 3);
+    for _ in 0..50 {
+        world.write(leader);
+        world.run(2);
+    }
+    let old = follower(&world, leader);
+    let other = world.live().into_iter().find(|id| ![leader, old].contains(id)).unwrap();
+    world.crash(other, false);
+    world.impostor(old);
+    let tag = world.write(leader);
+    world.run(3_000);
+    assert!(!world.done.contains(&tag), "an emptied disk under an old id made a quorum");
+    assert_eq!(world.raft(old).status().commit, Index(0), "it was counted as the old host");
+    let tag = world.change(leader, Change::AddLearner(old, mangogw_store::Birth(5)));
+    assert!(world.refused.contains_key(&tag));
+    world.start(other);
+    assert!(world.run_until(3_000, |world| {
+        let Some(leader) = world.leader() else { return false };
+        let tag = world.write(leader);
+        world.run(100);
+        world.done.contains(&tag)
+    }));
+    world.check_acked();
+}
+
+#[test]
+fn a_voter_whose_disk_fails_steps_down_and_acknowledges_nothing() {
+    let (mut world, leader) = led(14, 3);
+    world.nodes[&leader].disk.fail_after(Some(0));
+    let tag = world.write(leader);
+    world.run(100);
+    assert_eq!(world.raft(leader).status().role, Role::Failed);
+    assert!(world.done.contains(&tag) || world.refused.contains_key(&tag), "the caller is left waiting");
+    let late = world.write(leader);
+    assert_eq!(world.refused.get(&late), Some(&Refusal::Failed));
+    assert!(world.run_until(2_000, |world| world.leader().is_some_and(|new| new != leader)), "no failover");
+    world.heal();
+    world.run(1_000);
+    world.check_acked();
+}
+
+#[test]
+fn messages_of_another_group_are_dropped() {
+    let (mut world, leader) = led(15, 3);
+    let term = world.raft(leader).status().term;
+    let alien = Message {
+        group: GroupId(8),
+        birth: birth(ONE),
+        term: Term(99),
+        body: Body::Heartbeat { commit: Index(0), round: 0 },
+    };
+    world.deliver(leader, HostId(2), &alien);
+    assert_eq!(world.raft(leader).status().term, term);
+    assert_eq!(world.raft(leader).status().strangers, 1);
+}
+
+#[test]
+fn a_late_host_gets_a_snapshot_and_the_log_stays_bounded() {
+    let (mut world, leader) = led(16, 3);
+    let late = follower(&world, leader);
+    world.crash(late, false);
+    for _ in 0..1_000 {
+        world.write(leader);
+        world.run(2);
+    }
+    let bytes = world.raft(leader).status().bytes;
+    assert!(bytes < 3 * settings().log_bytes, "{bytes} bytes of log in memory");
+    let before = world.restores;
+    world.start(late);
+    assert!(world.run_until(3_000, |world| world.raft(late).status().applied == world.raft(leader).status().commit));
+    assert!(world.restores > before + 1, "a snapshot of the leader was expected, beside its own");
+}
+
+#[test]
+fn too_many_proposals_are_refused() {
+    let mut world = World::new(17, 3, Settings { pending_bytes: 300, ..settings() });
+    assert!(world.run_until(3_000, |world| world.leader().is_some()));
+    world.run(100);
+    let leader = world.leader().unwrap();
+    let tags: Vec<_> = (0..50).map(|_| world.write(leader)).collect();
+    assert!(tags.iter().any(|tag| world.refused.get(tag) == Some(&Refusal::Busy)));
+    world.run(500);
+    assert!(tags.iter().all(|tag| world.refused.contains_key(tag) || world.done.contains(tag)));
+    assert!(write_done(&mut world, leader, 500));
+}
+
+#[test]
+fn an_idle_group_costs_heartbeats_only() {
+    let (mut world, _) = led(18, 5);
+    world.run(1_000);
+    let before = world.messages;
+    world.run(10_000);
+    let messages = world.messages - before;
+    // Four followers, ten heartbeats a second, each answered.
+    assert!(messages <= 4 * 10 * 10 * 2 + 8, "{messages} messages in ten idle seconds");
+}
+
+#[test]
+fn a_survivor_can_be_rescued_alone() {
+    let (mut world, leader) = led(19, 3);
+    assert!(write_done(&mut world, leader, 1_000));
+    world.run(500);
+    let survivor = follower(&world, leader);
+    for id in world.live() {
+        world.crash(id, false);
+    }
+    let disk = world.nodes[&survivor].disk.clone();
+    let (mut folder, mut stored) = mangogw_store::Folder::open_on(disk.clone()).unwrap();
+    let ops = stored.rescue(GroupId(1_000));
+    folder.write(&[mangogw_store::Write { id: mangogw_store::WriteId(1), ops }]).unwrap();
+    drop(folder);
+    let (_, again) = mangogw_store::Folder::open_on(disk).unwrap();
+    assert_eq!(again, stored);
+    let mut raft = Raft::open(settings(), again, world.now);
+    raft.on_tick(world.now);
+    assert_eq!(raft.members().voters.len(), 1);
+    assert!(raft.drain().iter().any(|output| matches!(output, mangogw_store::Output::Write(_))), "it campaigns alone");
+}
