Store: damage to the last synced frame is refused too

Cause: damage in the newest frame looked like a torn tail and was cut, and with it an acknowledged change. Change: once a frame is synced a 16-byte mark follows it, without a sync of its own; a frame with its mark, or anything later, behind it is never cut. Ruled out: a mark of its own sync (doubles the syncs), overwriting in place. Found by the crash test on the way: the last mark of a segment was not synced before the next segment was begun. Conclusion: what is left undetected is damage to a frame whose mark was lost in the same crash.

--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -3,7 +3,7 @@
 use crate::disk::{Disk, DiskFile, FolderDisk};
 use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, OrderSnafu, StoppedSnafu, TakenSnafu};
 use crate::files::{self, Identity};
-use crate::frame::{Record, frame, read_segment, segment_header};
+use crate::frame::{Record, frame, mark, read_segment, segment_header};
 use crate::replay::{Found, Replay};
 use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write, WriteId};
 use snafu::{ResultExt, ensure};
@@ -84,7 +84,8 @@
         }
         let (name, tail) = (files::segment_name(1), stored.entries.last());
         let records = records_of(stored);
-        let bytes = [segment_header(1, stored.birth, 1), frame(1, stored.birth, &records)].concat();
+        let head = frame(1, stored.birth, &records);
+        let bytes = [segment_header(1, stored.birth, 1), head, mark(1, stored.birth)].concat();
         let file = files::write_aside(&disk, &name, &bytes)?;
         files::write_identity(&disk, identity)?;
         let segments = BTreeMap::from([(1, tail.map_or(Index(0), |entry| entry.id.index))]);
@@ -129,6 +130,7 @@
         if let Some(base) = reset {
             newest.push(identity, &[Record::Reset(base)]);
         }
+        newest.end(identity);
         // What the newest segment was seen to hold may not be durable, if a sync failed before. Write it anew.
         let file = files::write_aside(&disk, &name, &newest.bytes)?;
         let folder = Self {
@@ -203,7 +205,9 @@
         let file = files::segment_name(self.number);
         self.file.append(&bytes).context(IoSnafu { what: "append to", file: &file })?;
         self.file.sync().context(IoSnafu { what: "sync", file: &file })?;
-        self.length += bytes.len();
+        let mark = mark(self.next, self.identity.birth);
+        self.file.append(&mark).context(IoSnafu { what: "append to", file: &file })?;
+        self.length += bytes.len() + mark.len();
         self.next += 1;
         self.note(records);
         Ok(())
@@ -224,9 +228,11 @@
 
     /// Begins a new segment. It repeats the hard state, so that older segments can be removed.
     fn rotate(&mut self) -> Result<(), StoreError> {
+        // The last mark was not synced with its frame.
+        self.file.sync().context(IoSnafu { what: "sync", file: files::segment_name(self.number) })?;
         let (number, birth) = (self.number + 1, self.identity.birth);
         let head = frame(self.next, birth, &[Record::State(self.state)]);
-        let bytes = [segment_header(number, birth, self.next), head].concat();
+        let bytes = [segment_header(number, birth, self.next), head, mark(self.next, birth)].concat();
         self.file = files::write_aside(&self.disk, &files::segment_name(number), &bytes)?;
         self.number = number;
         self.length = bytes.len();
@@ -285,6 +291,14 @@
         self.bytes.extend_from_slice(&frame(self.next, identity.birth, records));
         self.next += 1;
     }
+
+    /// Marks the last frame as synced: the segment gets its name only once it is.
+    fn end(&mut self, identity: Identity) {
+        let mark = mark(self.next - 1, identity.birth);
+        if !self.bytes.ends_with(&mark) {
+            self.bytes.extend_from_slice(&mark);
+        }
+    }
 }
 
 /// All segments as read back.
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -15,6 +15,9 @@
 
 const SEGMENT_MAGIC: &[u8; 8] = b"mgwlog\r\n";
 const FRAME_MAGIC: &[u8; 4] = b"mgwf";
+const MARK_MAGIC: &[u8; 4] = b"mgwm";
+/// Bytes of a mark.
+const MARK: usize = 16;
 
 /// One operation in a frame.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -55,6 +58,16 @@
     bytes
 }
 
+/// The mark after frame `number`: it is written, without a sync of its own, once the frame is synced. Where it is
+/// found, damage to the frame is no torn tail.
+pub(crate) fn mark(number: u64, birth: Birth) -> Vec<u8> {
+    let mut bytes = MARK_MAGIC.to_vec();
+    bytes.extend_from_slice(&number.to_le_bytes());
+    let crc = salted(&bytes, birth);
+    bytes.extend_from_slice(&crc.to_le_bytes());
+    bytes
+}
+
 /// A segment as read back.
 #[derive(Debug)]
 pub(crate) struct Segment {
@@ -79,16 +92,18 @@
     };
     let mut segment = Segment { frames: Vec::new(), next: first, end: SEGMENT_HEADER };
     while segment.end < bytes.len() {
-        match parse_frame(&bytes[segment.end..], birth) {
+        let rest = &bytes[segment.end..];
+        match parse_frame(rest, birth) {
             Some((number, records, size)) if number == segment.next => {
                 segment.frames.push(records);
                 segment.next += 1;
                 segment.end += size;
             }
             Some(_) => return damaged(segment.end, "a frame is out of order"),
+            None if rest.starts_with(&mark(segment.next - 1, birth)) => segment.end += MARK,
             // The last group commit was not synced, so nothing was acknowledged on the strength of it.
-            None if newest && !segment.frames.is_empty() && !frame_follows(&bytes[segment.end..], birth) => break,
-            None => return damaged(segment.end, "a frame is not valid, and it is not the last"),
+            None if newest && !segment.frames.is_empty() && !segment.was_synced(rest, birth) => break,
+            None => return damaged(segment.end, "a frame that was synced is not valid"),
         }
     }
     if segment.frames.is_empty() {
@@ -118,11 +133,24 @@
     Some((long(header, 4), records, size))
 }
 
-/// True if a whole frame begins anywhere after the first byte. Frames are synced one at a time, so the frame before
-/// it was synced once.
-fn frame_follows(bytes: &[u8], birth: Birth) -> bool {
-    let starts = bytes.windows(FRAME_MAGIC.len()).enumerate().skip(1).filter(|(_, window)| *window == FRAME_MAGIC);
-    starts.into_iter().any(|(start, _)| parse_frame(&bytes[start..], birth).is_some())
+impl Segment {
+    /// True if the frame that should come next was synced once: its mark, or a later frame or mark, is found. Frames
+    /// are synced one at a time, each together with the mark of the one before.
+    fn was_synced(&self, rest: &[u8], birth: Birth) -> bool {
+        let found = |at: usize| match &rest[at..] {
+            tail if tail.starts_with(FRAME_MAGIC) => {
+                parse_frame(tail, birth).is_some_and(|(number, ..)| number > self.next)
+            }
+            tail if tail.starts_with(MARK_MAGIC) => parse_mark(tail, birth).is_some_and(|number| number >= self.next),
+            _ => false,
+        };
+        (0..rest.len()).any(found)
+    }
+}
+
+fn parse_mark(bytes: &[u8], birth: Birth) -> Option<u64> {
+    let bytes = bytes.get(..MARK)?;
+    (word(bytes, 12) == salted(&bytes[..12], birth)).then(|| long(bytes, 4))
 }
 
 fn salted(bytes: &[u8], birth: Birth) -> u32 {
--- a/crates/store/tests/fake/disk.rs
+++ b/crates/store/tests/fake/disk.rs
@@ -105,6 +105,11 @@
         self.0.borrow().names[name].borrow_mut().bytes[at] ^= 0x40;
     }
 
+    /// Cuts a file.
+    pub fn cut(&self, name: &str, length: usize) {
+        self.0.borrow().names[name].borrow_mut().bytes.truncate(length);
+    }
+
     /// The length of a file.
     pub fn length(&self, name: &str) -> usize {
         self.0.borrow().names[name].borrow().bytes.len()
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -14,6 +14,8 @@
 use std::path::Path;
 
 const SEGMENT: usize = 600;
+/// Bytes after a frame that say that it was synced.
+const MARK: usize = 16;
 
 fn founder() -> Stored {
     let (host, birth) = (HostId(1), Birth(11));
@@ -193,6 +195,7 @@
     let logs: Vec<_> = names.iter().filter(|name| is_log(name)).collect();
     let newest_snapshot = names.iter().rfind(|name| is_snapshot(name)).unwrap();
     assert!(logs.len() >= 2, "{names:?}");
+    let whole = Folder::open_on(disk.copy()).unwrap().1;
     let mut tried = 0;
     for name in names.iter().filter(|name| *name != *logs.last().unwrap()) {
         for at in (0..disk.length(name)).step_by(3) {
@@ -202,7 +205,7 @@
                 Err(StoreError::Damaged { file, offset, .. }) => file == *name && offset as usize <= at,
                 Err(StoreError::Format { file, .. }) => file == *name && (8..12).contains(&at),
                 // An older snapshot is not read while the newest is whole.
-                Ok(_) => is_snapshot(name) && name != newest_snapshot,
+                Ok((_, stored)) => is_snapshot(name) && name != newest_snapshot && stored == whole,
                 Err(_) => false,
             };
             assert!(refused, "byte {at} of {name}");
@@ -213,32 +216,35 @@
 }
 
 #[test]
-fn damage_before_the_last_frame_of_the_newest_segment_is_refused() {
+fn damage_to_anything_synced_is_refused_to_the_last_frame() {
     let disk = FakeDisk::default();
     let mut folder = Folder::create(disk.clone(), &founder()).unwrap();
     let name = "000000000001.log";
-    let writes: Vec<_> = script(9, 40).into_iter().filter(|write| write.ops.len() == 2).take(10).collect();
-    let entries = |write: &Write| write.ops.clone();
     let mut end = 0;
-    for (number, write) in writes.iter().enumerate() {
+    for number in 1..=10 {
+        let id = LogId { term: Term(1), index: Index(number + 1) };
+        let entry = LogEntry { id, payload: Payload::Command(vec![b'm'; 30].into()) };
+        folder.write(&[Write { id: WriteId(number), ops: vec![Op::Append(vec![entry])] }]).unwrap();
         end = disk.length(name);
-        let id = LogId { term: Term(1), index: Index(number as u64 + 2) };
-        let mut ops = entries(write);
-        ops[0] = Op::Append(vec![LogEntry { id, payload: Payload::Blank }]);
-        folder.write(&[Write { id: WriteId(number as u64 + 1), ops }]).unwrap();
     }
     drop(folder);
-    for at in 0..disk.length(name) {
+    for at in 0..end {
         let copy = disk.copy();
         copy.flip(name, at);
         match Folder::open_on(copy) {
-            Ok((_, stored)) => {
-                assert!(at >= end, "byte {at} of {end}");
-                assert_eq!(stored.entries.len(), writes.len() - 1, "only the last frame is cut");
+            Err(StoreError::Damaged { file, offset, .. }) => {
+                assert!(file == name && offset as usize <= at, "byte {at}");
             }
-            Err(error) => assert!(at < end, "byte {at}: {error}"),
+            Err(StoreError::Format { .. }) => assert!((8..12).contains(&at)),
+            Err(error) => panic!("byte {at}: {error}"),
+            // The mark after the last frame: nothing is lost with it.
+            Ok((_, stored)) => assert!(at >= end - MARK && stored.entries.len() == 10, "byte {at} of {end}"),
         }
     }
+    // Cut within the last frame, its mark is gone too: that is what a crash before the sync leaves.
+    let copy = disk.copy();
+    copy.cut(name, end - MARK - 5);
+    assert_eq!(Folder::open_on(copy).unwrap().1.entries.len(), 9);
 }
 
 #[test]
