Store: role outputs only on change, no probes to silent hosts, a contradicted voter fails stop

Cause: read-through: role outputs repeated at each timeout, a replaced folder was logged at each message, silent members were probed five times a second, two assertions would have ended the thread of the caller. Change: as the title says; the warning comes once for each host. Conclusion: no change of protocol.

--- a/crates/store/src/output.rs
+++ b/crates/store/src/output.rs
@@ -131,7 +131,7 @@
     Candidate,
     /// Leads.
     Leader,
-    /// Its disk failed: it takes no part until it is opened again.
+    /// Its disk failed, or its log contradicts the group's: it takes no part until it is opened again.
     Failed,
 }
 
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -81,7 +81,11 @@
     state_dirty: bool,
     saved_commit: Index,
     outputs: Vec<Output>,
+    /// What the last role output said.
+    reported: Option<(Role, Term, Option<HostId>)>,
     strangers: u64,
+    /// Hosts whose replaced folder was logged.
+    warned: BTreeSet<HostId>,
 }
 
 impl Raft {
@@ -134,7 +138,9 @@
             state_dirty: false,
             saved_commit: commit,
             outputs: Vec::new(),
+            reported: None,
             strangers: 0,
+            warned: BTreeSet::new(),
             snapshot: stored.snapshot,
         };
         raft.outputs.extend(raft.snapshot.clone().map(Output::Restore));
@@ -216,16 +222,7 @@
     /// again. Nothing that waited for the write is ever acknowledged.
     pub fn on_failed(&mut self, now: Time) {
         self.advance(now);
-        self.refuse_all(Refusal::Failed);
-        self.role = Role::Failed;
-        self.leader = None;
-        self.hold = Hold::default();
-        self.ops.clear();
-        self.state_dirty = false;
-        self.progress.clear();
-        self.incoming = None;
-        log::error!(host = self.host.0, term = self.term.0; "store: the disk failed; this voter takes no part");
-        self.report_role();
+        self.fail("the disk failed");
     }
 
     /// Proposes a command. It is answered by an `Apply` that carries `tag`, or by `Refused`.
@@ -264,7 +261,7 @@
         let unborn = self.group == GroupId(0) && message.group == GroupId(0);
         let replaced = self.members().birth(from).is_some_and(|birth| birth != message.birth);
         let admitted = self.role != Role::Failed && !other && !unborn && !replaced;
-        if replaced {
+        if replaced && self.warned.insert(from) {
             log::warn!(from = from.0; "store: message of a replaced data folder dropped; add the host under a new id");
         }
         if !admitted {
@@ -297,9 +294,25 @@
         self.outputs.push(Output::Write(Write { id: self.hold.issue(), ops }));
     }
 
+    /// Takes no part from now on, loudly.
+    fn fail(&mut self, why: &str) {
+        log::error!(host = self.host.0, term = self.term.0; "store: {why}; this voter takes no part until a restart");
+        self.role = Role::Failed;
+        self.leader = None;
+        self.refuse_all(Refusal::Failed);
+        self.hold = Hold::default();
+        self.ops.clear();
+        self.state_dirty = false;
+        self.progress.clear();
+        self.incoming = None;
+        self.report_role();
+    }
+
     fn report_role(&mut self) {
-        let output = Output::Role { role: self.role, term: self.term, leader: self.leader };
-        self.outputs.push(output);
+        let state = (self.role, self.term, self.leader);
+        if self.reported.replace(state) != Some(state) {
+            self.outputs.push(Output::Role { role: self.role, term: self.term, leader: self.leader });
+        }
     }
 
     fn refuse(&mut self, tag: Tag, why: Refusal) {
--- a/crates/store/src/raft/replicate.rs
+++ b/crates/store/src/raft/replicate.rs
@@ -2,7 +2,7 @@
 
 use super::hold::Held;
 use super::{Raft, members_of};
-use crate::progress::Flow;
+use crate::progress::{Flow, Progress};
 use crate::{Body, Index, LogEntry, LogId, Op, Payload, Role, Tag};
 use mangogw_model::HostId;
 
@@ -52,8 +52,7 @@
         match &mut progress.flow {
             Flow::Probe { waiting } if !*waiting => {
                 *waiting = true;
-                let alive = self.now - progress.heard < self.settings.election;
-                self.send_append(peer, if alive { self.settings.message_bytes } else { 0 });
+                self.send_append(peer, self.settings.message_bytes);
                 sent = true;
             }
             Flow::Replicate => {
@@ -94,7 +93,9 @@
             return self.send(from, Body::Rejected { prev: prev.index, hint });
         };
         if let Some(index) = merge.dropped {
-            assert!(index > self.commit, "a leader overwrites committed entry {index}");
+            if index <= self.commit {
+                return self.fail("a leader overwrites what is committed");
+            }
             self.history.retain(|(at, _)| *at < index);
             self.ops.push(Op::Truncate(index));
         }
@@ -106,9 +107,10 @@
 
     pub(super) fn on_matched(&mut self, from: HostId, index: Index) {
         let now = self.now;
-        let last = self.last_id().index;
+        if self.role == Role::Leader && index > self.last_id().index {
+            return self.fail("a member acknowledges what was never sent");
+        }
         let Some(progress) = self.heard_from(from) else { return };
-        assert!(index <= last, "a member acknowledges entry {index} that was never sent");
         let news = progress.advance(index, now);
         match progress.flow {
             Flow::Probe { .. } => {
@@ -137,7 +139,7 @@
     }
 
     /// The progress of a member that spoke in this term, if this host leads.
-    pub(super) fn heard_from(&mut self, from: HostId) -> Option<&mut crate::progress::Progress> {
+    pub(super) fn heard_from(&mut self, from: HostId) -> Option<&mut Progress> {
         let now = self.now;
         let progress = self.progress.get_mut(&from)?;
         progress.heard = now;
@@ -156,11 +158,12 @@
         }
     }
 
-    /// Sends again what was not answered in time.
+    /// Sends again what was not answered in time, to members that answer heartbeats.
     fn retry(&mut self) {
-        let (now, wait) = (self.now, self.settings.retry);
+        let (now, wait, patience) = (self.now, self.settings.retry, self.settings.election);
         let mut chunks = Vec::new();
-        for (peer, progress) in self.progress.iter_mut().filter(|(_, progress)| now - progress.moved >= wait) {
+        let due = |progress: &Progress| now - progress.moved >= wait && now - progress.heard < patience;
+        for (peer, progress) in self.progress.iter_mut().filter(|(_, progress)| due(progress)) {
             match progress.flow {
                 Flow::Probe { ref mut waiting } => *waiting = false,
                 Flow::Replicate if !progress.inflight.is_empty() => progress.probe(progress.matched.next()),
