Store: the lease of a leader is tested on its own

Cause: removing the lease from votes, or from pre-votes, alone left all tests green: each covers for the other. Change: the one-way-cut test heals its cut and checks the term again; a campaign is delivered straight to a host in the lease.

--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -5,7 +5,7 @@
 
 use fake::world::{World, birth, settings};
 use mangogw_model::HostId;
-use mangogw_store::{Body, Change, GroupId, Index, Message, Raft, Refusal, Role, Settings, Term};
+use mangogw_store::{Body, Change, GroupId, Index, LogId, Message, Raft, Refusal, Role, Settings, Term};
 
 const ONE: HostId = HostId(1);
 
@@ -155,6 +155,24 @@
     let term = world.raft(leader).status().term;
     world.run(5_000);
     assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
+    world.cuts.clear();
+    world.run(1_000);
+    assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
+}
+
+#[test]
+fn a_campaign_in_the_lease_of_a_leader_is_ignored() {
+    let (mut world, leader) = led(6, 3);
+    let (term, other) = (world.raft(leader).status().term, follower(&world, leader));
+    let last = LogId { term: Term(90), index: Index(90) };
+    for to in [leader, other] {
+        let body = Body::Vote { last, transfer: false };
+        let from = world.live().into_iter().find(|id| ![leader, other].contains(id)).unwrap();
+        let message = Message { group: GroupId(7), birth: birth(from), term: Term(91), body };
+        world.deliver(to, from, &message);
+    }
+    world.run(1_000);
+    assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
 }
 
 #[test]
