--- /dev/null
+++ b/crates/mangogwd/src/settings.rs
@@ -0,0 +1,223 @@
+//! The settings of a daemon.
+
+use crate::flags::{self, BadFlag, Flag, Given, between};
+use crate::logs::Format;
+use mangogw_model::Zone;
+use std::ffi::OsStr;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Every flag of `mangogwd`.
+pub const FLAGS: &[Flag] = &[
+    Flag::new("Place", "zone", "ZONE", "zone-1", "availability zone of this host"),
+    Flag::new("Place", "host-id", "N", "1", "id of this host, unique in the cluster"),
+    Flag::new("Place", "cluster", "NAME", "mangogw", "hosts of other clusters are refused"),
+    Flag::new("Place", "listen", "IP:PORT", "127.0.0.1:7070", "callers, targets, operators"),
+    Flag::new("Hosts", "peer-listen", "IP:PORT", "127.0.0.1:7071", "where other hosts connect"),
+    Flag::new("Hosts", "peers", "LIST", "", "peer addresses to join at, joined by commas"),
+    Flag::new("Hosts", "far-us", "US", "1000", "one way to another zone, in microseconds"),
+    Flag::new("State", "data", "DIR", "", "data folder; with it the host joins the control group"),
+    Flag::new("State", "found", "", "", "found a new control group if the data folder is new"),
+    Flag::new("State", "catalogue", "FILE", "", "catalogue of a new control group, TOML"),
+    Flag::new("Limits", "requests", "N", "20000", "open requests at once"),
+    Flag::new("Limits", "send-ms", "MS", "10000", "time a sender has for a whole request"),
+    Flag::new(
+        "Targets",
+        "target-networks",
+        "LIST",
+        "127.0.0.0/8,::1/128,10.0.0.0/8,172.16.0.0/12,192.168.0.0/16",
+        "networks that targets may announce addresses in",
+    ),
+    Flag::new("Stopping", "notice-ms", "MS", "1000", "time between not ready and no longer accepting"),
+    Flag::new("Stopping", "drain-ms", "MS", "60000", "longest wait for work in flight"),
+    Flag::new("Logs", "log", "FILTER", "info", "level, or module=level list"),
+    Flag::new("Logs", "log-format", "FORMAT", "text", "text or json"),
+    Flag::new("Other", "check", "", "", "check the settings and exit"),
+    Flag::new("Other", "help", "", "", "print this and exit"),
+    Flag::new("Other", "version", "", "", "print the version and exit"),
+];
+
+/// The checked settings of a daemon.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The zone of the host.
+    pub zone: Zone,
+    /// The id of the host.
+    pub host: u64,
+    /// The cluster it belongs to.
+    pub cluster: String,
+    /// Where other hosts connect.
+    pub peers_at: SocketAddr,
+    /// Addresses of hosts to join at.
+    pub peers: Vec<SocketAddr>,
+    /// One way to another zone.
+    pub far: Duration,
+    /// The data folder.
+    pub data: Option<PathBuf>,
+    /// True to found a control group if the folder is new.
+    pub found: bool,
+    /// Where callers, targets and operators connect.
+    pub listen: SocketAddr,
+    /// The catalogue to start with.
+    pub catalogue: Option<PathBuf>,
+    /// Open requests at once.
+    pub requests: usize,
+    /// The time a sender has for a whole request.
+    pub send: Duration,
+    /// Networks that targets may announce addresses in.
+    pub networks: Vec<Network>,
+    /// The time between not ready and no longer accepting.
+    pub notice: Duration,
+    /// The longest wait for work in flight at the stop.
+    pub drain: Duration,
+    /// The filter of the log.
+    pub log: String,
+    /// The shape of log lines.
+    pub format: Format,
+    /// What is asked for besides running.
+    pub only: Option<Only>,
+}
+
+/// What a command line asks for instead of running.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Only {
+    /// Check the settings.
+    Check,
+    /// Print the help.
+    Help,
+    /// Print the version.
+    Version,
+}
+
+/// A network in the form `IP/BITS`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Network {
+    address: u128,
+    mask: u128,
+    v4: bool,
+}
+
+impl Network {
+    /// Reads `IP/BITS`.
+    ///
+    /// # Errors
+    /// A sentence that says what is expected.
+    ///
+    /// ```
+    /// use mangogwd::settings::Network;
+    /// let network = Network::parse("10.0.0.0/8").unwrap();
+    /// assert!(network.contains("10.1.2.3".parse().unwrap()));
+    /// assert!(!network.contains("11.1.2.3".parse().unwrap()));
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let wrong = || format!("{text:?} is no network; give IP/BITS, such as 10.0.0.0/8");
+        let (address, bits) = text.trim().split_once('/').ok_or_else(wrong)?;
+        let address = address.parse().map_err(|_bad| wrong())?;
+        let bits: u32 = bits.parse().map_err(|_bad| wrong())?;
+        let (number, v4) = number(address);
+        let width: u32 = if v4 { 32 } else { 128 };
+        let host = width.checked_sub(bits).ok_or_else(wrong)?;
+        let mask = u128::MAX.checked_shl(host).unwrap_or(0);
+        Ok(Self { address: number & mask, mask, v4 })
+    }
+
+    /// True if the address is in the network.
+    pub fn contains(&self, address: std::net::IpAddr) -> bool {
+        let (number, v4) = number(address);
+        v4 == self.v4 && number & self.mask == self.address
+    }
+}
+
+fn number(address: std::net::IpAddr) -> (u128, bool) {
+    match address {
+        std::net::IpAddr::V4(v4) => (u128::from(v4.to_bits()), true),
+        std::net::IpAddr::V6(v6) => (v6.to_bits(), false),
+    }
+}
+
+impl Settings {
+    /// Reads and checks the command line; `env` looks up environment variables.
+    ///
+    /// # Errors
+    /// [`BadFlag`], which names the flag or variable, its value and what to do.
+    pub fn parse<I>(args: I, env: &dyn Fn(&str) -> Option<String>) -> Result<Self, BadFlag>
+    where
+        I: IntoIterator,
+        I::Item: AsRef<OsStr>,
+    {
+        let given = flags::parse(FLAGS, args, env)?;
+        match given.free.first() {
+            Some(extra) => Err(BadFlag::Value {
+                origin: "argument".to_owned(),
+                value: extra.clone(),
+                reason: "mangogwd takes flags only; see --help".to_owned(),
+            }),
+            None => Self::check(&given),
+        }
+    }
+
+    fn check(given: &Given) -> Result<Self, BadFlag> {
+        Ok(Self {
+            zone: given.read("zone", zone)?,
+            host: given.read("host-id", between(1, 1 << 40))?,
+            listen: given.read("listen", address)?,
+            cluster: given.read("cluster", zone)?.to_string(),
+            peers_at: given.read("peer-listen", address)?,
+            peers: given.read("peers", addresses)?,
+            far: given.read("far-us", between(0, 1_000_000)).map(Duration::from_micros)?,
+            data: path(given, "data"),
+            found: given.is_set("found"),
+            catalogue: path(given, "catalogue"),
+            requests: given.read("requests", between(1, 10_000_000))? as usize,
+            send: millis(given, "send-ms", 10, 600_000)?,
+            networks: given.read("target-networks", networks)?,
+            notice: millis(given, "notice-ms", 0, 60_000)?,
+            drain: millis(given, "drain-ms", 0, 3_600_000)?,
+            log: given.text("log").to_owned(),
+            format: given.read("log-format", format)?,
+            only: only(given),
+        })
+    }
+}
+
+fn only(given: &Given) -> Option<Only> {
+    let asked = [("help", Only::Help), ("version", Only::Version), ("check", Only::Check)];
+    asked.into_iter().find(|(name, _)| given.is_set(name)).map(|(_, only)| only)
+}
+
+fn zone(text: &str) -> Result<Zone, String> {
+    let fits = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    match text.len() {
+        1..=63 if text.chars().all(fits) => Ok(Zone::from(text)),
+        _ => Err("give 1 to 63 lower-case letters, digits and dashes, such as regina-a".to_owned()),
+    }
+}
+
+fn address(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_bad| "give an IP number and a port, such as 127.0.0.1:7070".to_owned())
+}
+
+fn addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
+    text.split(',').filter(|part| !part.is_empty()).map(address).collect()
+}
+
+fn path(given: &Given, name: &str) -> Option<PathBuf> {
+    Some(given.text(name)).filter(|path| !path.is_empty()).map(PathBuf::from)
+}
+
+fn networks(text: &str) -> Result<Vec<Network>, String> {
+    text.split(',').map(Network::parse).collect()
+}
+
+fn format(text: &str) -> Result<Format, String> {
+    match text {
+        "text" => Ok(Format::Text),
+        "json" => Ok(Format::Json),
+        _ => Err("give text or json".to_owned()),
+    }
+}
+
+fn millis(given: &Given, name: &str, least: u64, most: u64) -> Result<Duration, BadFlag> {
+    given.read(name, between(least, most)).map(Duration::from_millis)
+}
