--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -1,11 +1,11 @@
 //! The durable store: one data folder with the identity, log segments and snapshots of one host.
 
 use crate::disk::{Disk, DiskFile, FolderDisk};
-use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, StoppedSnafu, TakenSnafu};
+use crate::error::{DamagedSnafu, EmptySnafu, IoSnafu, OrderSnafu, StoppedSnafu, TakenSnafu};
 use crate::files::{self, Identity};
-use crate::frame::{Record, frame, read_segment, segment_header};
-use crate::replay::Replay;
-use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write};
+use crate::frame::{Record, frame, mark, read_segment, segment_header};
+use crate::replay::{Found, Replay};
+use crate::{HardState, Index, LogEntry, Op, Snapshot, StoreError, Stored, Write, WriteId};
 use snafu::{ResultExt, ensure};
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -34,6 +34,10 @@
     segments: BTreeMap<u64, Index>,
     /// Snapshot files by their last entry.
     snapshots: BTreeMap<Index, String>,
+    /// Bytes after which a new segment is begun.
+    limit: usize,
+    /// The last write taken in.
+    written: WriteId,
     failed: bool,
 }
 
@@ -80,12 +84,26 @@
         }
         let (name, tail) = (files::segment_name(1), stored.entries.last());
         let records = records_of(stored);
-        let bytes = [segment_header(1, stored.birth, 1), frame(1, stored.birth, &records)].concat();
+        let head = frame(1, stored.birth, &records);
+        let bytes = [segment_header(1, stored.birth, 1), head, mark(1, stored.birth)].concat();
         let file = files::write_aside(&disk, &name, &bytes)?;
         files::write_identity(&disk, identity)?;
         let segments = BTreeMap::from([(1, tail.map_or(Index(0), |entry| entry.id.index))]);
         let (length, state) = (bytes.len(), stored.state);
-        Ok(Self { disk, identity, file, number: 1, length, next: 2, state, segments, snapshots, failed: false })
+        Ok(Self {
+            disk,
+            identity,
+            file,
+            number: 1,
+            length,
+            next: 2,
+            state,
+            segments,
+            snapshots,
+            limit: SEGMENT_BYTES,
+            written: WriteId(0),
+            failed: false,
+        })
     }
 
     /// Opens the folder on `disk`. A torn tail of the log is cut; damage elsewhere is refused.
@@ -103,14 +121,17 @@
             Some((_, name)) => Some(files::read_snapshot(&disk, name)?),
             None => None,
         };
-        let log = read_log(&disk, identity)?;
-        let newest = log.newest;
-        let (state, entries) = match log.replay.finish(snapshot.as_ref()) {
+        let ReadLog { replay, segments, mut newest } = read_log(&disk, identity)?;
+        let name = files::segment_name(newest.number);
+        let Found { state, entries, reset } = match replay.finish(snapshot.as_ref()) {
             Ok(found) => found,
-            Err(what) => return DamagedSnafu { file: files::segment_name(newest.number), offset: 0u64, what }.fail(),
+            Err(what) => return DamagedSnafu { file: name, offset: 0u64, what }.fail(),
         };
+        if let Some(base) = reset {
+            newest.push(identity, &[Record::Reset(base)]);
+        }
+        newest.end(identity);
         // What the newest segment was seen to hold may not be durable, if a sync failed before. Write it anew.
-        let name = files::segment_name(newest.number);
         let file = files::write_aside(&disk, &name, &newest.bytes)?;
         let folder = Self {
             file,
@@ -119,8 +140,10 @@
             length: newest.bytes.len(),
             next: newest.next,
             state,
-            segments: log.segments,
+            segments,
             snapshots,
+            limit: SEGMENT_BYTES,
+            written: WriteId(0),
             failed: false,
             disk,
         };
@@ -135,11 +158,20 @@
     /// it is opened again; tell the state machine by `on_failed`.
     pub fn write(&mut self, writes: &[Write]) -> Result<(), StoreError> {
         ensure!(!self.failed, StoppedSnafu);
-        let done = self.write_all(writes);
+        let done = self.check_order(writes).and_then(|()| self.write_all(writes));
         self.failed = done.is_err();
         done
     }
 
+    /// Writes out of order would spoil the log.
+    fn check_order(&mut self, writes: &[Write]) -> Result<(), StoreError> {
+        for write in writes {
+            ensure!(write.id > self.written, OrderSnafu { id: write.id.0, before: self.written.0 });
+            self.written = write.id;
+        }
+        Ok(())
+    }
+
     fn write_all(&mut self, writes: &[Write]) -> Result<(), StoreError> {
         let mut records = Vec::new();
         for op in writes.iter().flat_map(|write| &write.ops) {
@@ -166,14 +198,16 @@
         if records.is_empty() {
             return Ok(());
         }
-        if self.length >= SEGMENT_BYTES {
+        if self.length >= self.limit {
             self.rotate()?;
         }
         let bytes = frame(self.next, self.identity.birth, records);
         let file = files::segment_name(self.number);
         self.file.append(&bytes).context(IoSnafu { what: "append to", file: &file })?;
         self.file.sync().context(IoSnafu { what: "sync", file: &file })?;
-        self.length += bytes.len();
+        let mark = mark(self.next, self.identity.birth);
+        self.file.append(&mark).context(IoSnafu { what: "append to", file: &file })?;
+        self.length += bytes.len() + mark.len();
         self.next += 1;
         self.note(records);
         Ok(())
@@ -194,9 +228,11 @@
 
     /// Begins a new segment. It repeats the hard state, so that older segments can be removed.
     fn rotate(&mut self) -> Result<(), StoreError> {
+        // The last mark was not synced with its frame.
+        self.file.sync().context(IoSnafu { what: "sync", file: files::segment_name(self.number) })?;
         let (number, birth) = (self.number + 1, self.identity.birth);
         let head = frame(self.next, birth, &[Record::State(self.state)]);
-        let bytes = [segment_header(number, birth, self.next), head].concat();
+        let bytes = [segment_header(number, birth, self.next), head, mark(self.next, birth)].concat();
         self.file = files::write_aside(&self.disk, &files::segment_name(number), &bytes)?;
         self.number = number;
         self.length = bytes.len();
@@ -225,6 +261,12 @@
         self.disk.sync_folder().context(IoSnafu { what: "sync", file: "the folder" })
     }
 
+    /// Begins a new log segment after `bytes`, in place of 4 MiB.
+    #[must_use]
+    pub fn with_segment_bytes(self, bytes: usize) -> Self {
+        Self { limit: bytes, ..self }
+    }
+
     /// The file operations that the folder was opened on.
     pub fn into_disk(self) -> D {
         self.disk
@@ -244,6 +286,21 @@
     bytes: Vec<u8>,
 }
 
+impl Newest {
+    fn push(&mut self, identity: Identity, records: &[Record]) {
+        self.bytes.extend_from_slice(&frame(self.next, identity.birth, records));
+        self.next += 1;
+    }
+
+    /// Marks the last frame as synced: the segment gets its name only once it is.
+    fn end(&mut self, identity: Identity) {
+        let mark = mark(self.next - 1, identity.birth);
+        if !self.bytes.ends_with(&mark) {
+            self.bytes.extend_from_slice(&mark);
+        }
+    }
+}
+
 /// All segments as read back.
 #[derive(Debug)]
 struct ReadLog {
