Cluster: stateful fuzz of membership and grants

Cause: the promises of both must hold under crash, restart, cuts, wrong views, loss, delay and duplicates.

--- a/crates/cluster/tests/field/mod.rs
+++ b/crates/cluster/tests/grants/field.rs
@@ -32,6 +32,7 @@
     pub up: bool,
     pub clock: Clock,
     pub life: u64,
+    pub leaving: bool,
     pub events: Vec<Event>,
     pub sent: u64,
     pub bytes: u64,
@@ -98,6 +99,7 @@
                 up: true,
                 clock,
                 life: 1,
+                leaving: false,
                 events: Vec::new(),
                 sent: 0,
                 bytes: 0,
@@ -287,6 +289,12 @@
         self.collect(entry);
     }
 
+    /// The host starts to hand its targets over.
+    pub fn leave_cluster(&mut self, index: usize) {
+        self.hosts[index].leaving = true;
+        self.hosts[index].grants.leave_cluster();
+    }
+
     pub fn crash(&mut self, index: usize) {
         self.hosts[index].up = false;
         self.hosts[index].tickets.clear();
@@ -297,6 +305,7 @@
         let node = &mut self.hosts[index];
         node.life += 1;
         node.up = true;
+        node.leaving = false;
         node.clock = clock;
         let settings = Settings { id: HostId(index as u64), life: Incarnation(node.life) };
         node.grants = Grants::open(&settings, clock.read(self.now));
--- a/crates/cluster/tests/grants.rs
+++ b/crates/cluster/tests/grants/main.rs
@@ -1,6 +1,7 @@
 //! Grants of targets: one owner, moved evenly, waited out, handed over.
 
 mod field;
+mod fuzz;
 
 use field::Field;
 use mangogw_cluster::grants::{Event, Reason};
@@ -88,7 +89,7 @@
 #[test]
 fn leaving_host_hands_everything_over_within_two_heartbeats() {
     let mut field = settled(3, 40);
-    field.hosts[1].grants.leave_cluster();
+    field.leave_cluster(1);
     field.run(Duration::from_millis(1_700));
     assert_eq!(counts(&field)[1], 0);
     assert!(field.all_owned());
--- a/crates/cluster/tests/members.rs
+++ b/crates/cluster/tests/members/main.rs
@@ -1,5 +1,6 @@
 //! Membership over a small fake network.
 
+mod fuzz;
 mod net;
 
 use mangogw_cluster::members::{Output, Status};
