Cluster: shares of limits, leased to hosts by demand

Change: a fixed part for each member, the rest leased by the limit's home; a piece of a cut cluster leases as much as it has of the members. Figures: 8 tests pass: the sum is never above the limit without a cut (60 seeds with crash, loss, delay, skew), above it by at most the smaller side's part for 13 s after a cut that hosts notice within 3 s (60 seeds). Conclusion: no message for a request; demand that moves is followed within 1 s (test).

--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`grants`] takes targets' heartbeats in on any host, brings them to the owner, and tells the owner's dispatcher
 //!   which targets it may use.
 //! - [`route`] chooses the host for a task.
+//! - [`shares`] splits limits that hold for the whole cluster between the hosts.
 //!
 //! ```
 //! use mangogw_cluster::grants::{Event, Grants};
@@ -63,6 +64,7 @@
 pub mod grants;
 pub mod members;
 pub mod route;
+pub mod shares;
 
 pub use output::Output;
 pub use seat::Seat;
--- /dev/null
+++ b/crates/cluster/src/shares/mod.rs
@@ -0,0 +1,296 @@
+//! Limits of teams and entries, split between hosts.
+//!
+//! A part of each limit is fixed: [`FLOOR`] of it, in equal parts for all members. The rest is leased: each limit has
+//! a home, the usable member with the highest rank; hosts report what they want, the home leases parts, and never more
+//! than all. A host that is cut off keeps its last part until the lease ends, then the fixed part. Where the cluster
+//! is cut in pieces, each piece has its own home, which leases as much of the rest as its piece has of the members. A
+//! home that is new, or whose piece grew, waits one lease before it uses what it gained. `docs/design/shares.md` has
+//! the bounds on what can be used too much.
+
+mod home;
+mod message;
+mod split;
+
+pub use message::{Limit, LimitId, Message, Resource, Row, Scope};
+pub use split::{split, split_whole};
+
+use crate::{Output, Seat, hash};
+use home::{Ask, Home, Pool};
+use indexmap::IndexMap;
+use mangogw_model::{HostId, Time};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::time::Duration;
+
+/// A lease lasts so long after the report it answers was sent.
+pub const LEASE: Duration = Duration::from_secs(5);
+/// A home counts a lease for so much longer: clocks may differ by 1 in 1000 in rate.
+pub const MARGIN: Duration = Duration::from_millis(20);
+/// Limits that are wanted are reported so often.
+pub const REPORT: Duration = Duration::from_secs(2);
+/// A limit of which more is wanted than held is reported so often.
+pub const REPORT_SHORT: Duration = Duration::from_millis(250);
+/// The part of a limit that is fixed.
+pub const FLOOR: f64 = 0.25;
+/// A limit that nothing asked for is forgotten at its home after this time.
+const KEEP: Duration = Duration::from_secs(30);
+/// One, in the thousandths that amounts are counted in.
+const UNIT: u64 = 1_000;
+
+/// Which host this is.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This host.
+    pub id: HostId,
+    /// True if it never has peers: it then has all of each limit.
+    pub alone: bool,
+}
+
+/// A limit as this host uses it.
+#[derive(Debug)]
+struct Local {
+    total: u64,
+    whole: bool,
+    wants: u64,
+    held: u64,
+    until: Time,
+    /// The report whose answer holds, and its home.
+    taken: Option<(HostId, u64)>,
+    reported: Time,
+}
+
+/// The members that were usable from a point in time on.
+#[derive(Debug)]
+struct View {
+    at: Time,
+    usable: Vec<HostId>,
+    part: f64,
+}
+
+/// The shares of one host, and the limits whose home it is.
+///
+/// ```
+/// use mangogw_cluster::shares::{Limit, Resource, Scope, Settings, Shares};
+/// use mangogw_model::{HostId, Time};
+///
+/// let mut shares = Shares::open(&Settings { id: HostId(1), alone: true }, Time::ZERO);
+/// let limit = Limit { scope: Scope::Owner("tally".into()), resource: Resource::Rate };
+/// shares.set_limits([(limit.clone(), 500)]);
+/// assert_eq!(shares.share(Time::ZERO, &limit), Some(500.0));
+/// ```
+#[derive(Debug)]
+pub struct Shares {
+    id: HostId,
+    alone: bool,
+    members: usize,
+    views: VecDeque<View>,
+    limits: IndexMap<LimitId, Local>,
+    homes: IndexMap<LimitId, Home>,
+    asked: IndexMap<(HostId, u64), Vec<LimitId>>,
+    report: Time,
+    out: Vec<Output<Message, Infallible>>,
+}
+
+impl Limit {
+    /// Its id in messages.
+    pub fn id(&self) -> LimitId {
+        let (kind, name) = match &self.scope {
+            Scope::Owner(owner) => (1, owner.as_str()),
+            Scope::Entry(entry) => (2, entry.as_str()),
+        };
+        LimitId(hash::mix(hash::text(name) ^ (kind * 16 + self.resource as u64)) >> 16)
+    }
+}
+
+impl Shares {
+    /// A host that knows no limits and no peers.
+    pub fn open(settings: &Settings, now: Time) -> Self {
+        Self {
+            id: settings.id,
+            alone: settings.alone,
+            members: 1,
+            views: VecDeque::from([View { at: now, usable: Vec::new(), part: 0.0 }]),
+            limits: IndexMap::new(),
+            homes: IndexMap::new(),
+            asked: IndexMap::new(),
+            report: now,
+            out: Vec::new(),
+        }
+    }
+
+    /// Takes the members in; this host must be among them.
+    pub fn set_hosts(&mut self, now: Time, seats: &[Seat]) {
+        self.members = seats.len().max(1);
+        let usable: Vec<HostId> = seats.iter().filter(|seat| seat.usable).map(|seat| seat.id).collect();
+        let part = usable.len() as f64 / self.members as f64;
+        let same = |view: &View| view.usable == usable && (view.part - part).abs() < 1e-9;
+        if self.views.back().is_some_and(same) {
+            return;
+        }
+        self.views.push_back(View { at: now, usable, part });
+        let lost: Vec<LimitId> = self.homes.keys().filter(|&&id| self.home(id) != Some(self.id)).copied().collect();
+        for id in lost {
+            self.homes.swap_remove(&id);
+        }
+    }
+
+    /// Sets the limits and their totals, 0 for no bound; those not named are gone.
+    pub fn set_limits(&mut self, limits: impl IntoIterator<Item = (Limit, u64)>) {
+        let mut old = std::mem::take(&mut self.limits);
+        for (limit, total) in limits {
+            let (id, whole, total) = (limit.id(), limit.resource.whole(), total * UNIT);
+            let new = Local { total, whole, wants: 0, held: 0, until: Time::ZERO, taken: None, reported: Time::ZERO };
+            let local = old.swap_remove(&id).map_or(new, |local| Local { total, held: local.held.min(total), ..local });
+            self.limits.insert(id, local);
+        }
+    }
+
+    /// Sets how much of a limit this host would use now; 0 when it is no longer used.
+    pub fn set_demand(&mut self, limit: &Limit, wants: f64) {
+        if let Some(local) = self.limits.get_mut(&limit.id()) {
+            local.wants = (wants * UNIT as f64) as u64;
+        }
+    }
+
+    /// How much of a limit this host may use now; `None` if it is not bounded.
+    pub fn share(&self, now: Time, limit: &Limit) -> Option<f64> {
+        let local = self.limits.get(&limit.id()).filter(|local| local.total > 0)?;
+        let leased = if now < local.until { local.held } else { 0 };
+        let all = if self.alone { local.total } else { self.floor(local) + leased };
+        Some(all as f64 / UNIT as f64)
+    }
+
+    /// Takes the outputs since the last call.
+    pub fn drain(&mut self) -> Vec<Output<Message, Infallible>> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Does what is due.
+    pub fn on_tick(&mut self, now: Time) {
+        while self.views.get(1).is_some_and(|view| now - view.at >= LEASE + MARGIN) {
+            self.views.pop_front();
+        }
+        self.homes.retain(|_, home| now - home.heard < KEEP);
+        self.asked.retain(|&(_, sent), _| now - Time::from_millis(sent) < LEASE);
+        if now < self.report || self.alone {
+            return;
+        }
+        self.report = now + REPORT_SHORT;
+        self.report_all(now);
+    }
+
+    /// Reports the limits that are due, to their homes.
+    fn report_all(&mut self, now: Time) {
+        let sent = now.as_micros() / 1_000;
+        let mut reports: IndexMap<HostId, Vec<Row>> = IndexMap::new();
+        for (&id, local) in self.limits.iter().filter(|(_, local)| self.is_due(now, local)) {
+            let Some(home) = self.home(id) else { continue };
+            let held = local.taken.filter(|&(from, _)| from == home).map_or(sent, |(_, taken)| taken);
+            let wants = local.wants.saturating_sub(self.floor(local));
+            reports.entry(home).or_default().push(Row { id, wants, age: (sent - held) as u32 });
+        }
+        for (home, rows) in reports {
+            let ids: Vec<LimitId> = rows.iter().map(|row| row.id).collect();
+            for id in &ids {
+                self.limits[id].reported = now;
+            }
+            self.asked.insert((home, sent), ids);
+            if home == self.id {
+                let amounts = self.grant(now, home, sent, &rows);
+                self.take(now, home, sent, &amounts);
+            } else {
+                self.out.push(Output::Send { to: home, message: Message::Report { sent, rows } });
+            }
+        }
+    }
+
+    /// True if a limit should be reported now.
+    fn is_due(&self, now: Time, local: &Local) -> bool {
+        let held = if now < local.until { local.held } else { 0 };
+        let short = local.wants > self.floor(local) + held;
+        let pause = if short { REPORT_SHORT } else { REPORT };
+        let used = local.total > 0 && (local.wants > 0 || now < local.until);
+        used && now - local.reported >= pause
+    }
+
+    /// Takes a message in.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        match message {
+            Message::Report { sent, rows } => {
+                let amounts = self.grant(now, from, sent, &rows);
+                self.out.push(Output::Send { to: from, message: Message::Lease { sent, amounts } });
+            }
+            Message::Lease { sent, amounts } => self.take(now, from, sent, &amounts),
+            Message::Recall(id) => self.hurry(id),
+        }
+    }
+
+    /// Leases parts of limits whose home this host is.
+    fn grant(&mut self, now: Time, host: HostId, sent: u64, rows: &[Row]) -> Vec<Option<u64>> {
+        let ask = |row: &Row| Ask { sent, held: sent.saturating_sub(u64::from(row.age)), wants: row.wants };
+        rows.iter().map(|row| self.grant_one(now, host, row, ask(row))).collect()
+    }
+
+    fn grant_one(&mut self, now: Time, host: HostId, row: &Row, ask: Ask) -> Option<u64> {
+        let local = self.limits.get(&row.id).filter(|_| self.home(row.id) == Some(self.id))?;
+        let rest = local.total.saturating_sub(self.floor(local) * self.members as u64);
+        let whole = local.whole;
+        let pool = (rest as f64 * self.part(row.id)) as u64;
+        // A host that holds nothing says so by age 0; what it was leased before may still be under way to it.
+        let ask = Ask { held: if row.age == 0 { 0 } else { ask.held }, ..ask };
+        let pool = Pool { amount: pool, members: self.members, whole };
+        let home = self.homes.entry(row.id).or_insert_with(|| Home::new(now));
+        let amount = home.lease(now, host, ask, pool);
+        for to in home.recall(now, host) {
+            if to == self.id {
+                self.hurry(row.id);
+            } else {
+                self.out.push(Output::Send { to, message: Message::Recall(row.id) });
+            }
+        }
+        Some(amount)
+    }
+
+    /// Reports a limit with the next reports.
+    fn hurry(&mut self, id: LimitId) {
+        if let Some(local) = self.limits.get_mut(&id) {
+            local.reported = Time::ZERO;
+        }
+    }
+
+    /// The part of a limit that this home may lease: the least of one lease time, 0 if another was home in it.
+    fn part(&self, id: LimitId) -> f64 {
+        let mine = |view: &View| hash::owner(id.0, view.usable.iter().copied()) == Some(self.id);
+        self.views.iter().map(|view| if mine(view) { view.part } else { 0.0 }).fold(1.0, f64::min)
+    }
+
+    /// Takes leases in, each unless a later one was taken in.
+    fn take(&mut self, now: Time, from: HostId, sent: u64, amounts: &[Option<u64>]) {
+        let until = Time::from_millis(sent) + LEASE;
+        let Some(ids) = self.asked.swap_remove(&(from, sent)).filter(|_| now < until) else { return };
+        for (id, amount) in ids.iter().zip(amounts) {
+            let Some(local) = self.limits.get_mut(id) else { continue };
+            let newer = local.taken.is_none_or(|(_, taken)| sent > taken);
+            if let Some(amount) = amount.filter(|_| newer) {
+                // A home counts the larger of two leases until it hears that the smaller one was taken in.
+                let less = now < local.until && amount < local.held;
+                local.reported = if less { Time::ZERO } else { local.reported };
+                local.held = amount;
+                local.until = until;
+                local.taken = Some((from, sent));
+            }
+        }
+    }
+
+    /// The home of a limit.
+    fn home(&self, id: LimitId) -> Option<HostId> {
+        let view = self.views.back()?;
+        hash::owner(id.0, view.usable.iter().copied())
+    }
+
+    /// The fixed part of a limit.
+    fn floor(&self, local: &Local) -> u64 {
+        let part = (local.total as f64 * FLOOR / self.members as f64) as u64;
+        if local.whole { part / UNIT * UNIT } else { part }
+    }
+}
--- /dev/null
+++ b/crates/cluster/tests/shares.rs
@@ -0,0 +1,285 @@
+//! Shares of limits over a fake network: never more than all, rebalanced by demand, bounded in a cut.
+
+use arbitrary::Unstructured;
+use mangogw_cluster::shares::{LEASE, Limit, Message, REPORT, Resource, Scope, Settings, Shares, split, split_whole};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{HostId, Incarnation, Time};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(10);
+const SECOND: Duration = Duration::from_secs(1);
+/// A cut is noticed within this time.
+const NOTICE: u64 = 3_000;
+const TOTAL: u64 = 700;
+const SEEDS: u64 = 60;
+
+struct Node {
+    shares: Shares,
+    up: bool,
+    origin: u64,
+    rate: u64,
+    /// When it notices what changed last.
+    notice: Time,
+    view: Vec<(u64, bool)>,
+}
+
+struct Net {
+    now: Time,
+    nodes: Vec<Node>,
+    side: Vec<bool>,
+    wire: Vec<(Time, usize, usize, Message)>,
+    rng: Pcg64Mcg,
+    chaos: bool,
+    limit: Limit,
+}
+
+impl Net {
+    fn open(hosts: usize, resource: Resource, seed: u64) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let now = Time::from_millis(1_000);
+        let limit = Limit { scope: Scope::Owner("tally".into()), resource };
+        let nodes = (0..hosts).map(|index| node(index, &limit, &mut rng, now)).collect();
+        let mut net = Self { now, nodes, side: vec![false; hosts], wire: Vec::new(), rng, chaos: false, limit };
+        net.changed(0);
+        net
+    }
+
+    /// Something changed that each host notices within `notice` milliseconds.
+    fn changed(&mut self, notice: u64) {
+        for node in &mut self.nodes {
+            node.notice = self.now + Duration::from_millis(self.rng.random_range(0..=notice));
+        }
+    }
+
+    fn wants(&mut self, wants: &[f64]) {
+        for (node, &wants) in self.nodes.iter_mut().zip(wants) {
+            node.shares.set_demand(&self.limit, wants);
+        }
+    }
+
+    fn run(&mut self, time: Duration, most: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+            let sum = self.sum();
+            assert!(sum <= most as f64 + 0.001, "{sum} of {most} at {:?}", self.now);
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        while let Some(at) = self.wire.iter().position(|item| item.0 <= self.now) {
+            let (_, from, to, message) = self.wire.swap_remove(at);
+            if self.nodes[to].up {
+                let now = self.nodes[to].clock(self.now);
+                self.nodes[to].shares.on_message(now, HostId(from as u64), message);
+                self.collect(to);
+            }
+        }
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].up {
+                self.look(index);
+                let now = self.nodes[index].clock(self.now);
+                self.nodes[index].shares.on_tick(now);
+                self.collect(index);
+            }
+        }
+    }
+
+    fn look(&mut self, index: usize) {
+        if self.now >= self.nodes[index].notice {
+            let seen = |other: usize| (other as u64, self.side[other] == self.side[index]);
+            self.nodes[index].view = (0..self.nodes.len()).filter(|&other| self.nodes[other].up).map(seen).collect();
+        }
+        let seat =
+            |&(id, usable): &(u64, bool)| Seat { id: HostId(id), life: Incarnation(1), zone: "a".into(), usable };
+        let seats: Vec<Seat> = self.nodes[index].view.iter().map(seat).collect();
+        let now = self.nodes[index].clock(self.now);
+        if !seats.is_empty() {
+            self.nodes[index].shares.set_hosts(now, &seats);
+        }
+    }
+
+    fn collect(&mut self, index: usize) {
+        for output in self.nodes[index].shares.drain() {
+            let Output::Send { to, message } = output;
+            let to = to.0 as usize;
+            let copies = if self.chaos { [0, 1, 1, 2][self.rng.random_range(0..4)] } else { 1 };
+            for _ in 0..copies {
+                let delay = if self.chaos { self.rng.random_range(1..2_000) } else { 1 };
+                if self.side[to] == self.side[index] {
+                    self.wire.push((self.now + Duration::from_millis(delay), index, to, message.clone()));
+                }
+            }
+        }
+    }
+
+    fn share(&self, index: usize) -> f64 {
+        let node = &self.nodes[index];
+        node.shares.share(node.clock(self.now), &self.limit).unwrap_or_default()
+    }
+
+    fn sum(&self) -> f64 {
+        (0..self.nodes.len()).filter(|&index| self.nodes[index].up).map(|index| self.share(index)).sum()
+    }
+}
+
+impl Node {
+    fn clock(&self, now: Time) -> Time {
+        Time::from_micros(self.origin + now.as_micros() / 1_000 * self.rate / 1_000)
+    }
+}
+
+fn node(index: usize, limit: &Limit, rng: &mut Pcg64Mcg, now: Time) -> Node {
+    let (origin, rate) = (rng.random_range(10_000_000..900_000_000), rng.random_range(999_000..=1_001_000));
+    let mut node = Node {
+        shares: Shares::open(&Settings { id: HostId(index as u64), alone: false }, Time::ZERO),
+        up: true,
+        origin,
+        rate,
+        notice: Time::ZERO,
+        view: Vec::new(),
+    };
+    let now = node.clock(now);
+    node.shares = Shares::open(&Settings { id: HostId(index as u64), alone: false }, now);
+    node.shares.set_limits([(limit.clone(), TOTAL)]);
+    node
+}
+
+#[test]
+fn busy_host_gets_what_idle_hosts_leave() {
+    let mut net = Net::open(7, Resource::Rate, 1);
+    net.wants(&[600.0, 10.0, 10.0, 0.0, 0.0, 0.0, 0.0]);
+    net.run(SECOND * 8, TOTAL);
+    assert!(net.share(0) >= 500.0, "{}", net.share(0));
+    net.wants(&[10.0, 600.0, 10.0, 0.0, 0.0, 0.0, 0.0]);
+    net.run(SECOND, TOTAL);
+    assert!(net.share(1) >= 450.0, "{}", net.share(1));
+}
+
+#[test]
+fn hosts_that_want_too_much_get_equal_parts() {
+    let mut net = Net::open(7, Resource::Rate, 2);
+    net.wants(&[1_000.0; 7]);
+    net.run(SECOND * 12, TOTAL);
+    assert!((0..7).all(|host| (net.share(host) - 100.0).abs() < 2.0));
+}
+
+#[test]
+fn whole_units_are_not_split() {
+    let mut net = Net::open(7, Resource::Accelerators, 3);
+    net.wants(&[3.0, 2.0, 0.0, 0.0, 0.0, 0.0, 1.0]);
+    net.run(SECOND * 12, TOTAL);
+    let shares: Vec<f64> = (0..7).map(|host| net.share(host)).collect();
+    assert!(shares.iter().all(|share| share.fract() == 0.0), "{shares:?}");
+    assert!(shares[0] >= 3.0 && shares[1] >= 2.0 && shares[6] >= 1.0, "{shares:?}");
+}
+
+#[test]
+fn cut_off_host_keeps_its_share_until_the_lease_ends_and_then_the_fixed_part() {
+    let mut net = Net::open(7, Resource::Rate, 4);
+    net.wants(&[600.0, 10.0, 10.0, 0.0, 0.0, 0.0, 0.0]);
+    net.run(SECOND * 8, TOTAL);
+    let last = net.share(0);
+    net.side[0] = true;
+    net.nodes[0].notice = Time::MAX;
+    net.run(LEASE.saturating_sub(REPORT), TOTAL);
+    net.run(REPORT + SECOND / 10, TOTAL * 2);
+    assert!(net.share(0) <= last);
+    assert!(net.share(0) <= 26.0, "fixed part: {}", net.share(0));
+}
+
+#[test]
+fn each_side_of_a_cut_serves_its_part() {
+    let mut net = Net::open(7, Resource::Rate, 5);
+    net.wants(&[200.0; 7]);
+    net.run(SECOND * 12, TOTAL);
+    net.side[5] = true;
+    net.side[6] = true;
+    net.changed(NOTICE);
+    net.run(SECOND * 12, TOTAL + TOTAL * 2 / 7);
+    net.run(SECOND * 20, TOTAL);
+    let small: f64 = (5..7).map(|host| net.share(host)).sum();
+    assert!(small >= 190.0, "two of seven hosts serve {small} of {TOTAL}");
+    net.side = vec![false; 7];
+    net.changed(NOTICE);
+    net.run(SECOND * 20, TOTAL);
+    assert!(net.sum() >= 690.0);
+}
+
+/// Crashes, restarts, loss, delay and duplicates without a cut: never more than all.
+#[test]
+fn never_more_than_all() {
+    let property = |u: &mut Unstructured<'_>| {
+        let mut net = Net::open(u.int_in_range(2..=5)?, Resource::Rate, u.arbitrary()?);
+        net.chaos = u.arbitrary()?;
+        for _ in 0..u.int_in_range(1..=12)? {
+            let host = u.choose_index(net.nodes.len())?;
+            let wants: Vec<f64> = (0..net.nodes.len()).map(|_| f64::from(net.rng.random_range(0..900_u32))).collect();
+            net.wants(&wants);
+            let up = net.nodes.iter().filter(|node| node.up).count();
+            match u.int_in_range(0..=3)? {
+                0 if net.nodes[host].up && up > 1 => net.nodes[host].up = false,
+                1 if !net.nodes[host].up => net.nodes[host] = node(host, &net.limit, &mut net.rng, net.now),
+                _ => {}
+            }
+            net.changed(0);
+            net.run(Duration::from_millis(u.int_in_range(10..=9_000)?), TOTAL);
+        }
+        Ok(())
+    };
+    for seed in (1..=SEEDS).map(|seed| seed.wrapping_mul(0x9e37_79b9) << 32 | 128) {
+        arbtest::arbtest(property).seed(seed).run();
+    }
+}
+
+/// A cut that each host notices within [`NOTICE`]: too much by at most the part of the smaller side, and only so long.
+#[test]
+fn overshoot_in_a_cut_is_bounded() {
+    let property = |u: &mut Unstructured<'_>| {
+        let hosts = u.int_in_range(2..=7)?;
+        let mut net = Net::open(hosts, Resource::Rate, u.arbitrary()?);
+        net.wants(&vec![900.0; hosts]);
+        net.run(SECOND * 12, TOTAL);
+        for host in 0..hosts {
+            net.side[host] = u.arbitrary()?;
+        }
+        let small = net.side.iter().filter(|&&side| side).count().min(net.side.iter().filter(|&&side| !side).count());
+        net.changed(NOTICE);
+        net.run(SECOND * 13, TOTAL + (TOTAL * small as u64).div_ceil(hosts as u64));
+        net.run(SECOND * 10, TOTAL);
+        Ok(())
+    };
+    for seed in (1..=SEEDS).map(|seed| seed.wrapping_mul(0x9e37_79b9) << 32 | 64) {
+        arbtest::arbtest(property).seed(seed).run();
+    }
+}
+
+/// Against a naive version: hand out one unit at a time to whoever has least and wants more.
+#[test]
+fn split_is_max_min_fair() {
+    let property = |u: &mut Unstructured<'_>| {
+        let wants: Vec<u64> = (0..u.int_in_range(1..=8)?).map(|_| u.int_in_range(0..=40)).collect::<Result<_, _>>()?;
+        let total = u.int_in_range(0..=200)?;
+        let mut naive = vec![0; wants.len()];
+        for _ in 0..total {
+            let next = (0..wants.len()).filter(|&index| naive[index] < wants[index]).min_by_key(|&index| naive[index]);
+            if let Some(index) = next {
+                naive[index] += 1;
+            }
+        }
+        let parts = split(total, &wants, 0);
+        assert!(parts.iter().sum::<u64>() <= total);
+        assert!(parts.iter().zip(&naive).all(|(&part, &fair)| part + 1 >= fair), "{parts:?} {naive:?}");
+        let whole = split_whole(total * 10, &wants.iter().map(|want| want * 10).collect::<Vec<_>>(), 0, 10);
+        assert!(whole.iter().sum::<u64>() <= total * 10 && whole.iter().all(|part| part % 10 == 0));
+        Ok(())
+    };
+    let seeds: BTreeSet<u64> = (1..=SEEDS * 4).map(|seed| seed.wrapping_mul(0x9e37_79b9) << 32 | 64).collect();
+    for seed in seeds {
+        arbtest::arbtest(property).seed(seed).run();
+    }
+}
