--- /dev/null
+++ b/crates/cluster/examples/records/main.rs
@@ -0,0 +1,132 @@
+//! What records cost: latency and messages of the ways weighed, bytes and CPU of a submission, memory of a record.
+//!
+//! Prints JSON: `cargo run --release -p mangogw-cluster --example records`.
+
+mod net;
+mod ways;
+
+use mangogw_cluster::records::{Digest, Submission, Tag, Task, Work};
+use mangogw_model::Key;
+use net::{Net, micros};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Bytes of the body and of the answer of a task.
+const BODY: usize = 100;
+/// Tasks of a submission.
+const TASKS: [usize; 4] = [1, 10, 100, 1_000];
+/// Tasks run for one figure.
+const RUNS: usize = 20_000;
+/// Retained records.
+const RECORDS: [usize; 3] = [1_000, 10_000, 100_000];
+/// How long the idle hosts are watched, in seconds.
+const IDLE: u64 = 60;
+
+fn main() {
+    // The hosts of each size stay, so that the next size finds no freed memory.
+    let (memory, nets): (Vec<Value>, Vec<Net>) = RECORDS.into_iter().map(memory).unzip();
+    drop(nets);
+    let report = json!({
+        "ways": ways::report(),
+        "submissions": TASKS.map(submissions),
+        "memory": memory,
+        "idle": [idle(&[0, 1, 2]), idle(&[0, 0, 0, 1, 1, 2, 2])],
+    });
+    println!("{report:#}");
+}
+
+/// Work of this many tasks.
+pub fn work(tasks: usize) -> Arc<Work> {
+    let task = Task { body: vec![5; BODY].into(), ..Task::default() };
+    Arc::new(Work { entry: "gate-scan".into(), digest: Digest([3; 32]), tasks: vec![task; tasks] })
+}
+
+/// Submits a key at a host that owns it.
+fn submit(net: &mut Net, number: usize, work: &Arc<Work>) -> Tag {
+    let key: Key = format!("order-{number:08}").into();
+    let owner = net.hosts[0].owner(&key).expect("all ranges are ready").host.0 as usize;
+    let tag = Tag(number as u64);
+    let work = Arc::clone(work);
+    net.with(owner, |records, now| {
+        let submission = Submission { key, work, deadline: now + micros(60_000_000) };
+        records.submit(now, tag, submission, micros(60_000_000));
+    });
+    tag
+}
+
+/// Messages, bytes and CPU of submissions on two hosts, encoding included.
+fn submissions(tasks: usize) -> Value {
+    let mut net = Net::open(&[0, 1], |settings| settings);
+    net.answer = Some(BODY);
+    let count = RUNS / tasks;
+    let work = work(tasks);
+    let start = Instant::now();
+    for number in 0..count {
+        let tag = submit(&mut net, number, &work);
+        while !net.seen.replies.contains_key(&tag) {
+            net.run(net.now + net::FAR);
+        }
+    }
+    let spent = start.elapsed().as_secs_f64() * 1e6;
+    assert_eq!(net.seen.replies.len(), count, "every submission was answered");
+    let each = |total: f64| (total / count as f64 * 100.0).round() / 100.0;
+    json!({
+        "tasks": tasks,
+        "messages": each(net.seen.messages as f64),
+        "bytes": each(net.seen.bytes as f64),
+        "bytes_per_task": each(net.seen.bytes as f64 / tasks as f64),
+        "cpu_us": each(spent),
+        "cpu_us_per_task": each(spent / tasks as f64),
+    })
+}
+
+/// Resident memory of retained records: an owner and a follower in one process.
+fn memory(count: usize) -> (Value, Net) {
+    let mut net = Net::open(&[0, 1], |settings| settings);
+    net.answer = Some(BODY);
+    let work = work(1);
+    let before = resident();
+    for number in 0..count {
+        submit(&mut net, number, &work);
+        net.seen.runs.clear();
+        net.seen.replies.clear();
+        if number % 64 == 0 {
+            net.run(net.now + 100);
+        }
+    }
+    net.run(net.now + 10 * net::FAR);
+    net.seen = net::Seen::default();
+    let held: usize = net.hosts.iter().map(mangogw_cluster::records::Records::count).sum();
+    let counted: usize = net.hosts.iter().map(mangogw_cluster::records::Records::bytes).sum();
+    assert_eq!(held, 2 * count, "both hosts hold every record");
+    let figures = json!({
+        "records": count,
+        "resident_bytes_per_record": resident().saturating_sub(before) / held,
+        "counted_bytes_per_record": counted / held,
+    });
+    (figures, net)
+}
+
+/// Periodic traffic of hosts without submissions.
+fn idle(zones: &[usize]) -> Value {
+    let mut net = Net::open(zones, |settings| settings);
+    let start = Instant::now();
+    net.run(net.now + IDLE * 1_000_000);
+    let each = |total: u64| total as f64 / zones.len() as f64 / IDLE as f64;
+    json!({
+        "hosts": zones.len(),
+        "ranges": net.table.ranges().count(),
+        "messages_per_host_s": each(net.seen.messages),
+        "bytes_per_host_s": each(net.seen.bytes),
+        "cpu_share_of_a_core": start.elapsed().as_secs_f64() / IDLE as f64 / zones.len() as f64,
+        "table_bytes": net.table.snapshot().len(),
+    })
+}
+
+/// Resident bytes of this process.
+fn resident() -> usize {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages: usize = statm.split_whitespace().nth(1).and_then(|pages| pages.parse().ok()).unwrap_or(0);
+    pages * 4096
+}
--- /dev/null
+++ b/crates/cluster/examples/records/net.rs
@@ -0,0 +1,183 @@
+//! Hosts' records joined by links of fixed delay, with a control group that accepts every command at once.
+
+use mangogw_cluster::ownership::{Command, Ownership, Peer};
+use mangogw_cluster::records::{Output, RecordMessage, Records, Reply, Settings, Tag, TaskEnd};
+use mangogw_model::{HostId, Incarnation, Key, TaskIndex, Time, Zone};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One way between hosts of one zone, in microseconds.
+pub const NEAR: u64 = 100;
+/// One way between zones, in microseconds.
+pub const FAR: u64 = 1_000;
+/// Between two ticks of a host, in microseconds.
+const TICK: u64 = 10_000;
+
+/// What was seen of the hosts.
+#[derive(Debug, Default)]
+pub struct Seen {
+    pub messages: u64,
+    pub bytes: u64,
+    /// When the first task of a key was given out, and where.
+    pub runs: BTreeMap<Key, (u64, usize)>,
+    pub replies: BTreeMap<Tag, (u64, Reply)>,
+}
+
+#[derive(Debug)]
+enum Event {
+    Message { from: usize, to: usize, message: RecordMessage },
+    Tick { host: usize },
+}
+
+/// Hosts' records, the links between them and the table.
+#[derive(Debug)]
+pub struct Net {
+    pub now: u64,
+    pub hosts: Vec<Records>,
+    pub zones: Vec<usize>,
+    pub seen: Seen,
+    pub table: Ownership,
+    /// Answer every task with this many bytes, at once; none leaves tasks alone.
+    pub answer: Option<usize>,
+    /// The zone that is cut off.
+    pub cut: Option<usize>,
+    index: u64,
+    serial: u64,
+    events: BTreeMap<(u64, u64), Event>,
+    proposed: Vec<Command>,
+}
+
+pub fn zone(at: usize) -> Zone {
+    ["regina-a", "moose-jaw", "swift-cur"][at].into()
+}
+
+impl Net {
+    /// Hosts in these zones, with all ranges ready.
+    pub fn open(zones: &[usize], settings: impl Fn(Settings) -> Settings) -> Self {
+        let open = |at: usize| {
+            let plain = Settings::new(HostId(at as u64), Incarnation(1), zone(zones[at]));
+            Records::open(settings(plain), Time::ZERO)
+        };
+        let mut net = Self {
+            now: 0,
+            hosts: (0..zones.len()).map(open).collect(),
+            zones: zones.to_vec(),
+            seen: Seen::default(),
+            table: Ownership::default(),
+            answer: None,
+            cut: None,
+            index: 0,
+            serial: 0,
+            events: BTreeMap::new(),
+            proposed: Vec::new(),
+        };
+        let peers = net.peers();
+        for at in 0..zones.len() {
+            net.with(at, |records, now| records.on_peers(now, &peers));
+            net.push(TICK * at as u64 / zones.len() as u64, Event::Tick { host: at });
+        }
+        for _ in 0..30 {
+            let plan = net.table.plan(&peers);
+            net.proposed.extend(plan);
+            net.run(net.now + 20_000);
+        }
+        assert!(net.table.ranges().all(|(_, range)| range.ready), "all ranges are ready");
+        net.seen = Seen::default();
+        net
+    }
+
+    pub fn peers(&self) -> Vec<Peer> {
+        let peer = |at: usize| Peer::new(HostId(at as u64), Incarnation(1), zone(self.zones[at]));
+        (0..self.zones.len()).map(peer).collect()
+    }
+
+    pub fn clock(&self) -> Time {
+        Time::from_micros(self.now)
+    }
+
+    pub fn with(&mut self, at: usize, act: impl FnOnce(&mut Records, Time)) {
+        let now = self.clock();
+        act(&mut self.hosts[at], now);
+        for output in self.hosts[at].drain() {
+            self.carry(at, output);
+        }
+    }
+
+    pub fn run(&mut self, until: u64) {
+        self.commit();
+        while let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((time, _), event) = entry.remove_entry();
+            self.now = time;
+            match event {
+                Event::Message { from, to, message } => {
+                    self.with(to, |records, now| records.on_message(now, HostId(from as u64), message));
+                }
+                Event::Tick { host } => {
+                    self.with(host, Records::on_tick);
+                    self.push(TICK, Event::Tick { host });
+                }
+            }
+            self.commit();
+        }
+        self.now = until;
+    }
+
+    fn commit(&mut self) {
+        while !self.proposed.is_empty() {
+            for command in std::mem::take(&mut self.proposed) {
+                self.index += 1;
+                self.table.apply(self.index, &command);
+            }
+            let table = self.table.clone();
+            for at in 0..self.hosts.len() {
+                self.with(at, |records, now| records.install(now, &table));
+            }
+        }
+    }
+
+    fn push(&mut self, after: u64, event: Event) {
+        self.serial += 1;
+        self.events.insert((self.now + after, self.serial), event);
+    }
+
+    fn carry(&mut self, at: usize, output: Output) {
+        match output {
+            Output::Send { to, message } => {
+                let to = to.0 as usize;
+                let bytes = postcard::to_stdvec(&message).expect("plain data encodes");
+                self.seen.messages += 1;
+                self.seen.bytes += bytes.len() as u64;
+                let near = self.zones[at] == self.zones[to];
+                let cut = self.cut.is_some_and(|cut| !near && (self.zones[at] == cut || self.zones[to] == cut));
+                if !cut {
+                    let message = postcard::from_bytes(&bytes).expect("what was encoded decodes");
+                    self.push(if near { NEAR } else { FAR }, Event::Message { from: at, to, message });
+                }
+            }
+            Output::Run { key, tasks, .. } => {
+                self.seen.runs.entry(key.clone()).or_insert((self.now, at));
+                for task in tasks.filter(|_| self.answer.is_some()).map(TaskIndex).collect::<Vec<_>>() {
+                    self.work(at, &key, task);
+                }
+            }
+            Output::Reply { tag, reply } => {
+                self.seen.replies.insert(tag, (self.now, reply));
+            }
+            Output::Propose(command) => self.proposed.push(command),
+            Output::Place { .. } | Output::Stop { .. } | Output::Ended { .. } => {}
+        }
+    }
+
+    fn work(&mut self, at: usize, key: &Key, task: TaskIndex) {
+        let body = vec![7; self.answer.unwrap_or_default()].into();
+        self.with(at, |records, now| {
+            assert!(records.may_start(now, key, task), "a task of a live owner may start");
+            records.on_answer(now, key, task, TaskEnd::Answered { status: 200, body });
+        });
+    }
+}
+
+/// `micros` microseconds.
+pub const fn micros(micros: u64) -> Duration {
+    Duration::from_micros(micros)
+}
--- a/crates/cluster/src/records/mod.rs
+++ b/crates/cluster/src/records/mod.rs
@@ -121,6 +121,7 @@
     post: Post,
     rng: Pcg32,
     renewal: Time,
+    swept: usize,
     minted: u64,
 }
 
@@ -142,6 +143,7 @@
             relay: Relay::default(),
             post: Post::new(me),
             renewal: now,
+            swept: 0,
             minted: 0,
         }
     }
@@ -247,14 +249,12 @@
             self.renewal = now + self.settings.lease.mul_f64(self.rng.random_range(0.9..1.0)) / RENEWALS;
             self.renew(now, None);
         }
+        self.sweep(now);
         for at in 0..self.held.len() {
-            let Some((id, held)) = self.held.get_index_mut(at) else {
+            let Some((id, _)) = self.held.get_index(at) else {
                 break;
             };
             let id = *id;
-            if held.ready && held.sealed <= held.epoch {
-                held.sweep(now, &self.settings);
-            }
             self.wake(now, id);
             self.check(now, id);
         }
@@ -314,6 +314,17 @@
         self.run(now);
     }
 
+    /// Lets go of some records whose retention is over, one range at a time. Sealed ones stay for their new owner.
+    fn sweep(&mut self, now: Time) {
+        self.swept = (self.swept + 1) % self.held.len().max(1);
+        if let Some((_, held)) = self.held.get_index_mut(self.swept)
+            && held.ready
+            && held.sealed <= held.epoch
+        {
+            held.sweep(now, &self.settings);
+        }
+    }
+
     /// Sends callers' requests that are due.
     fn forward(&mut self, now: Time) {
         for (request, key) in self.entry.due(now) {
--- a/crates/cluster/src/records/record.rs
+++ b/crates/cluster/src/records/record.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 /// Bytes counted for a record beside its key, bodies and answers.
-const RECORD_BYTES: usize = 320;
+const RECORD_BYTES: usize = 560;
 /// Bytes counted for a task beside its body.
 const TASK_BYTES: usize = 96;
 
