Records: keys of unknown zones have no range; fuzz with short retentions

Cause: keys with the name of a zone that is added later were hashed before; two hosts with tables of different age could then own one key for longer than the blind time covers. Settled assignments of ranges that moved away stayed. Change: a colon in a key names a zone; without that zone in the table there is no range. Assignments past their deadline are settled.

--- a/crates/cluster/src/ownership/mod.rs
+++ b/crates/cluster/src/ownership/mod.rs
@@ -66,7 +66,10 @@
         self.zones.get((at / self.pinned.max(1)) as usize)
     }
 
-    /// The range that `key` belongs to; none before the table was opened.
+    /// The range that `key` belongs to.
+    ///
+    /// A key with a colon is pinned to the zone before it. Where the table does not know the zone there is no range:
+    /// if such keys were hashed until their zone is added, two hosts could own one key.
     ///
     /// ```
     /// use mangogw_cluster::ownership::{Command, Ownership};
@@ -75,19 +78,19 @@
     /// table.apply(1, &Command::Open { hashed: 4, pinned: 2, zones: vec!["regina-a".into()] });
     /// let pinned = table.locate(&"regina-a:17".into()).unwrap();
     /// assert_eq!(table.zone(pinned), Some(&"regina-a".into()));
-    /// let hashed = table.locate(&"order:17".into()).unwrap();
+    /// let hashed = table.locate(&"order-17".into()).unwrap();
     /// assert_eq!(table.zone(hashed), None);
+    /// assert_eq!(table.locate(&"atlantis:17".into()), None);
     /// ```
     pub fn locate(&self, key: &Key) -> Option<RangeId> {
         let digest = hash(key.as_str().as_bytes());
-        let zone = key.as_str().split_once(PIN_MARK).map(|(zone, _)| zone);
-        let pin = zone.and_then(|zone| self.zones.iter().position(|known| known.as_str() == zone));
-        match pin {
-            Some(zone) => {
-                Some(RangeId(self.hashed + zone as u32 * self.pinned + (digest % u64::from(self.pinned)) as u32))
+        let slot = |count: u32| digest.checked_rem(u64::from(count)).map(|slot| slot as u32);
+        match key.as_str().split_once(PIN_MARK) {
+            Some((zone, _)) => {
+                let zone = self.zones.iter().position(|known| known.as_str() == zone)? as u32;
+                Some(RangeId(self.hashed + zone * self.pinned + slot(self.pinned)?))
             }
-            None if self.hashed > 0 => Some(RangeId((digest % u64::from(self.hashed)) as u32)),
-            None => None,
+            None => slot(self.hashed).map(RangeId),
         }
     }
 
@@ -146,17 +149,14 @@
         }
     }
 
-    /// Adds the ranges of a zone. Keys of its name may have been hashed before, so once the table was in use its
-    /// ranges start as lost: their owner vouches for no unseen key until every such record has ended.
+    /// Adds the ranges of a zone.
     fn add(&mut self, zone: &Zone) {
         if self.hashed == 0 || self.zones.contains(zone) {
             return;
         }
-        let used = self.ranges.iter().any(|range| range.epoch > 0);
         self.zones.push(zone.clone());
-        for _ in 0..self.pinned {
-            self.ranges.push(Range { lost: used, ..Range::default() });
-        }
+        let count = self.ranges.len() + self.pinned as usize;
+        self.ranges.resize(count, Range::default());
     }
 
     fn current(&mut self, id: RangeId, epoch: u64) -> Option<&mut Range> {
--- a/crates/cluster/src/records/relay.rs
+++ b/crates/cluster/src/records/relay.rs
@@ -204,7 +204,9 @@
 
     /// Sends again what was not acknowledged. `owner` finds the owner of a key.
     pub fn tick(&mut self, now: Time, keep: Duration, owner: impl Fn(&Key) -> Option<Holder>, post: &mut Post) {
-        let due = |sent: &&Sent| !sent.taken && now - sent.at >= RETRY && now < sent.deadline;
+        // A task whose deadline passed is settled: its owner says so, and the other host starts it no more.
+        self.sent.retain(|_, sent| now < sent.deadline);
+        let due = |sent: &&Sent| !sent.taken && now - sent.at >= RETRY;
         let serials: Vec<u64> = self.sent.iter().filter(|(_, sent)| due(sent)).map(|(serial, _)| *serial).collect();
         for serial in serials {
             self.post(now, serial, post);
--- a/crates/cluster/tests/world/oracle.rs
+++ b/crates/cluster/tests/world/oracle.rs
@@ -27,6 +27,8 @@
     /// When the end of a key was told first.
     told: BTreeMap<Key, u64>,
     replies: BTreeMap<Tag, Reply>,
+    /// How long an end is kept.
+    pub retention: u64,
     pub completes: u64,
     pub failures: u64,
     pub unknowns: u64,
@@ -35,6 +37,10 @@
 }
 
 impl Oracle {
+    pub fn new(retention: u64) -> Self {
+        Self { retention, ..Self::default() }
+    }
+
     pub fn asked(&mut self, time: u64, tag: Tag, host: usize, key: &Key, digest: Option<u8>) {
         let request = Request { time, host, key: key.clone(), digest, over: false, refused: false };
         self.requests.insert(tag, request);
@@ -132,7 +138,8 @@
         }
         let mine = |digest: u8| request.digest.is_none_or(|asked| asked == digest);
         let ran = self.starts.iter().any(|((key, _), (start, digest))| {
-            *key == request.key && mine(*digest) && (code == Code::KeyReused || *start < request.time)
+            let kept = time < *start + self.retention;
+            *key == request.key && mine(*digest) && kept && (code == Code::KeyReused || *start < request.time)
         });
         self.check(!ran, || format!("{time}: {} was told {code}, but it ran", request.key));
     }
