Records: focused tests of the promises; a caller who waits to the deadline gets the end

Cause: a caller whose wait ends with the deadline was told running in the same tick in which the record expired. Change: deadlines go first. Tests: resubmit, other body, whole failure, not-run or unknown, restart of a host alone, bounded memory, leaving hosts, stale commands, plan.

--- a/crates/cluster/src/records/owner.rs
+++ b/crates/cluster/src/records/owner.rs
@@ -318,12 +318,12 @@
                 }
             }
         }
-        for (key, watches) in told {
-            self.tell(now, id, &key, watches);
-        }
         for key in late {
             self.abort(now, id, &key, Code::Expired, Code::DeadlinePassed);
         }
+        for (key, watches) in told {
+            self.tell(now, id, &key, watches);
+        }
     }
 
     /// The gate for a task of a record that this host owns.
--- a/crates/cluster/tests/records.rs
+++ b/crates/cluster/tests/records.rs
@@ -162,3 +162,17 @@
     }
     assert!(world.oracle.faults.is_empty(), "{:#?}", world.oracle.faults);
 }
+
+#[test]
+fn a_leaving_host_loses_nothing() {
+    let mut world = World::new(7, 6, 3, 240, true);
+    world.noisy = false;
+    world.schedule(1_500 * MS, world::Fault::Leave(1));
+    world.schedule(2_500 * MS, world::Fault::Leave(3));
+    world.run(9_000 * MS);
+    assert!(world.hosts[2].life > 1 && world.hosts[4].life > 1, "both left and came back");
+    assert_eq!(world.crashes, 0);
+    assert_eq!(world.oracle.unknowns, 0);
+    assert!(world.oracle.completes > 50, "{}", world.oracle.completes);
+    assert!(world.oracle.faults.is_empty(), "{:#?}", world.oracle.faults);
+}
--- /dev/null
+++ b/crates/cluster/tests/submissions.rs
@@ -0,0 +1,257 @@
+//! One promise of the records at a time, on a host alone and on the table.
+
+use mangogw_cluster::ownership::{Command, Ownership, Peer};
+use mangogw_cluster::records::{Output, Records, Reply, Settings, Submission, Tag, Task, TaskEnd, Verdict, Work};
+use mangogw_model::{Code, HostId, Incarnation, Key, TaskIndex, Time};
+use std::sync::Arc;
+use std::time::Duration;
+
+const WAIT: Duration = Duration::from_secs(1);
+
+fn peer(life: u64) -> Peer {
+    Peer::new(HostId(1), Incarnation(life), "a".into())
+}
+
+/// A host alone: its records, and the table of a control group that accepts everything.
+struct Alone {
+    now: Time,
+    table: Ownership,
+    index: u64,
+    records: Records,
+    seen: Vec<Output>,
+}
+
+impl Alone {
+    fn open(change: impl FnOnce(&mut Settings)) -> Self {
+        let mut settings = Settings::new(HostId(1), Incarnation(1), "a".into());
+        change(&mut settings);
+        let now = Time::from_millis(1);
+        let records = Records::open(settings, now);
+        let mut alone = Self { now, table: Ownership::default(), index: 0, records, seen: Vec::new() };
+        alone.settle(1);
+        alone
+    }
+
+    /// Restarts the process; its memory is gone.
+    fn restart(&mut self, life: u64, change: impl FnOnce(&mut Settings)) {
+        let mut settings = Settings::new(HostId(1), Incarnation(life), "a".into());
+        change(&mut settings);
+        self.records = Records::open(settings, self.now);
+        self.settle(life);
+    }
+
+    fn settle(&mut self, life: u64) {
+        for _ in 0..5 {
+            let mut commands = self.table.plan(&[peer(life)]);
+            self.records.on_peers(self.now, &[peer(life)]);
+            commands.extend(self.records.drain().into_iter().filter_map(|output| match output {
+                Output::Propose(command) => Some(command),
+                _ => None,
+            }));
+            for command in commands {
+                self.index += 1;
+                self.table.apply(self.index, &command);
+            }
+            self.records.install(self.now, &self.table);
+        }
+        assert!(self.table.ranges().all(|(_, range)| range.ready), "all ranges are ready");
+    }
+
+    fn submit(&mut self, tag: u64, key: &str, work: &Arc<Work>) {
+        let submission = Submission { key: key.into(), work: Arc::clone(work), deadline: self.now + WAIT };
+        self.records.submit(self.now, Tag(tag), submission, WAIT);
+        self.collect();
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.records.on_tick(self.now);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        self.seen.extend(self.records.drain());
+    }
+
+    fn reply(&self, tag: u64) -> Option<&Reply> {
+        self.seen.iter().find_map(|output| match output {
+            Output::Reply { tag: of, reply } if *of == Tag(tag) => Some(reply),
+            _ => None,
+        })
+    }
+}
+
+fn work(tasks: usize, body: &'static str) -> Arc<Work> {
+    let task = Task { body: body.into(), ..Task::default() };
+    let mut work = Work { entry: "scan".into(), tasks: vec![task; tasks], ..Work::default() };
+    work.digest.0[0] = body.len() as u8;
+    Arc::new(work)
+}
+
+fn answered(body: &'static str) -> TaskEnd {
+    TaskEnd::Answered { status: 200, body: body.into() }
+}
+
+fn failed(code: Code, culprit: Option<u32>) -> Reply {
+    Reply::Ended(Arc::new(Verdict::Failed { code, culprit: culprit.map(TaskIndex) }))
+}
+
+#[test]
+fn a_resubmit_gets_the_first_answer_and_another_body_is_refused() {
+    let mut alone = Alone::open(|_| {});
+    let key: Key = "k".into();
+    alone.submit(1, "k", &work(2, "one"));
+    for task in [0, 1].map(TaskIndex) {
+        assert!(alone.records.may_start(alone.now, &key, task));
+        alone.records.on_answer(alone.now, &key, task, answered("yes"));
+    }
+    alone.collect();
+    alone.submit(2, "k", &work(2, "one"));
+    alone.submit(3, "k", &work(2, "other"));
+    let whole = Reply::Ended(Arc::new(Verdict::Complete(vec![(200, "yes".into()); 2])));
+    assert_eq!(alone.reply(1), Some(&whole));
+    assert_eq!(alone.reply(2), Some(&whole));
+    assert_eq!(alone.reply(3), Some(&Reply::Refused(Code::KeyReused)));
+    let runs = alone.seen.iter().filter(|output| matches!(output, Output::Run { .. })).count();
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn one_task_without_an_answer_fails_the_job_and_stops_the_rest() {
+    let mut alone = Alone::open(|_| {});
+    let key: Key = "k".into();
+    alone.submit(1, "k", &work(3, "one"));
+    assert!(alone.records.may_start(alone.now, &key, TaskIndex(1)));
+    alone.records.on_answer(alone.now, &key, TaskIndex(1), TaskEnd::Failed(Code::TargetFailed));
+    alone.collect();
+    assert_eq!(alone.reply(1), Some(&failed(Code::TargetFailed, Some(1))));
+    assert!(!alone.records.may_start(alone.now, &key, TaskIndex(0)));
+    assert!(alone.seen.contains(&Output::Stop { key }));
+}
+
+#[test]
+fn what_never_started_ends_as_not_run_and_what_may_have_as_unknown() {
+    let mut alone = Alone::open(|_| {});
+    for (tag, key) in [(1, "late"), (2, "ran"), (3, "cancelled"), (4, "stopped"), (5, "refused")] {
+        alone.submit(tag, key, &work(1, "one"));
+    }
+    let first = TaskIndex(0);
+    assert!(alone.records.may_start(alone.now, &"ran".into(), first));
+    assert!(alone.records.may_start(alone.now, &"stopped".into(), first));
+    alone.records.cancel(alone.now, Tag(13), "cancelled".into());
+    alone.records.cancel(alone.now, Tag(14), "stopped".into());
+    alone.records.on_answer(alone.now, &"refused".into(), first, TaskEnd::Refused(Code::NoCapacity));
+    alone.pass(Duration::from_secs(2));
+    let codes = [Code::Expired, Code::DeadlinePassed, Code::Cancelled, Code::CancelledRunning];
+    for (tag, code) in (1..).zip(codes) {
+        assert_eq!(alone.reply(tag), Some(&failed(code, None)));
+    }
+    assert_eq!(alone.reply(5), Some(&failed(Code::NoCapacity, Some(0))));
+    assert_eq!(alone.reply(13), alone.reply(3));
+    assert_eq!(alone.reply(14), alone.reply(4));
+}
+
+#[test]
+fn a_task_that_its_target_did_not_start_runs_once_after_all() {
+    let mut alone = Alone::open(|_| {});
+    let key: Key = "k".into();
+    alone.submit(1, "k", &work(1, "one"));
+    assert!(alone.records.may_start(alone.now, &key, TaskIndex(0)));
+    alone.records.on_answer(alone.now, &key, TaskIndex(0), TaskEnd::NotStarted);
+    assert!(alone.records.may_start(alone.now, &key, TaskIndex(0)));
+    assert!(!alone.records.may_start(alone.now, &key, TaskIndex(0)));
+}
+
+#[test]
+fn a_host_alone_that_restarts_vouches_for_no_unseen_key_until_all_it_lost_has_ended() {
+    let short = |settings: &mut Settings| {
+        settings.longest = Duration::from_secs(1);
+        settings.retention = Duration::from_secs(1);
+    };
+    let mut alone = Alone::open(short);
+    alone.submit(1, "k", &work(1, "one"));
+    assert!(alone.records.may_start(alone.now, &"k".into(), TaskIndex(0)));
+    alone.restart(2, short);
+    alone.submit(2, "k", &work(1, "one"));
+    assert_eq!(alone.reply(2), Some(&Reply::Refused(Code::HomeUnknown)));
+    alone.records.read(alone.now, Tag(3), "k".into(), Duration::ZERO);
+    alone.collect();
+    assert_eq!(alone.reply(3), Some(&Reply::Refused(Code::HomeUnknown)));
+    // A key it minted just now can't have been seen.
+    let deadline = alone.now + WAIT;
+    let minted = alone.records.submit_new(alone.now, Tag(4), work(1, "new"), deadline, WAIT);
+    assert!(alone.records.may_start(alone.now, &minted, TaskIndex(0)));
+    alone.pass(Duration::from_millis(2_300));
+    alone.submit(5, "k2", &work(1, "one"));
+    assert!(alone.records.may_start(alone.now, &"k2".into(), TaskIndex(0)));
+}
+
+#[test]
+fn memory_is_bounded_and_a_full_host_refuses_truly() {
+    let mut alone = Alone::open(|settings| {
+        settings.bytes = 10_000;
+        settings.retention = Duration::from_secs(1);
+    });
+    let mut full = 0;
+    for tag in 0..50 {
+        let key = format!("k{tag}");
+        alone.submit(tag, &key, &work(1, "one"));
+        let started = alone.records.may_start(alone.now, &key.as_str().into(), TaskIndex(0));
+        let refused = alone.reply(tag) == Some(&Reply::Refused(Code::Overloaded));
+        assert_ne!(started, refused);
+        full += u64::from(refused);
+        alone.records.on_answer(alone.now, &key.as_str().into(), TaskIndex(0), answered("yes"));
+        alone.collect();
+    }
+    assert!(full > 20, "{full}");
+    assert!(alone.records.bytes() <= 10_000, "{}", alone.records.bytes());
+    for _ in 0..200 {
+        alone.pass(Duration::from_millis(10));
+    }
+    assert_eq!(alone.records.count(), 0, "records end with their retention");
+    assert_eq!(alone.records.bytes(), 0);
+}
+
+#[test]
+fn a_command_for_an_epoch_that_is_over_changes_nothing() {
+    let mut table = Ownership::default();
+    table.apply(1, &Command::Open { hashed: 1, pinned: 1, zones: vec!["a".into()] });
+    for index in 2..4 {
+        for command in table.plan(&[peer(1)]) {
+            table.apply(index, &command);
+        }
+    }
+    let (range, before) = table.ranges().next().map(|(id, range)| (id, range.clone())).unwrap();
+    for epoch in [before.epoch - 1, before.epoch + 1] {
+        table.apply(9, &Command::Ready { range, epoch });
+        table.apply(9, &Command::Forget { range, epoch });
+        table.apply(9, &Command::Assign { range, epoch, holders: vec![peer(2).holder] });
+        assert_eq!(table.range(range), Some(&before));
+    }
+}
+
+#[test]
+fn the_plan_keeps_pinned_ranges_in_their_zone_and_copies_in_two_zones() {
+    let peers: Vec<Peer> =
+        (1..=6).map(|at| Peer::new(HostId(at), Incarnation(1), format!("z{}", at % 3).as_str().into())).collect();
+    let mut table = Ownership::default();
+    for index in 1..80 {
+        for command in table.plan(&peers) {
+            table.apply(index, &command);
+        }
+        let ready: Vec<Command> = table.ranges().map(|(range, of)| Command::Ready { range, epoch: of.epoch }).collect();
+        for command in ready {
+            table.apply(index, &command);
+        }
+    }
+    assert_eq!(table.plan(&peers), Vec::new(), "the plan comes to rest");
+    let zone_of = |host: HostId| peers.iter().find(|peer| peer.holder.host == host).map(|peer| &peer.zone);
+    for (id, range) in table.ranges() {
+        let zones: Vec<_> = range.holders.iter().map(|holder| zone_of(holder.host)).collect();
+        assert_eq!(zones.len(), 2);
+        match table.zone(id) {
+            Some(zone) => assert_eq!(zones, vec![Some(zone); 2]),
+            None => assert_ne!(zones[0], zones[1]),
+        }
+    }
+}
