Audit and deltas: tests for what mutations of the code left green

Cause: 30 mutations of the control state, one at a time; six left the tests green (the checks of positions and hashes in the trail and in exports, the undoing of owners, the bound on commands).

--- a/crates/catalogue/tests/suite/audit.rs
+++ b/crates/catalogue/tests/suite/audit.rs
@@ -3,6 +3,7 @@
 use crate::support::{ADMIN, FIRST_TEAM, START_MS, command, entry, put, seeded};
 use mangogw_catalogue::{Action, AuditQuery, Bounds, Control, verify_export};
 use mangogw_model::Code;
+use sha2::{Digest, Sha256};
 
 /// A state with `count` changes of one entry, one each second.
 fn busy(bounds: Bounds, count: u64) -> Control {
@@ -100,6 +101,67 @@
     assert_ne!(cut.hash, head.hash.to_string(), "but the head does");
 }
 
+/// The line of a record behind `prev`, with a right hash, as a forger would write it.
+fn forged(prev: &str, record: &str) -> String {
+    let mut hash = Sha256::new();
+    hash.update(hex::decode(prev).expect("it is a hash"));
+    hash.update(record);
+    let hash = hex::encode(hash.finalize());
+    format!("{{\"prev\":\"{prev}\",\"hash\":\"{hash}\",\"record\":{record}}}")
+}
+
+fn parts(line: &str) -> (String, String, String) {
+    let digits = |name: &str| {
+        let start = line.find(name).expect("the name") + name.len();
+        line[start..start + 64].to_owned()
+    };
+    let record = &line[line.find("\"record\":").expect("a record") + 9..line.len() - 1];
+    (digits("\"prev\":\""), digits("\"hash\":\""), record.to_owned())
+}
+
+#[test]
+fn forged_lines_with_right_hashes_show_too() {
+    let control = busy(Bounds::default(), 10);
+    let lines = export(&control, &AuditQuery::default());
+    let (prev, _, record) = parts(&lines[5]);
+    assert_eq!(forged(&prev, &record), lines[5], "this is how a line is made");
+    let mut changed = lines.clone();
+    changed[5] = forged(&prev, &record.replace("\"ana\"", "\"eve\""));
+    assert_eq!(verify_export(&changed.join("\n")).expect_err("the next line does not follow").line, 7);
+    // The record is left out and every later hash is made anew: the positions show it.
+    let mut chained = lines[..5].to_vec();
+    let (_, mut last, _) = parts(&lines[4]);
+    for line in &lines[6..] {
+        let line = forged(&last, &parts(line).2);
+        last = parts(&line).1;
+        chained.push(line);
+    }
+    assert_eq!(verify_export(&chained.join("\n")).expect_err("a position is missing").line, 6);
+}
+
+/// `bytes` with every `from` replaced by `to`.
+fn replaced(bytes: &[u8], from: &[u8], to: &[u8]) -> Vec<u8> {
+    let mut bytes = bytes.to_vec();
+    for at in 0..bytes.len().saturating_sub(from.len()) {
+        if bytes[at..].starts_with(from) {
+            bytes[at..at + to.len()].copy_from_slice(to);
+        }
+    }
+    bytes
+}
+
+#[test]
+fn a_record_that_was_changed_in_the_state_shows() {
+    let mut control = seeded(Control::default());
+    let mut change = command(ADMIN, Some(1), put("gate-scan", entry("gates")));
+    change.from = "192.0.2.77:1".into();
+    control.apply(100, &change);
+    let bytes = control.encode();
+    control.verify_audit().expect("it is whole");
+    let damaged = Control::decode(&replaced(&bytes, b"192.0.2.77:1", b"192.0.2.78:1")).expect("it can be read");
+    assert_eq!(damaged.verify_audit().expect_err("an address was changed").line, 8);
+}
+
 #[test]
 fn two_exports_join_where_the_hashes_meet() {
     let mut control = busy(Bounds { records: 10, ..Bounds::default() }, 10);
--- a/crates/catalogue/tests/suite/catalogue.rs
+++ b/crates/catalogue/tests/suite/catalogue.rs
@@ -152,6 +152,12 @@
     let next = Catalogue::parse(&catalogue(5).to_toml().replace("version = 0", "version = 1")).expect("whole");
     let mut wrong = delta(&copy, &next);
     wrong.entries.pop();
+    let weight = Team { weight: 9, ..Team::default() };
+    wrong.owners = vec![
+        Edit { name: "gates".into(), value: Some(weight) },
+        Edit { name: "tally".into(), value: None },
+        Edit { name: "new".into(), value: Some(Team::default()) },
+    ];
     assert!(matches!(copy.install(&wrong), Err(InstallError::Diverged { to: Version(1) })));
     assert_eq!(copy, before);
     let mut faulty = delta(&copy, &next);
--- a/crates/catalogue/tests/suite/decode.rs
+++ b/crates/catalogue/tests/suite/decode.rs
@@ -117,7 +117,8 @@
     bytes.extend([0xff; 8]);
     bytes.push(0x0f);
     Command::decode(&bytes).expect_err("the owners are missing");
-    Command::decode(&vec![1; MAX_COMMAND_BYTES + 1]).expect_err("it is too long");
+    let long = Command::decode(&vec![1; MAX_COMMAND_BYTES + 1]).expect_err("it is too long");
+    assert!(long.to_string().contains("at most"), "{long}");
 }
 
 #[test]
