--- /dev/null
+++ b/crates/host/src/host.rs
@@ -0,0 +1,319 @@
+//! The host value: its parts, its inputs and its effects.
+
+use crate::ask::Ask;
+use crate::effect::{Caller, Effect, Refused, Reply, Seen};
+use crate::group::Group;
+use crate::message::Message;
+use crate::relay::{Relay, RelayMessage};
+use crate::settings::Settings;
+use crate::spread::{Spread, SpreadMessage, Standing};
+use crate::units::{Unit, Units};
+use indexmap::{IndexMap, IndexSet};
+use mangogw_catalogue::{Action, Catalogue};
+use mangogw_cluster::grants::{Grants, Ticket};
+use mangogw_cluster::members::{self, Members};
+use mangogw_cluster::ownership::Ownership;
+use mangogw_cluster::records::{self, Records};
+use mangogw_cluster::route::{self, Route};
+use mangogw_cluster::{Seat, grants};
+use mangogw_dispatch::{Dispatch, EntryKey, Report, TaskKey};
+use mangogw_model::{AttemptId, Code, EntryName, HostId, Key, Time};
+use mangogw_store::{Stored, WriteId};
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// The view of other hosts is taken anew at least so often.
+const VIEW_PERIOD: Duration = Duration::from_millis(50);
+/// The dispatch core trusts a target that this host owns for so long after the grants were looked at.
+const TARGET_LEASE: Duration = Duration::from_secs(1);
+
+/// The part of a run time that a relay to a faster target must save.
+const RELAY_GAIN: f64 = 1.0;
+
+/// Who asked for something that the control group answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Asker {
+    /// A caller of this host.
+    Caller(Caller),
+    /// A host that passed a call on.
+    Peer { host: HostId, serial: u64 },
+    /// A host, maybe this one, that needs a fresh catalogue.
+    Fresh(HostId),
+}
+
+/// One host of the system.
+#[derive(Debug)]
+pub struct Host {
+    pub(crate) settings: Settings,
+    pub(crate) dispatch: Dispatch,
+    pub(crate) members: Members,
+    pub(crate) grants: Grants,
+    pub(crate) route: Route,
+    pub(crate) records: Records,
+    pub(crate) group: Option<Group<Asker>>,
+    pub(crate) spread: Spread,
+    pub(crate) relay: Relay<Unit>,
+    pub(crate) catalogue: Catalogue,
+    pub(crate) table: Ownership,
+    pub(crate) seats: Vec<Seat>,
+    pub(crate) viewed: Option<Time>,
+    pub(crate) units: Units,
+    pub(crate) live: IndexMap<Key, Vec<TaskKey>>,
+    pub(crate) moving: IndexMap<TaskKey, HostId>,
+    pub(crate) parked: VecDeque<Unit>,
+    pub(crate) dirty: IndexSet<EntryKey>,
+    pub(crate) runs: IndexMap<EntryName, f64>,
+    pub(crate) tickets: IndexMap<Ticket, Caller>,
+    pub(crate) jobs: IndexMap<u64, Key>,
+    pub(crate) calls: IndexMap<u64, (Caller, Time)>,
+    pub(crate) wishes: Vec<Action>,
+    pub(crate) serial: u64,
+    pub(crate) joined: Option<Time>,
+    pub(crate) effects: Vec<Effect>,
+    pub(crate) draining: bool,
+}
+
+impl Host {
+    /// A host with an empty catalogue. With `stored` it is, or wants to become, a member of the control group.
+    pub fn open(settings: Settings, stored: Option<Stored>, now: Time) -> Self {
+        let Settings { host, incarnation, zone, seed, .. } = settings.clone();
+        let voter = stored.is_some();
+        let me = members::Host {
+            id: host,
+            incarnation,
+            address: settings.address,
+            http: settings.http,
+            zone: zone.clone(),
+            voter,
+        };
+        let core = mangogw_dispatch::Settings {
+            host,
+            incarnation,
+            seed,
+            lease: TARGET_LEASE,
+            zone: zone.clone(),
+            distance: settings.far * 2,
+        };
+        let hosts = members::Settings { host: me, seeds: settings.seeds.clone(), seed };
+        let (hop, far) = (settings.hop, settings.far);
+        let ways = route::Settings { id: host, zone: zone.clone(), hop, far, gain: RELAY_GAIN, seed: seed ^ 1 };
+        let mut keep = records::Settings::new(host, incarnation, zone.clone());
+        keep.seed = seed ^ 2;
+        let mut value = Self {
+            dispatch: Dispatch::open(core),
+            members: Members::open(hosts, now),
+            grants: Grants::open(&grants::Settings { id: host, life: incarnation }, now),
+            route: Route::open(ways, now),
+            records: Records::open(keep, now),
+            group: stored.map(|stored| Group::open(stored, seed ^ 3, settings.wall, now)),
+            spread: Spread::open(host, zone, now),
+            relay: Relay::open(incarnation),
+            catalogue: Catalogue::default(),
+            table: Ownership::default(),
+            seats: Vec::new(),
+            viewed: None,
+            units: Units::new(),
+            live: IndexMap::new(),
+            moving: IndexMap::new(),
+            parked: VecDeque::new(),
+            dirty: IndexSet::new(),
+            runs: IndexMap::new(),
+            tickets: IndexMap::new(),
+            jobs: IndexMap::new(),
+            calls: IndexMap::new(),
+            wishes: Vec::new(),
+            serial: incarnation.0 << 20,
+            joined: None,
+            effects: Vec::new(),
+            draining: false,
+            settings,
+        };
+        value.look(now);
+        value.settle(now);
+        value
+    }
+
+    /// Changes to make once this host leads a control group whose catalogue is empty.
+    pub fn set_wishes(&mut self, actions: Vec<Action>) {
+        self.wishes = actions;
+    }
+
+    /// Takes a request of a caller, a target or an operator.
+    pub fn on_request(&mut self, now: Time, caller: Caller, ask: Ask) {
+        match ask {
+            Ask::Run { entry, key, within, body } => self.run(now, caller, entry, key, within, body),
+            Ask::Submit(job) => self.submit(now, caller, job),
+            Ask::Read { key, wait } => self.read(now, caller, key, wait),
+            Ask::Cancel { key } => self.cancel(now, caller, key),
+            Ask::Announce { said, echo } => self.announce(now, caller, said, echo),
+            Ask::Leave { target } => self.leave(now, caller, target),
+            Ask::Usage { target, usage } => {
+                self.grants.usage(now, target, usage);
+                self.reply(caller, Reply::Done);
+            }
+            Ask::Operate(call) => self.operate(now, Asker::Caller(caller), Box::new(call)),
+        }
+        self.settle(now);
+    }
+
+    /// Forgets a caller that went away. What it asked for goes on.
+    pub fn on_gone(&mut self, caller: Caller) {
+        self.jobs.swap_remove(&caller.0);
+    }
+
+    /// Takes a message of another host in.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        match message {
+            Message::Members(message) => self.members.on_message(now, from, message),
+            Message::Grants(message) => self.grants.on_message(now, from, message),
+            Message::Route(message) => self.route.on_message(now, from, message),
+            Message::Records(message) => self.records.on_message(now, from, message),
+            Message::Raft(message) => {
+                if let Some(group) = &mut self.group {
+                    group.on_message(now, from, message);
+                }
+            }
+            Message::Group(message) => self.on_group_message(now, from, message),
+            Message::Spread(SpreadMessage::Have { have, fresh }) => self.on_have(now, from, have, fresh),
+            Message::Spread(SpreadMessage::News(news)) => self.on_news(now, from, &news),
+            Message::Relay(message) => self.on_relay(now, from, message),
+        }
+        self.settle(now);
+    }
+
+    /// Takes what the shell saw of an attempt.
+    pub fn on_answer(&mut self, now: Time, task: TaskKey, attempt: AttemptId, seen: Seen) {
+        let report = match seen {
+            Seen::Other(report) => report,
+            Seen::Answer(answer) if answer.status >= 500 => Report::Failed,
+            Seen::Answer(answer) => {
+                self.keep_answer(now, task, answer);
+                Report::Answered
+            }
+        };
+        self.dispatch.report(now, attempt, report);
+        self.settle(now);
+    }
+
+    /// Takes what the shell saw after it told a target about an attempt.
+    pub fn on_word(&mut self, now: Time, attempt: AttemptId, report: Report) {
+        self.dispatch.report(now, attempt, report);
+        self.settle(now);
+    }
+
+    /// A write was synced.
+    pub fn on_synced(&mut self, now: Time, id: WriteId) {
+        if let Some(group) = &mut self.group {
+            group.on_synced(now, id);
+        }
+        self.settle(now);
+    }
+
+    /// A write failed: the host takes no part in the control group from here on.
+    pub fn on_failed(&mut self, now: Time) {
+        if let Some(group) = &mut self.group {
+            group.on_failed(now);
+        }
+        self.settle(now);
+    }
+
+    /// Runs everything that depends on time.
+    pub fn on_tick(&mut self, now: Time) {
+        self.members.on_tick(now);
+        self.settle_members(now);
+        if self.viewed.is_none_or(|viewed| now - viewed >= VIEW_PERIOD) {
+            self.look(now);
+        }
+        self.grants.on_tick(now);
+        self.route.on_tick(now);
+        self.records.on_tick(now);
+        self.tick_control(now);
+        self.dispatch.tick(now);
+        self.tick_relay(now);
+        self.settle(now);
+    }
+
+    /// Takes no new work from callers; what was taken goes on, and what this host owns is handed over.
+    pub fn on_drain(&mut self, now: Time) {
+        self.draining = true;
+        self.grants.leave_cluster();
+        self.tell_leaving(now);
+        self.move_waiting(now);
+        self.settle(now);
+    }
+
+    /// Tells the others that this host is gone. Call it last.
+    pub fn on_exit(&mut self, now: Time) {
+        self.members.leave(now);
+        self.settle(now);
+    }
+
+    /// True if nothing of a caller is waiting or running here, and nothing is left to hand over.
+    pub fn is_idle(&self, now: Time) -> bool {
+        let alone = self.seats.len() < 2;
+        let served = self.units.is_empty() && self.relay.len() == 0 && self.records.pending() == 0;
+        let handed = alone || (self.records.handed_over() && self.grants.is_idle(now));
+        served && self.parked.is_empty() && handed
+    }
+
+    /// True if the host knows a catalogue it may serve by.
+    pub fn is_ready(&self) -> bool {
+        !self.draining && self.wishes.is_empty() && self.spread.standing() != Standing::Blank
+    }
+
+    /// What is to be done since the last call.
+    pub fn drain(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub(crate) fn reply(&mut self, caller: Caller, reply: Reply) {
+        self.effects.push(Effect::Reply { caller, reply });
+    }
+
+    pub(crate) fn refuse(&mut self, caller: Caller, refused: Refused) {
+        self.reply(caller, Reply::Refused(refused));
+    }
+
+    /// Sends a message to a host that is known.
+    pub(crate) fn send(&mut self, to: HostId, message: Message) {
+        if let Some(host) = self.members.host(to) {
+            self.effects.push(Effect::Send { to: host.address, message });
+        }
+    }
+
+    pub(crate) fn send_relay(&mut self, to: HostId, message: RelayMessage) {
+        self.send(to, Message::Relay(message));
+    }
+
+    /// Checks that the host takes work for an entry, and a body of this size.
+    pub(crate) fn find(&self, name: &EntryName, bytes: usize) -> Result<EntryKey, Refused> {
+        if self.draining {
+            return Err(Refused::new(Code::Draining, "send it to another host"));
+        }
+        if self.spread.standing() == Standing::Blank {
+            return Err(Refused::new(Code::NotReady, "no catalogue has been read yet"));
+        }
+        let key = self.dispatch.entry(name);
+        let key = key.ok_or_else(|| Refused::new(Code::UnknownEntry, format!("no entry {name} in the catalogue")))?;
+        let limit = self.dispatch.entry_of(key).1.limits.body_bytes;
+        if bytes as u64 > limit {
+            return Err(Refused::new(Code::BodyTooLarge, format!("{bytes} bytes, the limit of {name} is {limit}")));
+        }
+        Ok(key)
+    }
+
+    /// Turns what the parts decided into effects and into inputs of other parts, until none has more to say.
+    pub(crate) fn settle(&mut self, now: Time) {
+        loop {
+            let mut quiet = self.settle_members(now);
+            quiet &= self.settle_grants(now);
+            quiet &= self.settle_group(now);
+            quiet &= self.settle_records(now);
+            quiet &= self.settle_dispatch(now);
+            quiet &= self.settle_route(now);
+            if quiet {
+                return;
+            }
+        }
+    }
+}
