Operators' HTTP routes, and strangers' changes kept out of the log

Cause: operators had no way to the control group over HTTP; and a change without a valid token went into the replicated log whole, up to 8 MiB each, so anybody could fill the disks. Change: mangogwd::operate serves catalogue, owners, history, rollback, shift, audit, tokens, control and ownership over a small trait; the peer's address goes into the audit trail. The group answers a stranger at once and proposes a short record at most once a second after a burst of 60.

--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -3,7 +3,7 @@
 use crate::operate::{Call, Told, View, What};
 use bytes::Bytes;
 use indexmap::IndexMap;
-use mangogw_catalogue::{Action, Caller as Principal, Command, Control, Line, Session};
+use mangogw_catalogue::{Action, Caller as Principal, Command, Control, Gate, Line, Session};
 use mangogw_cluster::ownership::{self, Ownership, Peer};
 use mangogw_model::{Code, HostId, Incarnation, Time};
 use mangogw_store::{Applied, Birth, Change, Output, Raft, Refusal, Role, Stored, Tag, Write, WriteId};
@@ -128,6 +128,7 @@
     leaving: IndexMap<HostId, Incarnation>,
     out: Vec<GroupOutput<T>>,
     wall: u64,
+    strangers: Gate,
 }
 
 impl<T: Clone> Group<T> {
@@ -145,6 +146,7 @@
             leaving: IndexMap::new(),
             out: Vec::new(),
             wall,
+            strangers: Gate::default(),
         };
         group.settle(now);
         group
@@ -266,8 +268,12 @@
         let session = self.state.control.authenticate(&call.token, at_ms);
         let tag = self.tag();
         match (call.what, session) {
-            (What::Change { key, base, action }, session) => {
-                let caller = session.map_or(Principal::Nobody, |session| Principal::Token(session.token));
+            (What::Change { action, .. }, Err(code)) => {
+                self.note_stranger(now, at_ms, call.from, &action, code);
+                self.tell(asker, Told::refused(code, code.title()));
+            }
+            (What::Change { key, base, action }, Ok(session)) => {
+                let caller = Principal::Token(session.token);
                 let command = Command { at_ms, caller, from: call.from, key, base, action: *action };
                 self.waiting.insert(tag, Waiting { asker, view: None });
                 self.propose(now, &LogCommand::Control(command.encode().into()), tag);
@@ -294,6 +300,19 @@
         }
     }
 
+    /// Has a change without a valid token recorded. A flood of them costs the log one short command a second.
+    fn note_stranger(&mut self, now: Time, at_ms: u64, from: String, action: &Action, code: Code) {
+        if !self.strangers.admit(at_ms) {
+            return;
+        }
+        let what = format!("{} {}", action.verb(), action.target());
+        let skipped = self.strangers.take_skipped();
+        let action = Action::Refused { code, what, skipped };
+        let command = Command { from, ..Command::new(at_ms, Principal::Nobody, action) };
+        let tag = self.tag();
+        self.propose(now, &LogCommand::Control(command.encode().into()), tag);
+    }
+
     /// Asks for a read that is current, for a host that needs a fresh catalogue.
     pub(crate) fn confirm(&mut self, now: Time, asker: T) {
         let tag = self.tag();
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -1,6 +1,7 @@
 //! The HTTP interface: requests to [`Ask`]s, and [`Reply`]s to responses. The reference is `docs/API.md`.
 
 use crate::node::Node;
+use crate::operate;
 use crate::settings::Network;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
@@ -97,6 +98,10 @@
             (&Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "alive\n")),
             (&Method::GET, ["readyz"]) if self.node.is_ready() => Ok(text(StatusCode::OK, "ready\n")),
             (&Method::GET, ["readyz"]) => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
+            (_, ["v1", root, ..]) if operate::ROOTS.contains(root) => {
+                let body = self.read(body).await?;
+                operate::handle(&self.node, &head, &body).await
+            }
             (method, _) => Err(Refused::new(Code::NoRoute, format!("{method} {}", head.uri.path()))),
         }
     }
@@ -144,12 +149,12 @@
     serde_json::from_slice(body).map_err(|error| Refused::new(Code::BadRequest, error.to_string()))
 }
 
-fn header_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refused> {
+pub(crate) fn header_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Refused> {
     let bad = |_opaque| Refused::new(Code::BadHeader, format!("{name} is no visible ASCII"));
     headers.get(name).map(HeaderValue::to_str).transpose().map_err(bad)
 }
 
-fn key_of(headers: &HeaderMap) -> Result<Option<Key>, Refused> {
+pub(crate) fn key_of(headers: &HeaderMap) -> Result<Option<Key>, Refused> {
     header_of(headers, header::KEY)?.map(check_key).transpose()
 }
 
@@ -251,7 +256,7 @@
 }
 
 /// Sets the outcome headers.
-fn mark(response: &mut Response<Full<Bytes>>, outcome: Outcome, code: Code, key: Option<&Key>) {
+pub(crate) fn mark(response: &mut Response<Full<Bytes>>, outcome: Outcome, code: Code, key: Option<&Key>) {
     let headers = response.headers_mut();
     headers.insert(header::OUTCOME, HeaderValue::from_static(outcome.name()));
     headers.insert(header::CODE, HeaderValue::from(code.number()));
@@ -267,7 +272,7 @@
     response
 }
 
-fn as_json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
+pub(crate) fn as_json<T: serde::Serialize>(status: StatusCode, body: &T) -> Response<Full<Bytes>> {
     // Every body here is a plain struct; serialization of those can't fail.
     let bytes = serde_json::to_vec(body).unwrap_or_default();
     let mut response = Response::new(Full::new(Bytes::from(bytes)));
--- a/crates/mangogwd/src/lib.rs
+++ b/crates/mangogwd/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod links;
 pub mod logs;
 pub mod node;
+pub mod operate;
 pub mod pipeline;
 pub mod pool;
 pub mod server;
--- a/crates/mangogwd/src/pipeline.rs
+++ b/crates/mangogwd/src/pipeline.rs
@@ -1,6 +1,7 @@
 //! The layers a request passes before it is handled.
 
 use crate::api::{self, Api};
+use crate::operate::Peer;
 use bytes::Bytes;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response, Version};
@@ -9,6 +10,7 @@
 use mangogw_host::Refused;
 use mangogw_model::Code;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -20,12 +22,19 @@
 pub struct Pipeline {
     api: Api,
     open: Arc<Semaphore>,
+    peer: Option<Peer>,
 }
 
 impl Pipeline {
     /// A pipeline that refuses what comes while `requests` are open.
     pub fn new(api: Api, requests: usize) -> Self {
-        Self { api, open: Arc::new(Semaphore::new(requests)) }
+        Self { api, open: Arc::new(Semaphore::new(requests)), peer: None }
+    }
+
+    /// The same pipeline for a connection that comes from `peer`.
+    #[must_use]
+    pub fn of(&self, peer: SocketAddr) -> Self {
+        Self { peer: Some(Peer(peer)), ..self.clone() }
     }
 }
 
@@ -38,7 +47,10 @@
         Poll::Ready(Ok(()))
     }
 
-    fn call(&mut self, req: Request<Incoming>) -> Self::Future {
+    fn call(&mut self, mut req: Request<Incoming>) -> Self::Future {
+        if let Some(peer) = self.peer {
+            req.extensions_mut().insert(peer);
+        }
         let api = self.api.clone();
         let place = Arc::clone(&self.open).try_acquire_owned();
         Box::pin(async move {
--- a/crates/mangogwd/src/server.rs
+++ b/crates/mangogwd/src/server.rs
@@ -235,7 +235,7 @@
             tokio::select! {
                 () = &mut until => break,
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => serve(stream, &pipeline, &open),
+                    Ok((stream, peer)) => serve(stream, &pipeline.of(peer), &open),
                     Err(error) => {
                         log::warn!(error:%; "server: accept failed");
                         tokio::time::sleep(LOOK).await;
--- /dev/null
+++ b/crates/mangogwd/tests/operate.rs
@@ -0,0 +1,248 @@
+//! The operators' routes over the control state alone.
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use mangogw_catalogue::{Action, AuditQuery, Caller, Command, Control, Role, Token};
+use mangogw_host::{Call, Refused, Reply, Told, View, What};
+use mangogw_model::{Code, Team, Version};
+use mangogwd::operate::{Operate, Peer, handle};
+use std::sync::Mutex;
+
+const END_MS: u64 = 1_000_000;
+
+/// A control group of one that applies at once.
+#[derive(Debug)]
+struct Direct(Mutex<Control>);
+
+impl Direct {
+    fn new() -> Self {
+        let mut control = Control::default();
+        let people =
+            [(1, "ana", Role::Administrator), (2, "viv", Role::Viewer), (3, "desk", Role::Team("gates".into()))];
+        for (id, name, role) in people {
+            let token = token(id);
+            let (id, hash) = (token.id(), token.hash());
+            let issue = Action::Issue { id, hash, name: name.into(), role, expires_ms: END_MS };
+            let index = control.index() + 1;
+            let caller = if index == 1 { Caller::Bootstrap } else { Caller::Token(self::token(1).id()) };
+            assert_eq!(control.apply(index, &Command::new(0, caller, issue)).code, Code::Answered);
+        }
+        let owners = [("gates".into(), Team::default()), ("tally".into(), Team::default())].into();
+        let set = Action::Apply { owners, entries: [].into() };
+        let set = Command { base: Some(Version(0)), ..Command::new(0, Caller::Token(token(1).id()), set) };
+        assert_eq!(control.apply(4, &set).code, Code::Answered);
+        Self(Mutex::new(control))
+    }
+
+    fn view(&self, view: &View) -> Told {
+        let control = self.0.lock().unwrap();
+        let version = control.catalogue().version();
+        let body = match view {
+            View::Catalogue { toml: true, .. } => Some(control.catalogue().to_toml()),
+            View::Catalogue { .. } => Some(control.catalogue().to_json()),
+            View::Entry(name) => control.catalogue().entry(name).map(|entry| serde_json::to_string(&**entry).unwrap()),
+            View::Shift => Some(serde_json::to_string(control.shift()).unwrap()),
+            View::Audit(query) => {
+                Some(control.audit(query).map(|line| line.to_string()).collect::<Vec<_>>().join("\n"))
+            }
+            _ => Some(String::new()),
+        };
+        body.map_or(Told::refused(Code::UnknownEntry, "none"), |body| Told::Read { version, body })
+    }
+}
+
+impl Operate for Direct {
+    async fn operate(&self, call: Call) -> Reply {
+        let session = self.0.lock().unwrap().authenticate(&call.token, 1);
+        let told = match (call.what, session) {
+            (_, Err(code)) => return Reply::Refused(Refused::new(code, code.title())),
+            (What::Change { key, base, action }, Ok(session)) => {
+                let mut control = self.0.lock().unwrap();
+                let caller = Caller::Token(session.token);
+                let command = Command { from: call.from, key, base, ..Command::new(1, caller, *action) };
+                let index = control.index() + 1;
+                Told::Changed(control.apply(index, &command))
+            }
+            (What::Read(view), Ok(_)) => self.view(&view),
+            (What::Remove(_) | What::Transfer(_), Ok(_)) => Told::Done,
+        };
+        Reply::Told(told)
+    }
+}
+
+fn token(id: u128) -> Token {
+    Token::from_random(id, [id as u8; 32])
+}
+
+/// What a caller sees.
+#[derive(Debug, PartialEq, Eq)]
+struct Seen {
+    status: u16,
+    code: u16,
+    tag: String,
+    body: String,
+}
+
+async fn seen(response: Response<Full<Bytes>>) -> Seen {
+    let (head, body) = response.into_parts();
+    let text = |name: &str| head.headers.get(name).map_or("", |value| value.to_str().unwrap()).to_owned();
+    let body = body.collect().await.unwrap().to_bytes();
+    let code = text("mangogw-code").parse().unwrap_or(0);
+    Seen { status: head.status.as_u16(), code, tag: text("etag"), body: String::from_utf8(body.to_vec()).unwrap() }
+}
+
+async fn send(
+    to: &Direct,
+    who: u128,
+    line: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Result<Seen, (Code, String)> {
+    let (method, path) = line.split_once(' ').unwrap();
+    let method: Method = method.parse().unwrap();
+    let mut request = Request::builder().method(method).uri(path);
+    request = request.header("authorization", format!("Bearer {}", token(who).to_text()));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let mut request = request.body(()).unwrap();
+    request.extensions_mut().insert(Peer("192.0.2.7:5".parse().unwrap()));
+    let (head, ()) = request.into_parts();
+    match handle(to, &head, body.as_bytes()).await {
+        Ok(response) => Ok(seen(response).await),
+        Err(refused) => Err((refused.code, refused.detail)),
+    }
+}
+
+async fn refused(to: &Direct, who: u128, line: &str, headers: &[(&str, &str)], body: &str) -> Code {
+    send(to, who, line, headers, body).await.expect_err("it is refused").0
+}
+
+const SCAN: &str = "{\"owner\":\"gates\",\"class\":\"urgent\"}";
+
+#[tokio::test]
+async fn a_put_is_based_on_the_tag_that_was_read() {
+    let to = Direct::new();
+    let read = send(&to, 2, "GET /v1/catalogue", &[], "").await.unwrap();
+    assert_eq!((read.status, read.tag.as_str()), (200, "\"1\""));
+    let put = send(&to, 1, "PUT /v1/catalogue/gate-scan", &[("if-match", &read.tag)], SCAN).await.unwrap();
+    assert_eq!((put.status, put.code, put.tag.as_str()), (200, 1000, "\"2\""));
+    let entry = send(&to, 2, "GET /v1/catalogue/gate-scan", &[], "").await.unwrap();
+    assert!(entry.body.contains("\"class\":\"urgent\""), "{}", entry.body);
+    let toml = send(&to, 2, "GET /v1/catalogue", &[("accept", "application/toml")], "").await.unwrap();
+    assert!(toml.body.starts_with("version = 2\n"), "{}", toml.body);
+    let same = send(&to, 2, "GET /v1/catalogue", &[("if-none-match", "\"2\"")], "").await.unwrap();
+    assert_eq!((same.status, same.body.as_str()), (304, ""));
+}
+
+#[tokio::test]
+async fn the_loser_of_a_race_is_told_the_current_version() {
+    let to = Direct::new();
+    send(&to, 1, "PUT /v1/catalogue/gate-scan", &[("if-match", "\"1\"")], SCAN).await.unwrap();
+    let lost = send(&to, 3, "PUT /v1/catalogue/gate-scan", &[("if-match", "\"1\"")], SCAN).await.unwrap();
+    assert_eq!((lost.status, lost.code, lost.tag.as_str()), (412, 1403, "\"2\""));
+    let none = send(&to, 3, "PUT /v1/catalogue/gate-scan", &[], SCAN).await.unwrap();
+    assert_eq!((none.status, none.code, none.tag.as_str()), (428, 1405, "\"2\""));
+    assert_eq!(refused(&to, 3, "PUT /v1/catalogue/x", &[("if-match", "*")], SCAN).await, Code::BadHeader);
+}
+
+#[tokio::test]
+async fn a_resend_gets_the_same_bytes() {
+    let to = Direct::new();
+    let headers = [("if-match", "\"1\""), ("idempotency-key", "k1")];
+    let first = send(&to, 1, "PUT /v1/catalogue/gate-scan", &headers, SCAN).await.unwrap();
+    assert_eq!(send(&to, 1, "PUT /v1/catalogue/gate-scan", &headers, SCAN).await.unwrap(), first);
+    let other = refused(&to, 1, "DELETE /v1/catalogue/gate-scan", &headers, "").await;
+    assert_eq!(other, Code::KeyReused);
+}
+
+#[tokio::test]
+async fn faults_are_listed_with_lines_and_the_try_is_recorded() {
+    let to = Direct::new();
+    let text = "[owners.gates]\n[entries.a]\nowner = \"gates\"\ndeadline_ms = 0\nshape = 1\n";
+    let headers = [("if-match", "\"1\""), ("content-type", "application/toml")];
+    let (code, detail) = send(&to, 1, "POST /v1/catalogue", &headers, text).await.expect_err("it has faults");
+    assert_eq!(code, Code::BadCatalogue);
+    assert!(detail.contains("line 4, column 15: entries.a.deadline_ms"), "{detail}");
+    assert!(detail.contains("line 5, column 1: entries.a.shape"), "{detail}");
+    let control = to.0.lock().unwrap();
+    let query = AuditQuery { refused: true, ..AuditQuery::default() };
+    let record = control.audit(&query).last().expect("it is recorded").record;
+    assert_eq!((record.who.as_str(), record.from.as_str(), record.code), ("ana", "192.0.2.7:5", Code::BadCatalogue));
+    assert!(record.target.starts_with("POST /v1/catalogue: line 4"), "{}", record.target);
+}
+
+#[tokio::test]
+async fn whole_sets_come_as_toml_or_json() {
+    let to = Direct::new();
+    let text = send(&to, 1, "GET /v1/catalogue", &[("accept", "application/toml")], "").await.unwrap().body;
+    let text = text + "[entries.a]\nowner = \"gates\"\n";
+    let headers = [("if-match", "\"1\""), ("content-type", "application/toml")];
+    assert_eq!(send(&to, 1, "POST /v1/catalogue", &headers, &text).await.unwrap().tag, "\"2\"");
+    let json = send(&to, 1, "GET /v1/catalogue", &[], "").await.unwrap().body;
+    assert_eq!(send(&to, 1, "POST /v1/catalogue", &[("if-match", "2")], &json).await.unwrap().tag, "\"3\"");
+    let back = send(&to, 1, "POST /v1/rollback/1", &[("if-match", "3")], "").await.unwrap();
+    assert_eq!((back.status, back.tag.as_str()), (200, "\"4\""));
+    assert_eq!(refused(&to, 1, "GET /v1/catalogue/a", &[], "").await, Code::UnknownEntry);
+}
+
+#[tokio::test]
+async fn shifts_close_the_catalogue() {
+    let to = Direct::new();
+    assert_eq!(refused(&to, 3, "POST /v1/shift/open", &[], "").await, Code::Forbidden);
+    assert_eq!(send(&to, 1, "POST /v1/shift/open", &[], "").await.unwrap().status, 200);
+    let shift = send(&to, 2, "GET /v1/shift", &[], "").await.unwrap().body;
+    assert!(shift.contains("\"open\":true"), "{shift}");
+    let edit = refused(&to, 1, "PUT /v1/catalogue/gate-scan", &[("if-match", "1")], SCAN).await;
+    assert_eq!(edit, Code::ShiftOpen);
+    assert_eq!(refused(&to, 1, "POST /v1/shift/open", &[], "").await, Code::ShiftState);
+    assert_eq!(send(&to, 1, "POST /v1/shift/close", &[], "").await.unwrap().status, 200);
+}
+
+#[tokio::test]
+async fn tokens_are_issued_and_revoked_without_showing_a_secret() {
+    let to = Direct::new();
+    let new = token(9).to_text();
+    let body =
+        format!("{{\"token\":\"{new}\",\"name\":\"new\",\"role\":{{\"team\":\"tally\"}},\"expires_ms\":{END_MS}}}");
+    let issued = send(&to, 1, "POST /v1/tokens", &[], &body).await.unwrap();
+    assert_eq!(issued.status, 200);
+    assert!(!issued.body.contains(&new[36..]), "{}", issued.body);
+    let own = "{\"owner\":\"tally\"}";
+    assert_eq!(send(&to, 9, "PUT /v1/catalogue/t", &[("if-match", "1")], own).await.unwrap().status, 200);
+    let path = format!("DELETE /v1/tokens/{}", token(9).id());
+    assert_eq!(send(&to, 1, &path, &[], "").await.unwrap().status, 200);
+    assert_eq!(refused(&to, 9, "GET /v1/catalogue", &[], "").await, Code::Unauthorized);
+    assert_eq!(refused(&to, 1, "POST /v1/tokens", &[], "{\"token\":\"x\"}").await, Code::BadRequest);
+    assert_eq!(refused(&to, 1, "DELETE /v1/tokens/zz", &[], "").await, Code::BadRequest);
+}
+
+#[tokio::test]
+async fn the_audit_trail_is_searched_and_bounded() {
+    let to = Direct::new();
+    send(&to, 1, "PUT /v1/catalogue/gate-scan", &[("if-match", "1")], SCAN).await.unwrap();
+    let all = send(&to, 2, "GET /v1/audit", &[], "").await.unwrap().body;
+    assert_eq!(mangogw_catalogue::verify_export(&all).expect("it is whole").last, 5);
+    let one = send(&to, 2, "GET /v1/audit?entry=gate-scan&who=ana&limit=5", &[], "").await.unwrap().body;
+    assert_eq!(one.lines().count(), 1);
+    assert_eq!(send(&to, 2, "GET /v1/audit?after=4", &[], "").await.unwrap().body.lines().count(), 1);
+    assert_eq!(refused(&to, 2, "GET /v1/audit?after=x", &[], "").await, Code::BadRequest);
+}
+
+#[tokio::test]
+async fn strangers_and_unknown_paths_are_refused() {
+    let to = Direct::new();
+    for line in
+        ["GET /v1/catalogue", "POST /v1/catalogue", "PUT /v1/catalogue/a", "GET /v1/audit", "POST /v1/shift/open"]
+    {
+        assert_eq!(refused(&to, 77, line, &[], "{}").await, Code::Unauthorized, "{line}");
+    }
+    for line in ["PATCH /v1/catalogue", "GET /v1/shift/open", "POST /v1/shift/later", "GET /v1/tokens/1/2"] {
+        assert_eq!(refused(&to, 1, line, &[], "").await, Code::NoRoute, "{line}");
+    }
+    let bad = refused(&to, 1, "PUT /v1/owners/gates", &[("if-match", "1")], "{\"colour\":1}").await;
+    assert_eq!(bad, Code::BadRequest);
+    let put = send(&to, 1, "PUT /v1/owners/gates", &[("if-match", "1")], "{\"weight\":3}").await.unwrap();
+    assert_eq!(StatusCode::from_u16(put.status).unwrap(), StatusCode::OK);
+}
--- a/crates/wire/src/header.rs
+++ b/crates/wire/src/header.rs
@@ -18,5 +18,7 @@
 pub const OUTCOME: &str = "mangogw-outcome";
 /// The key of the submission.
 pub const SUBMISSION: &str = "mangogw-submission";
+/// The version of the catalogue an operator's answer was made at.
+pub const VERSION: &str = "mangogw-version";
 /// The position of the task in its job.
 pub const TASK: &str = "mangogw-task";
