Whole hosts under faults: the promises as a seeded run, and a false not-run mended

Cause: no test ran whole host values together. Change: crates/host/tests: 3 to 7 host values over a fake network (loss, copies, one-way and zone cuts, crashes with lost memory, freezes of 2.5 s, failing targets), clients that resubmit at any host, and an oracle that counts starts, answers and claims. With a key, a host that looks at no records answers 1308 (unknown) in place of 1209 and 1210. The loop for settling waits for a state up to the bound, since one lost heartbeat may be under way at any instant. Conclusion: the promise 'not run is true' had a hole at starting and draining hosts.

--- a/crates/dispatch/tests/driver/mod.rs
+++ b/crates/dispatch/tests/driver/mod.rs
@@ -97,18 +97,25 @@
     pub most: Vec<usize>,
 }
 
+impl Outcome {
+    /// Of a trace that has not begun.
+    fn blank(trace: &Trace) -> Self {
+        Self {
+            ends: vec![None; trace.arrivals.len()],
+            starts: vec![0; trace.arrivals.len()],
+            last: vec![(0, Time::ZERO); trace.arrivals.len()],
+            bad: vec![0; trace.targets.len()],
+            bad_times: vec![Vec::new(); trace.targets.len()],
+            ..Self::default()
+        }
+    }
+}
+
 /// Runs a policy over a trace.
 pub fn run(trace: &Trace, policy: &mut impl Policy) -> Outcome {
     let mut events = BinaryHeap::new();
     let mut fakes: Vec<Fake> = trace.targets.iter().map(|_| Fake::default()).collect();
-    let mut out = Outcome {
-        ends: vec![None; trace.arrivals.len()],
-        starts: vec![0; trace.arrivals.len()],
-        last: vec![(0, Time::ZERO); trace.arrivals.len()],
-        bad: vec![0; trace.targets.len()],
-        bad_times: vec![Vec::new(); trace.targets.len()],
-        ..Outcome::default()
-    };
+    let mut out = Outcome::blank(trace);
     let push = |events: &mut BinaryHeap<_>, at: Time, event| events.push(Reverse((at, event)));
     let mut next = 0;
     push(&mut events, Time::ZERO, Event::Wake);
--- a/crates/host/src/calls.rs
+++ b/crates/host/src/calls.rs
@@ -31,7 +31,7 @@
     ) {
         let found = match self.find(&entry, body.len()) {
             Ok(found) => found,
-            Err(refused) => return self.refuse(caller, refused),
+            Err(refused) => return self.refuse(caller, careful(refused, key)),
         };
         let settings = self.dispatch.entry_of(found).1;
         let deadline = now + within.unwrap_or(settings.deadline());
@@ -69,7 +69,7 @@
                 return self.refuse(caller, Refused::new(Code::TooManyTasks, detail));
             }
             Ok(entry) => entry,
-            Err(refused) => return self.refuse(caller, refused),
+            Err(refused) => return self.refuse(caller, careful(refused, new.key)),
         };
         let deadline = now + new.within.unwrap_or(self.dispatch.entry_of(entry).1.deadline());
         let tasks = new.tasks.into_iter().map(|task| Task { body: task.body, needs: task.needs }).collect();
@@ -133,6 +133,16 @@
     }
 }
 
+/// A host that looks at no records can't tell whether a submission ran before: with a key, "not run" becomes
+/// "unknown".
+fn careful(refused: Refused, key: Option<Key>) -> Refused {
+    match (refused.code, key) {
+        (Code::NotReady | Code::Draining, Some(key)) => Refused::new(Code::HomeUnknown, refused.detail).of(key),
+        (_, Some(key)) => refused.of(key),
+        (_, None) => refused,
+    }
+}
+
 fn job(key: Key, verdict: &Verdict) -> JobView {
     match verdict {
         Verdict::Complete(answers) => {
--- /dev/null
+++ b/crates/host/tests/world/mod.rs
@@ -0,0 +1,500 @@
+//! Whole host values over a fake network with fake targets and clients, and an oracle that only counts.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use mangogw_catalogue::{Action, Catalogue, Token};
+use mangogw_cluster::grants::Echo;
+use mangogw_dispatch::{Report, TaskKey};
+use mangogw_host::{Answer, Ask, Caller, Effect, Host, Job, Message, Reply, Seen, Settings, Start, Task};
+use mangogw_model::{
+    Announcement, AttemptId, Capacity, HostId, Incarnation, JobState, Key, Kind, Needs, Outcome, Time,
+};
+use mangogw_store::{Birth, GroupId, Members, Stored, WriteId};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+const ZONES: [&str; 3] = ["regina-a", "moose-jaw", "swift-cur"];
+const TICK: Duration = Duration::from_millis(20);
+const SYNC: Duration = Duration::from_millis(3);
+const CATALOGUE: &str = r#"
+[owners.gate]
+[entries.route]
+owner = "gate"
+class = "urgent"
+repeatable = true
+deadline_ms = 4000
+[entries.scan]
+owner = "gate"
+deadline_ms = 4000
+"#;
+
+/// What may go wrong in a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub loss: f64,
+    pub copies: f64,
+    pub cuts: bool,
+    pub crashes: bool,
+    pub freezes: bool,
+    pub targets: bool,
+}
+
+#[derive(Debug)]
+enum Event {
+    Tick(usize),
+    Deliver { to: usize, life: u64, from: HostId, message: Box<Message> },
+    Synced { host: usize, id: WriteId },
+    Reach { host: usize, life: u64, start: Box<Start> },
+    Answer { host: usize, life: u64, task: TaskKey, attempt: AttemptId, seen: Seen },
+    Beat(usize),
+    Client,
+    Fault,
+    Restart(usize),
+}
+
+#[derive(Debug)]
+struct Node {
+    host: Option<Host>,
+    life: u64,
+    frozen: Time,
+    zone: &'static str,
+}
+
+#[derive(Debug)]
+struct Fake {
+    zone: &'static str,
+    slots: u32,
+    running: u32,
+    bad: bool,
+    grant: Option<(mangogw_cluster::grants::Grant, Time)>,
+}
+
+/// What a caller asked and was told.
+#[derive(Debug, Default)]
+pub struct Asked {
+    pub key: Option<Key>,
+    pub body: Bytes,
+    pub reply: Option<Reply>,
+    pub gone: bool,
+}
+
+/// Hosts, targets, clients and the network between them.
+#[derive(Debug)]
+pub struct World {
+    pub now: Time,
+    rng: Pcg64Mcg,
+    faults: Faults,
+    nodes: Vec<Node>,
+    targets: Vec<Fake>,
+    events: BinaryHeap<Reverse<(Time, u64)>>,
+    waiting: IndexMap<u64, Event>,
+    serial: u64,
+    cut: Vec<(usize, usize)>,
+    beats: IndexMap<(usize, u64), usize>,
+    pub asked: IndexMap<(usize, u64), Asked>,
+    pub starts: IndexMap<(Key, u32), u32>,
+    pub messages: u64,
+    quiet: bool,
+}
+
+fn address(host: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7000 + host as u16))
+}
+
+impl World {
+    pub fn open(seed: u64, hosts: usize, targets: usize, faults: Faults) -> Self {
+        let mut world = Self {
+            now: Time::from_millis(1),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            faults,
+            nodes: Vec::new(),
+            targets: Vec::new(),
+            events: BinaryHeap::new(),
+            waiting: IndexMap::new(),
+            serial: 0,
+            cut: Vec::new(),
+            beats: IndexMap::new(),
+            asked: IndexMap::new(),
+            starts: IndexMap::new(),
+            messages: 0,
+            quiet: true,
+        };
+        for number in 0..hosts {
+            world.nodes.push(Node { host: None, life: 0, frozen: Time::ZERO, zone: ZONES[number % 3] });
+            world.restart(number);
+        }
+        for number in 0..targets {
+            let zone = ZONES[number % 3];
+            world.targets.push(Fake { zone, slots: 4, running: 0, bad: false, grant: None });
+            world.after(Duration::from_millis(number as u64 * 7), Event::Beat(number));
+        }
+        world
+    }
+
+    fn after(&mut self, span: Duration, event: Event) {
+        self.serial += 1;
+        self.waiting.insert(self.serial, event);
+        self.events.push(Reverse((self.now + span, self.serial)));
+    }
+
+    /// Starts a host in a new life. The first three keep the control state; the founder is never restarted.
+    fn restart(&mut self, number: usize) {
+        let life = self.nodes[number].life + 1;
+        let settings = Settings {
+            host: HostId(number as u64 + 1),
+            incarnation: Incarnation(life),
+            zone: self.nodes[number].zone.into(),
+            address: address(number),
+            http: address(number),
+            seeds: vec![address(0), address(1), address(2)],
+            seed: self.rng.random(),
+            ..Settings::default()
+        };
+        let (host, birth) = (settings.host, Birth(number as u64 + 100));
+        let stored = match number {
+            0 => Some(Stored::founding(host, birth, GroupId(7), Members::of([(host, birth)]), Bytes::new())),
+            1 | 2 => Some(Stored::joining(host, birth)),
+            _ => None,
+        };
+        let mut host = Host::open(settings, stored, self.now);
+        if number == 0 {
+            host.set_wishes(wishes());
+        }
+        self.nodes[number].host = Some(host);
+        self.nodes[number].life = life;
+        self.carry_out(number);
+        self.after(TICK, Event::Tick(number));
+    }
+
+    /// Lets clients and faults loose until `end`, then mends everything.
+    pub fn storm(&mut self, end: Time) {
+        self.quiet = false;
+        self.after(Duration::ZERO, Event::Client);
+        self.after(Duration::ZERO, Event::Fault);
+        self.run(end);
+        self.quiet = true;
+        self.cut.clear();
+        self.targets.iter_mut().for_each(|target| target.bad = false);
+    }
+
+    pub fn run(&mut self, end: Time) {
+        while let Some(&Reverse((at, serial))) = self.events.peek() {
+            if at > end {
+                break;
+            }
+            self.events.pop();
+            self.now = at;
+            if let Some(event) = self.waiting.swap_remove(&serial) {
+                self.happen(event);
+            }
+        }
+        self.now = end;
+    }
+
+    /// Runs until `done` or `end`, whichever comes first.
+    pub fn until(&mut self, end: Time, done: impl Fn(&Self) -> bool) {
+        while self.now < end && !done(self) {
+            self.run(self.now + TICK);
+        }
+    }
+
+    /// True if no caller that is still there waits.
+    pub fn is_answered(&self) -> bool {
+        self.asked.values().all(|asked| asked.reply.is_some() || asked.gone)
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        if let Some(host) = event.host()
+            && self.nodes[host].frozen > now
+        {
+            let rest = self.nodes[host].frozen - now;
+            return self.after(rest, event);
+        }
+        match event {
+            Event::Tick(number) => {
+                if let Some(host) = &mut self.nodes[number].host {
+                    host.on_tick(now);
+                    self.carry_out(number);
+                    self.after(TICK, Event::Tick(number));
+                }
+            }
+            Event::Deliver { to, life, from, message } if self.lives(to, life) => {
+                self.messages += 1;
+                self.step(to, |host| host.on_message(now, from, *message));
+            }
+            Event::Synced { host, id } => self.step(host, |host| host.on_synced(now, id)),
+            Event::Reach { host, life, start } => self.reach(host, life, *start),
+            Event::Answer { host, life, task, attempt, seen } if self.lives(host, life) => {
+                self.step(host, |host| host.on_answer(now, task, attempt, seen));
+            }
+            Event::Beat(target) => self.beat(target),
+            Event::Client if !self.quiet => self.client(),
+            Event::Fault if !self.quiet => self.fault(),
+            Event::Restart(number) => self.restart(number),
+            _ => {}
+        }
+    }
+
+    fn lives(&self, host: usize, life: u64) -> bool {
+        self.nodes[host].host.is_some() && self.nodes[host].life == life
+    }
+
+    fn step(&mut self, number: usize, input: impl FnOnce(&mut Host)) {
+        if let Some(host) = &mut self.nodes[number].host {
+            input(host);
+            self.carry_out(number);
+        }
+    }
+
+    fn carry_out(&mut self, number: usize) {
+        let effects = self.nodes[number].host.as_mut().map(Host::drain).unwrap_or_default();
+        let life = self.nodes[number].life;
+        for effect in effects {
+            match effect {
+                Effect::Send { to, message } => self.send(number, usize::from(to.port()) - 7000, message),
+                Effect::Write(write) => self.after(SYNC, Event::Synced { host: number, id: write.id }),
+                Effect::Start(start) => {
+                    self.after(Duration::from_micros(300), Event::Reach { host: number, life, start: Box::new(start) });
+                }
+                Effect::Reply { caller, reply } => self.told(number, caller, reply),
+                Effect::Superseded => panic!("host {number} was told that a later life exists"),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, message: Message) {
+        // The bytes have to carry it: what does not encode is lost.
+        let message = Message::decode(&message.encode()).expect("every message survives its encoding");
+        let copies = 1 + usize::from(self.rng.random::<f64>() < self.faults.copies);
+        for _ in 0..copies {
+            let lost = self.rng.random::<f64>() < self.faults.loss;
+            if lost || self.cut.contains(&(from, to)) || to >= self.nodes.len() {
+                continue;
+            }
+            let way = Duration::from_micros(self.rng.random_range(200..3_000));
+            let (life, from) = (self.nodes[to].life, HostId(from as u64 + 1));
+            self.after(way, Event::Deliver { to, life, from, message: Box::new(message.clone()) });
+        }
+    }
+
+    /// A start has come to its target: from here on it counts.
+    fn reach(&mut self, host: usize, life: u64, start: Start) {
+        let number = usize::from(start.address.port()) - 9000;
+        let slow = Duration::from_millis(self.rng.random_range(5..80));
+        let target = &mut self.targets[number];
+        let (task, attempt) = (start.unit, start.attempt);
+        let full = target.running >= target.slots * 2;
+        let seen = match () {
+            () if full => Seen::Other(Report::NotStarted),
+            () if target.bad => Seen::Other(Report::Failed),
+            () => Seen::Answer(Answer { status: 200, kind: None, body: start.body.clone() }),
+        };
+        if !full {
+            *self.starts.entry((start.key, start.task.0)).or_default() += 1;
+        }
+        self.after(slow, Event::Answer { host, life, task, attempt, seen });
+    }
+
+    fn beat(&mut self, number: usize) {
+        let now = self.now;
+        let target = &self.targets[number];
+        let said = Announcement {
+            name: format!("t{number}").into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 9000 + number as u16)),
+            zone: target.zone.into(),
+            rack: "".into(),
+            kind: Kind::Executor,
+            entries: vec!["route".into(), "scan".into()],
+            capacity: Capacity { slots: target.slots, ..Capacity::default() },
+            incarnation: Incarnation(1),
+            running: Vec::new(),
+            connections: 0,
+        };
+        let echo = target.grant.map(|(grant, at)| Echo { grant, age_ms: Some((now - at).as_millis() as u32) });
+        // The balancer of a zone leads to its own hosts.
+        let near: Vec<usize> = (0..self.nodes.len()).filter(|&at| self.nodes[at].zone == said.zone.as_str()).collect();
+        let to = near[self.rng.random_range(0..near.len())];
+        let caller = self.caller();
+        self.beats.insert((to, caller.0), number);
+        self.step(to, |host| host.on_request(now, caller, Ask::Announce { said, echo }));
+        self.after(Duration::from_millis(700), Event::Beat(number));
+    }
+
+    fn caller(&mut self) -> Caller {
+        self.serial += 1;
+        Caller(self.serial)
+    }
+
+    /// A client asks something: a new job, an old one again, a single request, or how a job stands.
+    fn client(&mut self) {
+        let to = self.rng.random_range(0..self.nodes.len());
+        let number = self.rng.random_range(0..40u32);
+        let body = Bytes::from(format!("body of {number}"));
+        let key = match number % 4 {
+            0 => Key::from(format!("{}:job-{number}", ZONES[number as usize % 3])),
+            _ => Key::from(format!("job-{number}")),
+        };
+        let task = Task { body: body.clone(), needs: Needs::default() };
+        let (key, ask) = match self.rng.random_range(0..10) {
+            0 | 1 => {
+                let body = Bytes::from(format!("single {}", self.serial));
+                let entry = if self.rng.random() { "route" } else { "scan" };
+                return self.ask(to, None, Ask::Run { entry: entry.into(), key: None, within: None, body });
+            }
+            2 => (key.clone(), Ask::Read { key, wait: Duration::from_secs(1) }),
+            3 if number > 30 => (key.clone(), Ask::Cancel { key }),
+            _ => {
+                let tasks = vec![task; 1 + number as usize % 7];
+                let within = Some(Duration::from_secs(6));
+                (key.clone(), Ask::Submit(Job { entry: "scan".into(), key: Some(key), within, tasks }))
+            }
+        };
+        self.ask(to, Some(key), ask);
+    }
+
+    pub fn ask(&mut self, to: usize, key: Option<Key>, ask: Ask) {
+        let now = self.now;
+        let body = match &ask {
+            Ask::Run { body, .. } => body.clone(),
+            _ => Bytes::new(),
+        };
+        let caller = self.caller();
+        if self.nodes[to].host.is_some() {
+            self.asked.insert((to, caller.0), Asked { key, body, ..Asked::default() });
+            self.step(to, |host| host.on_request(now, caller, ask));
+        }
+        if !self.quiet {
+            let pause = Duration::from_millis(self.rng.random_range(5..60));
+            self.after(pause, Event::Client);
+        }
+    }
+
+    fn told(&mut self, host: usize, caller: Caller, reply: Reply) {
+        if let Some(number) = self.beats.swap_remove(&(host, caller.0)) {
+            if let Reply::Lease(lease) = reply
+                && let Some(grant) = lease.grant
+            {
+                self.targets[number].grant = Some((grant, self.now));
+            }
+            return;
+        }
+        let Some(asked) = self.asked.get_mut(&(host, caller.0)) else { return };
+        assert!(asked.reply.is_none(), "one request was answered twice: {asked:?}");
+        if let Reply::Answer { answer, .. } = &reply {
+            assert_eq!(answer.body, asked.body, "an answer of another request");
+        }
+        asked.reply = Some(reply);
+    }
+
+    fn fault(&mut self) {
+        let pause = Duration::from_millis(self.rng.random_range(300..1_500));
+        self.after(pause, Event::Fault);
+        let hosts = self.nodes.len();
+        let (one, two) = (self.rng.random_range(0..hosts), self.rng.random_range(0..hosts));
+        match self.rng.random_range(0..6) {
+            0 if self.faults.cuts => self.cut.push((one, two)),
+            1 if self.faults.cuts => self.cut_zone(one),
+            2 => self.cut.clear(),
+            3 if self.faults.crashes && one > 2 => self.crash(one),
+            4 if self.faults.freezes => self.nodes[one].frozen = self.now + Duration::from_millis(2_500),
+            5 if self.faults.targets => {
+                let target = self.rng.random_range(0..self.targets.len());
+                self.targets[target].bad ^= true;
+            }
+            _ => {}
+        }
+    }
+
+    fn cut_zone(&mut self, of: usize) {
+        let zone = self.nodes[of].zone;
+        let inside: Vec<usize> = (0..self.nodes.len()).filter(|&at| self.nodes[at].zone == zone).collect();
+        let outside: Vec<usize> = (0..self.nodes.len()).filter(|&at| self.nodes[at].zone != zone).collect();
+        for &near in &inside {
+            self.cut.extend(outside.iter().flat_map(|&far| [(near, far), (far, near)]));
+        }
+    }
+
+    fn crash(&mut self, number: usize) {
+        if self.nodes[number].host.take().is_none() {
+            return;
+        }
+        for ((host, _), asked) in &mut self.asked {
+            asked.gone |= *host == number && asked.reply.is_none();
+        }
+        let down = Duration::from_millis(self.rng.random_range(200..6_000));
+        self.after(down, Event::Restart(number));
+    }
+
+    pub fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.nodes.iter().filter_map(|node| node.host.as_ref())
+    }
+
+    /// The catalogue versions of all hosts.
+    pub fn versions(&self) -> Vec<u64> {
+        self.hosts().map(|host| host.status_view(self.now).catalogue.0).collect()
+    }
+
+    /// Targets owned, over all hosts.
+    pub fn owned(&self) -> usize {
+        self.hosts().map(|host| host.status_view(self.now).targets).sum()
+    }
+
+    /// Submissions of which a caller was told that they did not run.
+    pub fn denied(&self) -> impl Iterator<Item = (&Key, &Reply)> {
+        let denied = self.asked.values().filter_map(|asked| Some((asked.key.as_ref()?, asked.reply.as_ref()?)));
+        denied.filter(|(_, reply)| is_denial(reply))
+    }
+
+    /// The ends that callers were told, by key.
+    pub fn ends(&self) -> IndexMap<Key, Vec<(JobState, Option<u16>)>> {
+        let mut ends = IndexMap::<_, Vec<_>>::new();
+        for asked in self.asked.values() {
+            if let Some(Reply::Job(view)) = &asked.reply
+                && view.state != JobState::Running
+            {
+                ends.entry(view.key.clone()).or_default().push((view.state, view.code));
+            }
+        }
+        ends
+    }
+}
+
+/// True where a caller was told that its submission did not run.
+fn is_denial(reply: &Reply) -> bool {
+    match reply {
+        Reply::Refused(refused) => refused.code.outcome() == Outcome::NotRun && refused.code.number() != 1104,
+        Reply::Job(view) => view.outcome == Some(Outcome::NotRun),
+        _ => false,
+    }
+}
+
+impl Event {
+    const fn host(&self) -> Option<usize> {
+        match self {
+            Self::Tick(host) | Self::Synced { host, .. } | Self::Answer { host, .. } => Some(*host),
+            Self::Deliver { to, .. } => Some(*to),
+            _ => None,
+        }
+    }
+}
+
+fn wishes() -> Vec<Action> {
+    let token = Token::from_random(1, [7; 32]);
+    let catalogue = Catalogue::parse(CATALOGUE).expect("it has no faults");
+    vec![
+        Action::Issue {
+            id: token.id(),
+            hash: token.hash(),
+            name: "admin".to_owned(),
+            role: mangogw_catalogue::Role::Administrator,
+            expires_ms: 1 << 50,
+        },
+        Action::Apply { owners: catalogue.owners().clone(), entries: catalogue.entries().clone() },
+    ]
+}
