--- a/crates/host/tests/promises.rs
+++ b/crates/host/tests/promises.rs
@@ -27,11 +27,11 @@
 fn check(seed: u64, hosts: usize, faults: Faults) {
     let targets = 9;
     let mut world = World::open(seed, hosts, targets, faults);
-    world.until(SETTLED, |world| world.versions() == vec![1; hosts] && world.owned() == targets);
+    world.until(SETTLED, |world| world.is_settled(targets));
     assert_eq!(world.versions(), vec![1; hosts], "seed {seed}: the catalogue is everywhere");
     assert_eq!(world.owned(), targets, "seed {seed}: every target has one owner");
     world.storm(STORM_END);
-    world.until(MENDED, |world| world.is_answered() && world.owned() == targets && world.versions() == vec![1; hosts]);
+    world.until(MENDED, |world| world.is_answered() && world.is_settled(targets));
     promises(seed, &world);
     liveness(seed, hosts, targets, &mut world);
 }
@@ -61,6 +61,7 @@
     assert!(silent.is_empty(), "seed {seed}: {} without a reply, such as {:?}", silent.len(), silent[0]);
     assert_eq!(world.versions(), vec![1; hosts], "seed {seed}: the catalogue is everywhere again");
     assert_eq!(world.owned(), targets, "seed {seed}: every target has one owner again");
+    assert!(world.is_settled(targets), "seed {seed}: every host is ready again");
     let before = world.asked.len();
     for host in 0..hosts {
         let ask = Ask::run("route", b"after the storm");
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -440,6 +440,12 @@
         self.hosts().map(|host| host.status_view(self.now).catalogue.0).collect()
     }
 
+    /// True if every host takes traffic by the newest catalogue, and every target is owned.
+    pub fn is_settled(&self, targets: usize) -> bool {
+        let ready = self.nodes.iter().all(|node| node.host.as_ref().is_some_and(Host::is_ready));
+        ready && self.versions().iter().all(|&version| version == 1) && self.owned() == targets
+    }
+
     /// Targets owned, over all hosts.
     pub fn owned(&self) -> usize {
         self.hosts().map(|host| host.status_view(self.now).targets).sum()
