--- a/crates/dispatch/src/admit.rs
+++ b/crates/dispatch/src/admit.rs
@@ -1,6 +1,7 @@
 //! Admission: a task is taken on only if it can be expected to end in time.
 
 use crate::limits::blocked;
+use crate::place::CLEARING;
 use crate::targets::Held;
 use crate::tasks::TaskRow;
 use crate::timers::Timer;
@@ -64,6 +65,9 @@
         if !self.offer(now, task) {
             self.enqueue(task);
             self.relieve(now, task);
+            if work.needs.cores > 1 || work.needs.accelerators > 0 {
+                self.timers.push(now + CLEARING, Timer::Patience(task));
+            }
         }
         Ok(task)
     }
--- a/crates/dispatch/src/announce.rs
+++ b/crates/dispatch/src/announce.rs
@@ -131,7 +131,10 @@
 
     /// The process of a target started anew: what the old one ran is lost.
     fn reborn(&mut self, now: Time, key: TargetKey) {
-        self.targets.rows[key].leaving = true;
+        let row = &mut self.targets.rows[key];
+        row.leaving = true;
+        // Nothing that is set aside there may be resumed while the rest is given up.
+        row.lease = now;
         self.targets.refresh(now, key);
         let lost = self.targets.rows[key].attempts.clone();
         for serial in lost {
--- a/crates/dispatch/src/bits.rs
+++ b/crates/dispatch/src/bits.rs
@@ -31,6 +31,11 @@
         }
     }
 
+    /// True if `id` is a member.
+    pub(crate) fn has(&self, id: u32) -> bool {
+        self.words.get(id as usize / WORD).is_some_and(|bits| bits >> (id as usize % WORD) & 1 == 1)
+    }
+
     /// True if no number is a member.
     pub(crate) fn is_empty(&self) -> bool {
         self.summary.iter().all(|&word| word == 0)
--- a/crates/dispatch/src/entries.rs
+++ b/crates/dispatch/src/entries.rs
@@ -1,5 +1,6 @@
 //! The table of entries: settings, what their tasks hold, and what was learned of them.
 
+use crate::bits::Bits;
 use crate::limits::{Budget, Share, Tokens};
 use crate::speed::{SPEEDS, Sizes, Speeds};
 use crate::targets::{Held, TargetRow};
@@ -25,8 +26,8 @@
     pub(crate) tasks: u32,
     pub(crate) sizes: Sizes,
     pub(crate) speeds: Speeds,
-    /// The share of late failures among its answers.
-    pub(crate) failing: f32,
+    /// The targets that failed its tasks since it was last answered.
+    pub(crate) failed: Failed,
     /// What the targets in use can do.
     pub(crate) supply: Supply,
     /// The largest targets ever announced for it; none of them holds another.
@@ -38,6 +39,32 @@
 /// The weight of the last task in what an entry asks for on average.
 const LAST: f32 = 1.0 / 64.0;
 
+/// The targets that failed the tasks of an entry since it was last answered.
+#[derive(Debug, Default)]
+pub(crate) struct Failed {
+    targets: Bits,
+    count: u32,
+}
+
+impl Failed {
+    /// Takes an answer or a failure of target `id`.
+    pub(crate) fn push(&mut self, id: u32, bad: bool) {
+        match bad {
+            true if !self.targets.has(id) => {
+                self.targets.set(id, true);
+                self.count += 1;
+            }
+            false if self.count > 0 => *self = Self::default(),
+            _ => {}
+        }
+    }
+
+    /// True if more than half of `many` targets failed it: then it is the tasks that are bad.
+    pub(crate) const fn own_fault(&self, many: u32) -> bool {
+        self.count * 2 > many
+    }
+}
+
 /// What the usable targets of an entry can do together.
 #[derive(Debug, Clone)]
 pub(crate) struct Supply {
@@ -86,7 +113,7 @@
             tasks: 0,
             sizes: Sizes::default(),
             speeds: Speeds::default(),
-            failing: 0.0,
+            failed: Failed::default(),
             supply: Supply::default(),
             largest: Vec::new(),
             demand: [0.0; 3],
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -25,7 +25,7 @@
 /// The chance of missing the deadline above which another task takes the place, if that is safer there.
 const RISK: f32 = 0.01;
 /// How long a task that fits nowhere waits before a target is kept clear for it.
-const CLEARING: Duration = Duration::from_millis(200);
+pub(crate) const CLEARING: Duration = Duration::from_millis(200);
 
 /// What is looked for.
 #[derive(Debug, Clone, Copy)]
--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -11,10 +11,6 @@
 
 /// Sends of one task that targets may turn down.
 const SENDS: u8 = 16;
-/// The share of failures above which they are laid to the entry, not to targets.
-const POISON: f32 = 0.5;
-/// How many answers that share looks back on, about.
-const LOOK_BACK: f32 = 32.0;
 /// Samples after which the speed of late is compared with the learned one.
 const WINDOW: u32 = 48;
 /// Doublings by which a speed must have changed to be learned anew.
@@ -200,10 +196,11 @@
             self.queue.charge(row.class, row.owner, owed - f64::from(row.charge));
         }
         let bad = matches!(report, Report::Failed | Report::Cut);
-        if bad || report == Report::Answered {
-            entry.failing += (f32::from(u8::from(bad)) - entry.failing) / LOOK_BACK;
+        let own_fault = bad && entry.failed.own_fault(entry.speeds.members);
+        if let Some(target) = self.targets.get(row.target).filter(|_| bad || report == Report::Answered) {
+            entry.failed.push(target.id, bad);
         }
-        let blameless = row.phase == Phase::Stopping && report != Report::Lost || bad && entry.failing > POISON;
+        let blameless = row.phase == Phase::Stopping && report != Report::Lost || own_fault;
         let Some(target) = self.targets.get_mut(row.target) else { return };
         match report {
             Report::Answered | Report::TooLarge => {
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -40,7 +40,9 @@
     pub(crate) fn push(&mut self, sample: f32) {
         self.count = self.count.saturating_add(1);
         let weight = (1.0 / self.count as f32).max(FADE);
-        self.value += weight * (sample - self.value).clamp(-PULL, PULL);
+        let pull = sample - self.value;
+        // The first sample stands for itself; there is nothing yet to be robust against.
+        self.value += weight * if self.count == 1 { pull } else { pull.clamp(-PULL, PULL) };
     }
 }
 
@@ -188,6 +190,8 @@
     flavours: Vec<u8>,
     pairs: Vec<Centre>,
     sets: [Vec<Bits>; FLAVOURS],
+    /// Targets that serve the entry.
+    pub(crate) members: u32,
     /// For each flavour, the steps that have members.
     pub(crate) used: [u64; FLAVOURS],
 }
@@ -202,6 +206,7 @@
             steps: Vec::new(),
             flavours: Vec::new(),
             pairs: Vec::new(),
+            members: 0,
             sets: [sets(), sets(), sets(), sets()],
             used: [0; FLAVOURS],
         }
@@ -314,6 +319,8 @@
                 self.used[flavour] &= !(1 << old);
             }
         }
+        self.members += u32::from(fresh != ABSENT);
+        self.members -= u32::from(self.steps[at] != ABSENT);
         self.steps[at] = fresh;
         if fresh != ABSENT {
             self.sets[flavour][usize::from(fresh)].set(id, true);
