--- a/crates/dispatch/src/report.rs
+++ b/crates/dispatch/src/report.rs
@@ -11,10 +11,8 @@
 
 /// Sends of one task that targets may turn down.
 const SENDS: u8 = 16;
-/// The share of failures above which they are laid to the entry, not to targets.
-const POISON: f32 = 0.5;
-/// How many answers that share looks back on, about.
-const LOOK_BACK: f32 = 32.0;
+/// Doublings from the average beyond which no target is told apart.
+const FURTHEST: f32 = 4.0;
 /// Samples after which the speed of late is compared with the learned one.
 const WINDOW: u32 = 48;
 /// Doublings by which a speed must have changed to be learned anew.
@@ -166,7 +164,7 @@
             return;
         }
         let speed = entry.speeds.speed(target.id);
-        let sample = row.size - ran;
+        let sample = (row.size - ran).clamp(-FURTHEST, FURTHEST);
         match row.phase {
             // It ran at least so long: that can only show that the target is slower than thought.
             Phase::Stopping if sample < speed => {}
@@ -200,13 +198,15 @@
             self.queue.charge(row.class, row.owner, owed - f64::from(row.charge));
         }
         let bad = matches!(report, Report::Failed | Report::Cut);
-        if bad || report == Report::Answered {
-            entry.failing += (f32::from(u8::from(bad)) - entry.failing) / LOOK_BACK;
+        let own_fault = bad && entry.failed.own_fault(entry.speeds.members);
+        if let Some(target) = self.targets.get(row.target).filter(|_| bad || report == Report::Answered) {
+            entry.failed.push(target.id, bad);
         }
-        let blameless = row.phase == Phase::Stopping && report != Report::Lost || bad && entry.failing > POISON;
+        let blameless = row.phase == Phase::Stopping && report != Report::Lost || own_fault;
         let Some(target) = self.targets.get_mut(row.target) else { return };
         match report {
             Report::Answered | Report::TooLarge => {
+                target.answers = target.answers.wrapping_add(1);
                 if target.health.answered(now, serial) {
                     self.readmit(row.target);
                 }
