Store: tests for the rest of what stayed green when it was removed; emptied disks in the fuzz

The test of the group id passed by the birth check instead. Change: one test each; the fuzz also starts emptied disks under their old ids.

--- a/crates/store/tests/fake/world.rs
+++ b/crates/store/tests/fake/world.rs
@@ -36,6 +36,8 @@
     pub live: Option<Live>,
     /// True if its disk was replaced: it never runs again.
     pub lost: bool,
+    /// The birth of its data folder.
+    pub birth: Birth,
     /// The members it knew when it last stopped.
     members: Members,
     /// Parts per hundred that its clock runs at, and its offset.
@@ -143,7 +145,10 @@
         let disk = FakeDisk::default();
         drop(Folder::create(disk.clone(), stored).unwrap());
         let offset = 1_000_000_000 + self.rng.random_range(0..10_000_000);
-        self.nodes.insert(id, Node { disk, live: None, lost: false, members: stored.members(), pace: 100, offset });
+        self.nodes.insert(
+            id,
+            Node { disk, live: None, lost: false, birth: stored.birth, members: stored.members(), pace: 100, offset },
+        );
         self.start(id);
     }
 
@@ -183,8 +188,11 @@
     pub fn impostor(&mut self, id: HostId) {
         self.crash(id, true);
         let disk = FakeDisk::default();
-        drop(Folder::create(disk.clone(), &Stored::joining(id, Birth(id.0 * 1_000 + 2))).unwrap());
-        self.nodes.get_mut(&id).unwrap().disk = disk;
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.birth = node.birth.next();
+        node.members = Members::default();
+        drop(Folder::create(disk.clone(), &Stored::joining(id, node.birth)).unwrap());
+        node.disk = disk;
         self.start(id);
     }
 
@@ -452,10 +460,10 @@
 
     /// True if the newest members that anyone knows still have a quorum of disks.
     pub fn recoverable(&self) -> bool {
-        let lost = |id: &HostId| self.nodes[id].lost;
+        let held = |(id, birth): &(&HostId, &Birth)| !self.nodes[*id].lost && self.nodes[*id].birth == **birth;
         // A host that joins knows no members yet.
         let whole = |members: &Members| {
-            members.voters.is_empty() || members.voters.keys().filter(|id| !lost(id)).count() >= members.quorum()
+            members.voters.is_empty() || members.voters.iter().filter(held).count() >= members.quorum()
         };
         let known = |node: &Node| node.live.as_ref().map_or(node.members.clone(), |live| live.raft.members().clone());
         let committed = self.log.values().rev().find_map(|(_, payload)| match payload {
--- a/crates/store/tests/fuzz.rs
+++ b/crates/store/tests/fuzz.rs
@@ -39,6 +39,7 @@
     reads: usize,
     terms: usize,
     lost: usize,
+    emptied: usize,
     changes: usize,
     restores: usize,
     served: usize,
@@ -53,7 +54,14 @@
     let runs = runs().count();
     // A fuzz that comes across little proves little.
     assert!(seen.acked > 10 * runs && seen.reads > 5 * runs && seen.terms > 3 * runs, "{seen:?}");
-    assert!(seen.lost > runs / 4 && seen.changes > runs && seen.restores > runs && seen.served > runs / 2, "{seen:?}");
+    assert!(
+        seen.lost > runs / 4
+            && seen.emptied > runs / 4
+            && seen.changes > runs
+            && seen.restores > runs
+            && seen.served > runs / 2,
+        "{seen:?}"
+    );
 }
 
 impl Seen {
@@ -74,7 +82,7 @@
     world.delay = *u.choose(&[500, 3_000, 30_000])?;
     world.run(1_000);
     while u.len() > 8 {
-        act(u, &mut world)?;
+        act(u, &mut world, seen)?;
     }
     finish(&mut world);
     seen.add(&world);
@@ -85,7 +93,7 @@
     u.choose(hosts).copied()
 }
 
-fn act(u: &mut Unstructured<'_>, world: &mut World) -> Result<()> {
+fn act(u: &mut Unstructured<'_>, world: &mut World, seen: &mut Seen) -> Result<()> {
     let all: Vec<HostId> = world.nodes.iter().filter(|(_, node)| !node.lost).map(|(id, _)| *id).collect();
     let host = any(u, &all)?;
     let other = any(u, &all)?;
@@ -116,7 +124,7 @@
         23..=25 => world.start(host),
         26 if up => world.nodes[&host].disk.fail_after(Some(u.int_in_range(0..=6)?)),
         27 if up && world.raft(host).status().role == Role::Failed => world.crash(host, true),
-        28 => replace(u, world, host, leader)?,
+        28 => replace(u, world, host, leader, seen)?,
         29 => world.skew(host, u.int_in_range(80..=120)?),
         30 if up && world.nodes[&leader].live.is_some() => {
             world.transfer(leader, other);
@@ -144,15 +152,21 @@
 }
 
 /// A disk is lost, unless that would cost the group its quorum; a new host stands by in its place.
-fn replace(u: &mut Unstructured<'_>, world: &mut World, host: HostId, leader: HostId) -> Result<()> {
+fn replace(u: &mut Unstructured<'_>, world: &mut World, host: HostId, leader: HostId, seen: &mut Seen) -> Result<()> {
     world.nodes.get_mut(&host).unwrap().lost = true;
     let bearable = world.recoverable();
     world.nodes.get_mut(&host).unwrap().lost = false;
     if world.nodes.len() > 16 || !bearable {
         return Ok(());
     }
-    if u.arbitrary()? {
-        world.lose(host);
+    match u.int_in_range(0..=3)? {
+        0 | 1 => world.lose(host),
+        // Against the rules, someone starts it again under its old id.
+        2 => {
+            seen.emptied += 1;
+            world.impostor(host);
+        }
+        _ => {}
     }
     let new = world.join();
     if world.nodes[&leader].live.is_some() {
@@ -167,9 +181,10 @@
         return Ok(());
     }
     let members = world.raft(leader).members().clone();
-    let lost = members.peers(leader).find(|id| world.nodes[id].lost);
+    let gone = |id: &HostId| world.nodes[id].lost || members.birth(*id) != Some(world.nodes[id].birth);
+    let lost = members.peers(leader).find(gone);
     let change = match (u.int_in_range(0..=5)?, lost, members.learners.keys().next()) {
-        (0, _, _) => Change::AddLearner(other, birth(other)),
+        (0, _, _) => Change::AddLearner(other, world.nodes[&other].birth),
         (1, _, _) => Change::Remove(other),
         (2 | 3, Some(lost), _) => Change::Remove(lost),
         (_, _, Some(learner)) => Change::Promote(*learner),
@@ -199,8 +214,12 @@
     let leader = world.leader().unwrap();
     let whole = world.run_until(5_000, |world| {
         let target = world.raft(leader).status().commit;
-        let members: Vec<_> = world.raft(leader).members().peers(leader).collect();
-        members.iter().all(|id| world.nodes[id].live.as_ref().is_none_or(|live| live.app.at >= target))
+        let members = world.raft(leader).members();
+        members.peers(leader).all(|id| {
+            let node = &world.nodes[&id];
+            let theirs = members.birth(id) == Some(node.birth);
+            node.live.as_ref().is_none_or(|live| !theirs || live.app.at >= target)
+        })
     });
     assert!(whole, "a member does not catch up: {:#?}", world.statuses());
 }
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -8,7 +8,7 @@
 use mangogw_model::{HostId, Time};
 use mangogw_store::{
     Body, Change, Folder, GroupId, Index, LogEntry, LogId, Members, Message, Output, Payload, Raft, Refusal, Role,
-    Settings, Stored, Tag, Term, Write, WriteId,
+    Settings, Snapshot, Stored, Tag, Term, Write, WriteId,
 };
 
 const ONE: HostId = HostId(1);
@@ -197,6 +197,82 @@
     assert_eq!(raft.status().commit, Index(3));
 }
 
+fn from_leader(term: u64, body: Body) -> Message {
+    Message { group: GroupId(7), birth: birth(HostId(2)), term: Term(term), body }
+}
+
+#[test]
+fn a_vote_goes_to_no_shorter_log_and_to_one_host_a_term() {
+    let members = Members::of((1..=3).map(|id| (HostId(id), birth(HostId(id)))));
+    let mut stored = Stored::founding(ONE, birth(ONE), GroupId(7), members, Bytes::new());
+    let id = LogId { term: Term(2), index: Index(2) };
+    stored.entries.push(LogEntry { id, payload: Payload::Blank });
+    let mut raft = Raft::open(settings(), stored, Time::ZERO);
+    let mut ask = |from: u64, term: u64, last: LogId| {
+        let body = Body::Vote { last, transfer: true };
+        let message = Message { group: GroupId(7), birth: birth(HostId(from)), term: Term(term), body };
+        raft.on_message(Time::ZERO, HostId(from), message);
+        let mut outputs = raft.drain();
+        for write in outputs.clone() {
+            if let Output::Write(write) = write {
+                raft.on_synced(Time::ZERO, write.id);
+            }
+        }
+        outputs.extend(raft.drain());
+        outputs.iter().any(|output| match output {
+            Output::Send { message, .. } => message.body == Body::VoteAnswer { granted: true },
+            _ => false,
+        })
+    };
+    assert!(!ask(2, 5, LogId { term: Term(1), index: Index(9) }), "a longer log of an earlier term");
+    assert!(ask(3, 5, id));
+    assert!(!ask(2, 5, id), "a second vote in the term");
+    assert!(ask(3, 5, id), "the same vote again");
+}
+
+#[test]
+fn members_of_an_entry_that_is_overwritten_are_undone() {
+    let members = Members::of((1..=3).map(|id| (HostId(id), birth(HostId(id)))));
+    let mut stored = Stored::founding(ONE, birth(ONE), GroupId(7), members.clone(), Bytes::new());
+    let id = LogId { term: Term(2), index: Index(2) };
+    let more = members.after(Change::AddLearner(HostId(4), birth(HostId(4)))).unwrap();
+    stored.entries.push(LogEntry { id, payload: Payload::Members(more.clone()) });
+    let prev = stored.base();
+    let mut raft = Raft::open(settings(), stored, Time::ZERO);
+    assert_eq!(raft.members(), &more);
+    let other = LogEntry { id: LogId { term: Term(3), index: Index(2) }, payload: Payload::Blank };
+    let append = Body::Append { prev, commit: Index(1), entries: vec![other] };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, append));
+    assert_eq!(raft.members(), &members);
+}
+
+#[test]
+fn a_snapshot_is_acknowledged_and_restored_once_it_is_synced() {
+    let members = Members::of([(HostId(2), birth(HostId(2)))]);
+    let id = LogId { term: Term(3), index: Index(9) };
+    let snapshot = Snapshot::new(id, members, "state".into());
+    let mut raft = Raft::open(settings(), Stored::joining(ONE, birth(ONE)), Time::ZERO);
+    let chunk = Body::Chunk { meta: snapshot.meta.clone(), offset: 0, data: snapshot.data.clone() };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, chunk));
+    // An entry that follows, and is committed, overtakes the sync.
+    let next = LogEntry { id: LogId { term: Term(3), index: Index(10) }, payload: Payload::Blank };
+    let append = Body::Append { prev: id, commit: Index(10), entries: vec![next] };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, append));
+    let early = raft.drain();
+    let held = |output: &Output| match output {
+        Output::Restore(_) | Output::Apply { .. } => true,
+        Output::Send { message, .. } => matches!(message.body, Body::Matched { .. }),
+        _ => false,
+    };
+    assert!(!early.iter().any(held), "{early:?}");
+    let write = early.iter().find_map(|output| if let Output::Write(write) = output { Some(write.id) } else { None });
+    raft.on_synced(Time::ZERO, write.unwrap());
+    let late: Vec<_> = raft.drain().into_iter().filter(held).collect();
+    let order = late.iter().position(|output| matches!(output, Output::Restore(_)))
+        < late.iter().position(|output| matches!(output, Output::Apply { .. }));
+    assert!(order && late.len() == 4, "a restore, what follows it, and two acknowledgements: {late:?}");
+}
+
 #[test]
 fn a_campaign_in_the_lease_of_a_leader_is_ignored() {
     let (mut world, leader) = led(6, 3);
@@ -383,7 +459,7 @@
     let term = world.raft(leader).status().term;
     let alien = Message {
         group: GroupId(8),
-        birth: birth(ONE),
+        birth: birth(HostId(2)),
         term: Term(99),
         body: Body::Heartbeat { commit: Index(0), round: 0 },
     };
