Store: learners cost one heartbeat a second; a host with old members follows a replaced leader

Cause: 33 learners at ten heartbeats a second alone pass the bound of 11 KB/s for a control node. Change: heartbeats to learners every second, read rounds to voters only, a learner counts as alive for three of its heartbeats; births are checked on answers, which count for a quorum, and not on what a leader or candidate says, which its term judges. Ruled out: remembering every id that was ever removed (grows without bound).

--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -100,6 +100,26 @@
     TimeoutNow,
 }
 
+impl Body {
+    /// True if it answers a leader or candidate, and so may count for a quorum.
+    ///
+    /// ```
+    /// assert!(mangogw_store::Body::HeartbeatAnswer { round: 1 }.answers());
+    /// assert!(!mangogw_store::Body::TimeoutNow.answers());
+    /// ```
+    pub const fn answers(&self) -> bool {
+        matches!(
+            self,
+            Self::PreVoteAnswer { .. }
+                | Self::VoteAnswer { .. }
+                | Self::Matched { .. }
+                | Self::Rejected { .. }
+                | Self::HeartbeatAnswer { .. }
+                | Self::ChunkAnswer { .. }
+        )
+    }
+}
+
 /// What a snapshot stands for.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotMeta {
--- a/crates/store/src/progress.rs
+++ b/crates/store/src/progress.rs
@@ -3,6 +3,7 @@
 use crate::{Index, Snapshot};
 use mangogw_model::Time;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 /// How entries are sent to a member.
 #[derive(Debug)]
@@ -40,12 +41,14 @@
     pub(crate) round: u64,
     /// When it was last heard from in this term.
     pub(crate) heard: Time,
+    /// How long it counts as alive after it was heard from.
+    pub(crate) patience: Duration,
     /// When something was last sent to it or acknowledged by it, save heartbeats.
     pub(crate) moved: Time,
 }
 
 impl Progress {
-    pub(crate) fn new(next: Index, now: Time) -> Self {
+    pub(crate) fn new(next: Index, now: Time, patience: Duration) -> Self {
         Self {
             matched: Index(0),
             next,
@@ -54,10 +57,16 @@
             commit: Index(0),
             round: 0,
             heard: now,
+            patience,
             moved: now,
         }
     }
 
+    /// True if it was heard from of late.
+    pub(crate) fn alive(&self, now: Time) -> bool {
+        now - self.heard < self.patience
+    }
+
     /// Starts over one message at a time, after what is known to agree.
     pub(crate) fn probe(&mut self, next: Index) {
         self.next = next.max(self.matched.next());
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -63,6 +63,7 @@
     progress: BTreeMap<HostId, Progress>,
     /// When a leader sends its next heartbeats.
     beat: Time,
+    learner_beat: Time,
     /// The first entry of this leadership.
     first: Index,
     /// The last entry of this host's own log that is synced.
@@ -127,6 +128,7 @@
             granted: BTreeSet::new(),
             progress: BTreeMap::new(),
             beat: now,
+            learner_beat: now,
             first: Index(0),
             tags: VecDeque::new(),
             pending: VecDeque::new(),
@@ -262,11 +264,13 @@
         self.now = self.now.max(now);
     }
 
-    /// True if the message is of this group and of the data folder that the group knows.
+    /// True if the message is of this group, and, if it is an answer, of the data folder that the group knows. What a
+    /// leader or candidate says is judged by its term: this host's own members may be out of date.
     fn admits(&mut self, from: HostId, message: &Message) -> bool {
         let other = self.group != GroupId(0) && message.group != GroupId(0) && self.group != message.group;
         let unborn = self.group == GroupId(0) && message.group == GroupId(0);
-        let replaced = self.members().birth(from).is_some_and(|birth| birth != message.birth);
+        let known = self.members().birth(from);
+        let replaced = message.body.answers() && known.is_some_and(|birth| birth != message.birth);
         let admitted = self.role != Role::Failed && !other && !unborn && !replaced;
         if replaced && self.warned.insert(from) {
             log::warn!(from = from.0; "store: message of a replaced data folder dropped; add the host under a new id");
--- a/crates/store/src/raft/change.rs
+++ b/crates/store/src/raft/change.rs
@@ -4,6 +4,10 @@
 use crate::progress::{Flow, Progress};
 use crate::{Change, Index, Members, Payload, Refusal, Role, Tag};
 use mangogw_model::{HostId, Time};
+use std::time::Duration;
+
+/// Heartbeats in a row that a learner may miss.
+const LEARNER_BEATS: u32 = 3;
 
 impl Raft {
     /// Changes the members by one step. It is answered by an `Apply` that carries `tag`, or by `Refused`.
@@ -39,8 +43,22 @@
         let peers = self.peers();
         self.progress.retain(|host, _| peers.contains(host));
         for peer in peers {
-            self.progress.entry(peer).or_insert_with(|| Progress::new(next, self.now));
+            let (now, patience) = (self.now, self.patience(peer));
+            let progress = self.progress.entry(peer).or_insert_with(|| Progress::new(next, now, patience));
+            // A learner that becomes a voter answered within its longer time.
+            if progress.patience != patience {
+                progress.patience = patience;
+                progress.heard = now;
+            }
+        }
+    }
+
+    /// How long a member counts as alive after it was heard from.
+    pub(super) fn patience(&self, host: HostId) -> Duration {
+        if self.members().votes(host) {
+            return self.settings.election;
         }
+        LEARNER_BEATS * self.settings.learner_heartbeat
     }
 
     /// The entry that last changed the members.
@@ -55,7 +73,7 @@
             matches!(progress.flow, Flow::Replicate)
                 && progress.matched >= self.first
                 && progress.matched.0 + self.settings.learner_lag >= last
-                && self.now - progress.heard < self.settings.election
+                && progress.alive(self.now)
         })
     }
 
@@ -63,7 +81,7 @@
     pub(super) fn live_voters(&self, members: &Members) -> usize {
         let live = |host: &HostId| match self.progress.get(host) {
             _ if *host == self.host => true,
-            Some(progress) => self.now - progress.heard < self.settings.election,
+            Some(progress) => progress.alive(self.now),
             None => false,
         };
         members.voters.keys().filter(|host| live(host)).count()
--- a/crates/store/src/raft/election.rs
+++ b/crates/store/src/raft/election.rs
@@ -80,11 +80,13 @@
 
     fn lead(&mut self) {
         let next = self.last_id().index.next();
-        self.progress = self.peers().into_iter().map(|peer| (peer, Progress::new(next, self.now))).collect();
+        let progress = |peer| (peer, Progress::new(next, self.now, self.patience(peer)));
+        self.progress = self.peers().into_iter().map(progress).collect();
         self.first = next;
         // Synced entries of earlier terms count once the blank entry is synced after them.
         self.own = self.log.base().index;
         self.beat = self.now;
+        self.learner_beat = self.now;
         self.enter(Role::Leader, Some(self.host));
         self.lead_entry(Payload::Blank, None);
     }
--- a/crates/store/src/raft/read.rs
+++ b/crates/store/src/raft/read.rs
@@ -48,7 +48,7 @@
         let (round, commit) = (self.reads.round, self.commit);
         let fresh = std::mem::take(&mut self.reads.fresh);
         self.reads.waiting.extend(fresh.into_iter().map(|tag| (round, commit, tag)));
-        self.beat_all();
+        self.beat_voters();
         self.ready_reads();
     }
 
--- a/crates/store/src/raft/replicate.rs
+++ b/crates/store/src/raft/replicate.rs
@@ -162,15 +162,20 @@
         self.tick_handover();
         self.retry();
         if self.now >= self.beat {
-            self.beat_all();
+            self.beat_voters();
+        }
+        if self.now >= self.learner_beat {
+            self.learner_beat = self.now + self.settings.learner_heartbeat;
+            let learners = self.members().learners.keys().copied().collect();
+            self.beat(learners);
         }
     }
 
     /// Sends again what was not answered in time, to members that answer heartbeats.
     fn retry(&mut self) {
-        let (now, wait, patience) = (self.now, self.settings.retry, self.settings.election);
+        let (now, wait) = (self.now, self.settings.retry);
         let mut chunks = Vec::new();
-        let due = |progress: &Progress| now - progress.moved >= wait && now - progress.heard < patience;
+        let due = |progress: &Progress| now - progress.moved >= wait && progress.alive(now);
         for (peer, progress) in self.progress.iter_mut().filter(|(_, progress)| due(progress)) {
             match progress.flow {
                 Flow::Probe { ref mut waiting } => *waiting = false,
@@ -184,11 +189,15 @@
         }
     }
 
-    /// Sends a heartbeat to every member; it confirms the newest round of reads.
-    pub(super) fn beat_all(&mut self) {
+    /// Sends a heartbeat to every voter; it confirms the newest round of reads.
+    pub(super) fn beat_voters(&mut self) {
         self.beat = self.now + self.settings.heartbeat;
+        self.beat(self.voting_peers());
+    }
+
+    fn beat(&mut self, peers: Vec<HostId>) {
         let round = self.reads.round();
-        for peer in self.peers() {
+        for peer in peers {
             let Some(progress) = self.progress.get(&peer) else { continue };
             let commit = progress.matched.min(self.commit);
             self.send(peer, Body::Heartbeat { commit, round });
--- a/crates/store/src/raft/snapshot.rs
+++ b/crates/store/src/raft/snapshot.rs
@@ -58,11 +58,11 @@
 
     /// Starts to send the snapshot to a member whose log ends before ours begins.
     pub(super) fn start_snapshot(&mut self, peer: HostId) {
-        let (now, patience) = (self.now, self.settings.election);
+        let now = self.now;
         let Some(progress) = self.progress.get_mut(&peer) else { return };
         match (&progress.flow, &self.snapshot) {
             (Flow::Snapshot { .. }, _) => {}
-            (_, Some(snapshot)) if now - progress.heard < patience => {
+            (_, Some(snapshot)) if progress.alive(now) => {
                 progress.flow = Flow::Snapshot { snapshot: snapshot.clone(), offset: 0 };
                 progress.inflight.clear();
                 self.send_chunk(peer);
--- a/crates/store/src/raft/status.rs
+++ b/crates/store/src/raft/status.rs
@@ -81,11 +81,6 @@
 
     fn peer_status(&self, host: HostId) -> PeerStatus {
         let progress = &self.progress[&host];
-        PeerStatus {
-            host,
-            matched: progress.matched,
-            alive: self.now - progress.heard < self.settings.election,
-            ready: self.caught_up(host),
-        }
+        PeerStatus { host, matched: progress.matched, alive: progress.alive(self.now), ready: self.caught_up(host) }
     }
 }
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -7,6 +7,8 @@
 pub struct Settings {
     /// How often a leader says that it is alive.
     pub heartbeat: Duration,
+    /// How often it says so to learners, which wait for no election.
+    pub learner_heartbeat: Duration,
     /// The shortest election timeout; each is drawn between this and twice this. A leader that hears from no quorum
     /// for this long steps down.
     pub election: Duration,
@@ -36,6 +38,7 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(100),
+            learner_heartbeat: Duration::from_secs(1),
             election: Duration::from_millis(400),
             retry: Duration::from_millis(200),
             message_bytes: 256 * 1024,
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -437,6 +437,27 @@
     world.check_acked();
 }
 
+#[test]
+fn a_host_that_missed_a_replacement_follows_the_new_folder() {
+    let (mut world, leader) = led(21, 3);
+    let late = follower(&world, leader);
+    let old = world.live().into_iter().find(|id| ![leader, late].contains(id)).unwrap();
+    let spare = world.join();
+    changed(&mut world, leader, Change::AddLearner(spare, birth(spare)));
+    changed(&mut world, leader, Change::Promote(spare));
+    cut(&mut world, late);
+    world.impostor(old);
+    changed(&mut world, leader, Change::Remove(old));
+    let new = world.nodes[&old].birth;
+    changed(&mut world, leader, Change::AddLearner(old, new));
+    changed(&mut world, leader, Change::Promote(old));
+    world.transfer(leader, old);
+    assert!(world.run_until(1_000, |world| world.leader() == Some(old)), "no handover");
+    world.cuts.clear();
+    let target = world.raft(old).status().commit;
+    assert!(world.run_until(3_000, |world| world.raft(late).status().applied >= target), "it is cut off for good");
+}
+
 #[test]
 fn a_voter_whose_disk_fails_steps_down_and_acknowledges_nothing() {
     let (mut world, leader) = led(14, 3);
@@ -520,6 +541,17 @@
     let messages = world.messages - before;
     // Four followers, ten heartbeats a second, each answered.
     assert!(messages <= 4 * 10 * 10 * 2 + 8, "{messages} messages in ten idle seconds");
+    // A learner costs one heartbeat a second, answered.
+    let leader = world.leader().unwrap();
+    for _ in 0..4 {
+        let new = world.join();
+        changed(&mut world, leader, Change::AddLearner(new, birth(new)));
+    }
+    world.run(1_000);
+    let before = world.messages;
+    world.run(10_000);
+    let more = world.messages - before;
+    assert!(more <= messages + 4 * 10 * 2 + 8, "{more} messages in ten idle seconds with four learners");
 }
 
 #[test]
