--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -8,7 +8,7 @@
 use mangogw_model::{HostId, Time};
 use mangogw_store::{
     Body, Change, Folder, GroupId, Index, LogEntry, LogId, Members, Message, Output, Payload, Raft, Refusal, Role,
-    Settings, Stored, Tag, Term, Write, WriteId,
+    Settings, Snapshot, Stored, Tag, Term, Write, WriteId,
 };
 
 const ONE: HostId = HostId(1);
@@ -197,6 +197,82 @@
     assert_eq!(raft.status().commit, Index(3));
 }
 
+fn from_leader(term: u64, body: Body) -> Message {
+    Message { group: GroupId(7), birth: birth(HostId(2)), term: Term(term), body }
+}
+
+#[test]
+fn a_vote_goes_to_no_shorter_log_and_to_one_host_a_term() {
+    let members = Members::of((1..=3).map(|id| (HostId(id), birth(HostId(id)))));
+    let mut stored = Stored::founding(ONE, birth(ONE), GroupId(7), members, Bytes::new());
+    let id = LogId { term: Term(2), index: Index(2) };
+    stored.entries.push(LogEntry { id, payload: Payload::Blank });
+    let mut raft = Raft::open(settings(), stored, Time::ZERO);
+    let mut ask = |from: u64, term: u64, last: LogId| {
+        let body = Body::Vote { last, transfer: true };
+        let message = Message { group: GroupId(7), birth: birth(HostId(from)), term: Term(term), body };
+        raft.on_message(Time::ZERO, HostId(from), message);
+        let mut outputs = raft.drain();
+        for write in outputs.clone() {
+            if let Output::Write(write) = write {
+                raft.on_synced(Time::ZERO, write.id);
+            }
+        }
+        outputs.extend(raft.drain());
+        outputs.iter().any(|output| match output {
+            Output::Send { message, .. } => message.body == Body::VoteAnswer { granted: true },
+            _ => false,
+        })
+    };
+    assert!(!ask(2, 5, LogId { term: Term(1), index: Index(9) }), "a longer log of an earlier term");
+    assert!(ask(3, 5, id));
+    assert!(!ask(2, 5, id), "a second vote in the term");
+    assert!(ask(3, 5, id), "the same vote again");
+}
+
+#[test]
+fn members_of_an_entry_that_is_overwritten_are_undone() {
+    let members = Members::of((1..=3).map(|id| (HostId(id), birth(HostId(id)))));
+    let mut stored = Stored::founding(ONE, birth(ONE), GroupId(7), members.clone(), Bytes::new());
+    let id = LogId { term: Term(2), index: Index(2) };
+    let more = members.after(Change::AddLearner(HostId(4), birth(HostId(4)))).unwrap();
+    stored.entries.push(LogEntry { id, payload: Payload::Members(more.clone()) });
+    let prev = stored.base();
+    let mut raft = Raft::open(settings(), stored, Time::ZERO);
+    assert_eq!(raft.members(), &more);
+    let other = LogEntry { id: LogId { term: Term(3), index: Index(2) }, payload: Payload::Blank };
+    let append = Body::Append { prev, commit: Index(1), entries: vec![other] };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, append));
+    assert_eq!(raft.members(), &members);
+}
+
+#[test]
+fn a_snapshot_is_acknowledged_and_restored_once_it_is_synced() {
+    let members = Members::of([(HostId(2), birth(HostId(2)))]);
+    let id = LogId { term: Term(3), index: Index(9) };
+    let snapshot = Snapshot::new(id, members, "state".into());
+    let mut raft = Raft::open(settings(), Stored::joining(ONE, birth(ONE)), Time::ZERO);
+    let chunk = Body::Chunk { meta: snapshot.meta.clone(), offset: 0, data: snapshot.data.clone() };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, chunk));
+    // An entry that follows, and is committed, overtakes the sync.
+    let next = LogEntry { id: LogId { term: Term(3), index: Index(10) }, payload: Payload::Blank };
+    let append = Body::Append { prev: id, commit: Index(10), entries: vec![next] };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, append));
+    let early = raft.drain();
+    let held = |output: &Output| match output {
+        Output::Restore(_) | Output::Apply { .. } => true,
+        Output::Send { message, .. } => matches!(message.body, Body::Matched { .. }),
+        _ => false,
+    };
+    assert!(!early.iter().any(held), "{early:?}");
+    let write = early.iter().find_map(|output| if let Output::Write(write) = output { Some(write.id) } else { None });
+    raft.on_synced(Time::ZERO, write.unwrap());
+    let late: Vec<_> = raft.drain().into_iter().filter(held).collect();
+    let order = late.iter().position(|output| matches!(output, Output::Restore(_)))
+        < late.iter().position(|output| matches!(output, Output::Apply { .. }));
+    assert!(order && late.len() == 4, "a restore, what follows it, and two acknowledgements: {late:?}");
+}
+
 #[test]
 fn a_campaign_in_the_lease_of_a_leader_is_ignored() {
     let (mut world, leader) = led(6, 3);
@@ -361,6 +437,27 @@
     world.check_acked();
 }
 
+#[test]
+fn a_host_that_missed_a_replacement_follows_the_new_folder() {
+    let (mut world, leader) = led(21, 3);
+    let late = follower(&world, leader);
+    let old = world.live().into_iter().find(|id| ![leader, late].contains(id)).unwrap();
+    let spare = world.join();
+    changed(&mut world, leader, Change::AddLearner(spare, birth(spare)));
+    changed(&mut world, leader, Change::Promote(spare));
+    cut(&mut world, late);
+    world.impostor(old);
+    changed(&mut world, leader, Change::Remove(old));
+    let new = world.nodes[&old].birth;
+    changed(&mut world, leader, Change::AddLearner(old, new));
+    changed(&mut world, leader, Change::Promote(old));
+    world.transfer(leader, old);
+    assert!(world.run_until(1_000, |world| world.leader() == Some(old)), "no handover");
+    world.cuts.clear();
+    let target = world.raft(old).status().commit;
+    assert!(world.run_until(3_000, |world| world.raft(late).status().applied >= target), "it is cut off for good");
+}
+
 #[test]
 fn a_voter_whose_disk_fails_steps_down_and_acknowledges_nothing() {
     let (mut world, leader) = led(14, 3);
@@ -383,7 +480,7 @@
     let term = world.raft(leader).status().term;
     let alien = Message {
         group: GroupId(8),
-        birth: birth(ONE),
+        birth: birth(HostId(2)),
         term: Term(99),
         body: Body::Heartbeat { commit: Index(0), round: 0 },
     };
@@ -444,6 +541,17 @@
     let messages = world.messages - before;
     // Four followers, ten heartbeats a second, each answered.
     assert!(messages <= 4 * 10 * 10 * 2 + 8, "{messages} messages in ten idle seconds");
+    // A learner costs one heartbeat a second, answered.
+    let leader = world.leader().unwrap();
+    for _ in 0..4 {
+        let new = world.join();
+        changed(&mut world, leader, Change::AddLearner(new, birth(new)));
+    }
+    world.run(1_000);
+    let before = world.messages;
+    world.run(10_000);
+    let more = world.messages - before;
+    assert!(more <= messages + 4 * 10 * 2 + 8, "{more} messages in ten idle seconds with four learners");
 }
 
 #[test]
