--- /dev/null
+++ b/crates/cluster/examples/slopes/grants.rs
@@ -0,0 +1,138 @@
+//! Grants: targets of one zone that send heartbeats to hosts at random.
+
+use crate::meter::{Meter, resident, round};
+use mangogw_cluster::grants::{Echo, Event, Grants, Message, Settings, Ticket};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::time::Duration;
+
+const TICK: Duration = Duration::from_millis(10);
+const SPAN: Duration = Duration::from_secs(10);
+const SIZES: [(usize, usize); 4] = [(3, 17), (3, 300), (3, 1_200), (12, 1_200)];
+
+struct Field {
+    now: Time,
+    hosts: Vec<Grants>,
+    wire: Vec<(usize, usize, Message)>,
+    tickets: HashMap<(usize, Ticket), usize>,
+    echoes: Vec<Option<(Echo, Time)>>,
+    next: Vec<Time>,
+    rng: Pcg64Mcg,
+}
+
+fn announcement(index: usize) -> Announcement {
+    Announcement {
+        name: format!("worker-{index:05}").as_str().into(),
+        address: "10.1.2.3:9000".parse().unwrap_or_else(|_| unreachable!()),
+        zone: "regina-a".into(),
+        rack: "rack-17".into(),
+        kind: Kind::Worker,
+        entries: vec!["gate-scan".into(), "route".into(), "tally".into()],
+        capacity: Capacity { slots: 8, cores: 16, memory_mb: 32_000, accelerators: 2 },
+        incarnation: Incarnation(1_700_000_000_000),
+        running: Vec::new(),
+        connections: 60,
+    }
+}
+
+fn open(hosts: usize, targets: usize) -> Field {
+    let now = Time::from_millis(1_000);
+    let life = Incarnation(1_700_000_000_000);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let seat = |id: usize| Seat { id: HostId(id as u64), life, zone: "regina-a".into(), usable: true };
+    let seats: Vec<Seat> = (0..hosts).map(seat).collect();
+    let host = |id: usize| {
+        let mut grants = Grants::open(&Settings { id: HostId(id as u64), life }, now);
+        grants.set_hosts(now, seats.clone());
+        grants
+    };
+    Field {
+        now,
+        hosts: (0..hosts).map(host).collect(),
+        wire: Vec::new(),
+        tickets: HashMap::new(),
+        echoes: vec![None; targets],
+        next: (0..targets).map(|_| now + Duration::from_millis(rng.random_range(0..800))).collect(),
+        rng,
+    }
+}
+
+impl Field {
+    fn run(&mut self, span: Duration, meter: &mut Meter) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            for (from, to, message) in std::mem::take(&mut self.wire) {
+                meter.time(|| self.hosts[to].on_message(self.now, HostId(from as u64), message));
+                self.collect(to, meter);
+            }
+            for index in 0..self.hosts.len() {
+                meter.time(|| self.hosts[index].on_tick(self.now));
+                self.collect(index, meter);
+            }
+            for target in 0..self.next.len() {
+                if self.next[target] <= self.now {
+                    self.beat(target, meter);
+                }
+            }
+        }
+    }
+
+    fn beat(&mut self, target: usize, meter: &mut Meter) {
+        self.next[target] = Time::MAX;
+        let entry = self.rng.random_range(0..self.hosts.len());
+        let age = |at: Time| (self.now - at).as_millis() as u32;
+        let echo = self.echoes[target].map(|(echo, at)| Echo { age_ms: Some(age(at)), ..echo });
+        let announcement = announcement(target);
+        let ticket = meter.time(|| self.hosts[entry].announce(self.now, announcement, echo));
+        self.tickets.insert((entry, ticket), target);
+        self.collect(entry, meter);
+    }
+
+    fn collect(&mut self, from: usize, meter: &mut Meter) {
+        for output in self.hosts[from].drain() {
+            match output {
+                Output::Send { to, message } => {
+                    meter.sent(from, &message);
+                    self.wire.push((from, to.0 as usize, message));
+                }
+                Output::Event(Event::Answered { ticket, answer }) => {
+                    let Some(target) = self.tickets.remove(&(from, ticket)) else { continue };
+                    self.next[target] = self.now + answer.interval;
+                    let echo = answer.grant.map(|grant| (Echo { grant, age_ms: None }, self.now));
+                    self.echoes[target] = echo.or(self.echoes[target]);
+                }
+                Output::Event(_) => {}
+            }
+        }
+    }
+}
+
+pub fn measure() -> Vec<Value> {
+    SIZES.iter().map(|&(hosts, targets)| one(hosts, targets)).collect()
+}
+
+fn one(hosts: usize, targets: usize) -> Value {
+    let before = resident();
+    let mut field = open(hosts, targets);
+    field.run(Duration::from_secs(6), &mut Meter::open(hosts));
+    let memory = resident().saturating_sub(before);
+    let owned: usize = field.hosts.iter().map(|host| host.owned(field.now).count()).sum();
+    let mut meter = Meter::open(hosts);
+    field.run(SPAN, &mut meter);
+    let mut value = meter.report(SPAN);
+    let beats = targets as f64 / hosts as f64 * 1_000.0 / 800.0;
+    value["hosts"] = json!(hosts);
+    value["targets"] = json!(targets);
+    value["owned"] = json!(owned);
+    value["resident_bytes_per_target"] = json!(round(memory as f64 / targets as f64));
+    value["micros_per_heartbeat"] =
+        json!(round(value["core_percent_mean"].as_f64().unwrap_or_default() * 10_000.0 / beats));
+    value["bytes_per_s_per_target"] =
+        json!(round(value["bytes_per_s_mean"].as_f64().unwrap_or_default() * hosts as f64 / targets as f64));
+    value
+}
--- a/crates/cluster/src/grants/entry.rs
+++ b/crates/cluster/src/grants/entry.rs
@@ -110,7 +110,7 @@
         let Some(open) = self.open.get(&ticket) else { return };
         let to = if open.tried.len() < MAX_TRIES { self.next(now, open) } else { None };
         let target = Target::of(&open.announcement);
-        let (life, digest, echo) = (open.announcement.incarnation, digest(&open.announcement), open.echo);
+        let (digest, echo) = (digest(&open.announcement), open.echo);
         match to {
             Some(to) if to == self.id => {
                 let announcement = open.announcement.clone();
@@ -122,7 +122,7 @@
                     open.tried.push(to);
                     open.until = now + PASS_TIMEOUT;
                 }
-                self.send(to, Message::Beat { ticket, target, life, digest, echo });
+                self.send(to, Message::Beat { ticket, target, digest, echo });
             }
             None => {
                 self.open.swap_remove(&ticket);
--- a/crates/cluster/src/grants/message.rs
+++ b/crates/cluster/src/grants/message.rs
@@ -29,9 +29,7 @@
         ticket: u64,
         /// The target.
         target: Target,
-        /// The life of the target.
-        life: Incarnation,
-        /// The digest of the announcement.
+        /// The digest of the announcement, which covers the life of the target.
         digest: u64,
         /// What the target sent back.
         echo: Option<Echo>,
--- a/crates/cluster/src/grants/mod.rs
+++ b/crates/cluster/src/grants/mod.rs
@@ -283,8 +283,8 @@
     /// Takes a message in.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         match message {
-            Message::Beat { ticket, target, life, digest, echo } => {
-                let verdict = self.judge_beat(now, &target, life, digest, echo);
+            Message::Beat { ticket, target, digest, echo } => {
+                let verdict = self.judge_beat(now, &target, digest, echo);
                 self.send(from, Message::Answer { ticket, verdict });
             }
             Message::Announce { ticket, announcement, echo } => {
--- a/crates/cluster/src/grants/owner.rs
+++ b/crates/cluster/src/grants/owner.rs
@@ -102,20 +102,12 @@
 
 impl Grants {
     /// Judges a heartbeat whose announcement may be known here.
-    pub(super) fn judge_beat(
-        &mut self,
-        now: Time,
-        target: &Target,
-        life: Incarnation,
-        digest: u64,
-        echo: Option<Echo>,
-    ) -> Verdict {
+    pub(super) fn judge_beat(&mut self, now: Time, target: &Target, digest: u64, echo: Option<Echo>) -> Verdict {
         match self.held.get(target) {
-            Some(held) if held.announcement.incarnation == life && held.digest == digest => {
+            Some(held) if held.digest == digest => {
                 let announcement = held.announcement.clone();
                 self.judge(now, announcement, echo)
             }
-            Some(held) if held.announcement.incarnation > life => Verdict::Stale,
             Some(_) | None => Verdict::NeedsAnnouncement,
         }
     }
--- a/crates/cluster/src/members/message.rs
+++ b/crates/cluster/src/members/message.rs
@@ -71,6 +71,7 @@
     pub digest: u64,
     /// Fresh claims, at most [`MAX_NEWS`](super::MAX_NEWS).
     pub records: Vec<Record>,
-    /// How long ago the sender, or a host of its zone, last heard from each other zone, in milliseconds.
+    /// How long ago the sender, or a host of its zone, last heard from each other zone, in milliseconds;
+    /// on pings inside a zone only.
     pub heard: Vec<(Zone, u32)>,
 }
--- a/crates/cluster/src/members/mod.rs
+++ b/crates/cluster/src/members/mod.rs
@@ -295,7 +295,7 @@
             }
             Body::Ping { serial, news } => {
                 self.learn(now, from, &news);
-                let news = self.news(now, from);
+                let news = News { heard: Vec::new(), ..self.news(now, from) };
                 self.send(from, Body::Ack { serial, news });
             }
             Body::Ack { serial, news } => {
--- a/crates/cluster/src/route/mod.rs
+++ b/crates/cluster/src/route/mod.rs
@@ -30,6 +30,10 @@
 pub const GOSSIP_IDLE: Duration = Duration::from_secs(2);
 /// Peers that one round of loads goes to.
 pub const FANOUT: usize = 4;
+/// Rows sent a second, each counted once for each receiver; what rides on answers is not counted.
+pub const ROWS_PER_SECOND: f64 = 150.0;
+/// Rows that may be sent at once after a rest.
+pub const ROWS_BURST: f64 = 64.0;
 /// Rows in one message.
 pub const MAX_ROWS: usize = 32;
 /// Hosts in the answer to a host of another zone.
@@ -131,6 +135,8 @@
     views: IndexMap<EntryName, IndexMap<HostId, View>>,
     gossip: Time,
     idle: Time,
+    tokens: f64,
+    filled: Time,
     out: Vec<Output<Message, Event>>,
 }
 
@@ -151,6 +157,8 @@
             views: IndexMap::new(),
             gossip,
             idle: gossip,
+            tokens: ROWS_BURST,
+            filled: now,
             out: Vec::new(),
         }
     }
@@ -173,10 +181,7 @@
         own.load = load;
         let turned = (load.free > 0) != (own.told.free > 0);
         if turned && now - own.sent >= GOSSIP_URGENT {
-            own.told = load;
-            own.sent = now;
-            let row = Row { entry: entry.clone(), load };
-            self.spread(&[row]);
+            self.spread(now, vec![Row { entry: entry.clone(), load }]);
         }
     }
 
@@ -300,25 +305,28 @@
             self.own.iter().filter(|(_, own)| all || own.load != own.told).map(row).collect();
         rows.sort_by_key(|&(sent, _)| sent);
         rows.truncate(MAX_ROWS);
-        for (_, row) in &rows {
-            if let Some(own) = self.own.get_mut(&row.entry) {
-                own.told = row.load;
-                own.sent = now;
-            }
-        }
-        let rows: Vec<Row> = rows.into_iter().map(|(_, row)| row).collect();
-        if !rows.is_empty() {
-            self.spread(&rows);
-        }
+        self.spread(now, rows.into_iter().map(|(_, row)| row).collect());
     }
 
-    /// Sends loads to some peers of the zone.
-    fn spread(&mut self, rows: &[Row]) {
+    /// Sends loads to some peers of the zone, as many as [`ROWS_PER_SECOND`] allows.
+    fn spread(&mut self, now: Time, mut rows: Vec<Row>) {
         let peers = self.hosts.iter().filter(|&(&host, zone)| host != self.id && *zone == self.zone);
         let mut peers: Vec<HostId> = peers.map(|(&host, _)| host).collect();
         peers.shuffle(&mut self.rng);
-        for &to in peers.iter().take(FANOUT) {
-            self.out.push(Output::Send { to, message: Message::Loads(rows.to_vec()) });
+        peers.truncate(FANOUT);
+        let filled = (now - self.filled).as_secs_f64() * ROWS_PER_SECOND;
+        self.tokens = (self.tokens + filled).min(ROWS_BURST);
+        self.filled = now;
+        rows.truncate((self.tokens / peers.len().max(1) as f64) as usize);
+        self.tokens -= (rows.len() * peers.len()) as f64;
+        for row in &rows {
+            if let Some(own) = self.own.get_mut(&row.entry) {
+                own.told = row.load;
+                own.sent = now;
+            }
+        }
+        for &to in peers.iter().filter(|_| !rows.is_empty()) {
+            self.out.push(Output::Send { to, message: Message::Loads(rows.clone()) });
         }
     }
 
--- a/crates/cluster/src/shares/mod.rs
+++ b/crates/cluster/src/shares/mod.rs
@@ -30,6 +30,8 @@
 pub const REPORT: Duration = Duration::from_secs(2);
 /// A limit of which more is wanted than held is reported so often.
 pub const REPORT_SHORT: Duration = Duration::from_millis(250);
+/// Rows reported in [`REPORT_SHORT`]; the longest due go first.
+pub const MAX_ROWS: usize = 64;
 /// The part of a limit that is fixed.
 pub const FLOOR: f64 = 0.25;
 /// A limit that nothing asked for is forgotten at its home after this time.
@@ -57,6 +59,8 @@
     /// The report whose answer holds, and its home.
     taken: Option<(HostId, u64)>,
     reported: Time,
+    /// The least time to the next report.
+    pause: Duration,
 }
 
 /// The members that were usable from a point in time on.
@@ -139,7 +143,16 @@
         let mut old = std::mem::take(&mut self.limits);
         for (limit, total) in limits {
             let (id, whole, total) = (limit.id(), limit.resource.whole(), total * UNIT);
-            let new = Local { total, whole, wants: 0, held: 0, until: Time::ZERO, taken: None, reported: Time::ZERO };
+            let new = Local {
+                total,
+                whole,
+                wants: 0,
+                held: 0,
+                until: Time::ZERO,
+                taken: None,
+                reported: Time::ZERO,
+                pause: REPORT_SHORT,
+            };
             let local = old.swap_remove(&id).map_or(new, |local| Local { total, held: local.held.min(total), ..local });
             self.limits.insert(id, local);
         }
@@ -148,7 +161,10 @@
     /// Sets how much of a limit this host would use now; 0 when it is no longer used.
     pub fn set_demand(&mut self, limit: &Limit, wants: f64) {
         if let Some(local) = self.limits.get_mut(&limit.id()) {
-            local.wants = (wants * UNIT as f64) as u64;
+            let wants = (wants * UNIT as f64) as u64;
+            // A host that wants much more than before asks soon; one that keeps wanting too much asks ever less often.
+            local.pause = if wants > local.wants + local.wants / 4 { REPORT_SHORT } else { local.pause };
+            local.wants = wants;
         }
     }
 
@@ -182,9 +198,17 @@
     /// Reports the limits that are due, to their homes.
     fn report_all(&mut self, now: Time) {
         let sent = now.as_micros() / 1_000;
+        let mut due: Vec<(Time, LimitId)> = self
+            .limits
+            .iter()
+            .filter(|(_, local)| self.is_due(now, local))
+            .map(|(&id, local)| (local.reported, id))
+            .collect();
+        due.sort_unstable();
+        due.truncate(MAX_ROWS);
         let mut reports: IndexMap<HostId, Vec<Row>> = IndexMap::new();
-        for (&id, local) in self.limits.iter().filter(|(_, local)| self.is_due(now, local)) {
-            let Some(home) = self.home(id) else { continue };
+        for (_, id) in due {
+            let (Some(local), Some(home)) = (self.limits.get(&id), self.home(id)) else { continue };
             let held = local.taken.filter(|&(from, _)| from == home).map_or(sent, |(_, taken)| taken);
             let wants = local.wants.saturating_sub(self.floor(local));
             reports.entry(home).or_default().push(Row { id, wants, age: (sent - held) as u32 });
@@ -192,7 +216,9 @@
         for (home, rows) in reports {
             let ids: Vec<LimitId> = rows.iter().map(|row| row.id).collect();
             for id in &ids {
-                self.limits[id].reported = now;
+                let local = &mut self.limits[id];
+                local.reported = now;
+                local.pause = (local.pause * 2).min(REPORT);
             }
             self.asked.insert((home, sent), ids);
             if home == self.id {
@@ -208,7 +234,7 @@
     fn is_due(&self, now: Time, local: &Local) -> bool {
         let held = if now < local.until { local.held } else { 0 };
         let short = local.wants > self.floor(local) + held;
-        let pause = if short { REPORT_SHORT } else { REPORT };
+        let pause = if short { local.pause } else { REPORT };
         let used = local.total > 0 && (local.wants > 0 || now < local.until);
         used && now - local.reported >= pause
     }
--- a/crates/cluster/tests/grants/field.rs
+++ b/crates/cluster/tests/grants/field.rs
@@ -62,6 +62,8 @@
     pub backs: Vec<Back>,
     pub blocked: BTreeSet<(usize, usize)>,
     pub unseen: BTreeSet<(usize, usize)>,
+    /// Links that lose everything while both ends think them usable.
+    pub silent: BTreeSet<(usize, usize)>,
     pub chaos: bool,
     pub rng: Pcg64Mcg,
     wire: Vec<(Time, u64, usize, usize, Message)>,
@@ -124,6 +126,7 @@
             backs: (0..targets).map(|index| back(index, &mut rng)).collect(),
             blocked: BTreeSet::new(),
             unseen: BTreeSet::new(),
+            silent: BTreeSet::new(),
             chaos: false,
             rng,
             wire: Vec::new(),
@@ -196,7 +199,7 @@
     fn post(&mut self, from: usize, to: usize, message: &Message) {
         self.hosts[from].sent += 1;
         self.hosts[from].bytes += postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) as u64;
-        if self.blocked.contains(&(from, to)) {
+        if self.blocked.contains(&(from, to)) || self.silent.contains(&(from, to)) {
             return;
         }
         let copies = if self.chaos { [0, 1, 1, 1, 2][self.rng.random_range(0..5)] } else { 1 };
--- a/crates/cluster/tests/grants/main.rs
+++ b/crates/cluster/tests/grants/main.rs
@@ -4,7 +4,9 @@
 mod fuzz;
 
 use field::Field;
-use mangogw_cluster::grants::{Event, Reason};
+use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, LEASE, Reason, Settings, Target};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -160,3 +162,89 @@
     field.run(SECOND);
     assert!(field.all_owned());
 }
+
+#[test]
+fn host_that_hangs_is_covered_within_three_seconds() {
+    let mut field = settled(3, 40);
+    for other in [1, 2] {
+        field.silent.extend([(0, other), (other, 0)]);
+    }
+    for (index, back) in field.backs.iter_mut().enumerate() {
+        back.entry = Some(1 + index % 2);
+    }
+    field.run(SECOND * 3);
+    assert!(field.all_owned());
+    assert_eq!(counts(&field)[0], 0);
+}
+
+/// Heartbeats reach hosts that believe the owner dead and hosts that don't: the target's own word keeps the owner.
+#[test]
+fn owner_stays_while_some_hosts_believe_it_dead() {
+    let mut field = settled(3, 12);
+    field.unseen.extend([(2, 0), (2, 1)]);
+    let mut owned = 0;
+    for _ in 0..4_000 {
+        field.step();
+        owned += (0..12).filter(|&back| field.owners(back).len() == 1).count();
+    }
+    assert!(owned >= 4_000 * 12 * 9 / 10, "owned {owned} of {}", 4_000 * 12);
+}
+
+fn announcement() -> Announcement {
+    Announcement {
+        name: "t".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: "a".into(),
+        rack: "".into(),
+        kind: Kind::Executor,
+        entries: Vec::new(),
+        capacity: Capacity { slots: 8, ..Capacity::default() },
+        incarnation: Incarnation(1),
+        running: Vec::new(),
+        connections: 0,
+    }
+}
+
+fn alone(now: Time, life: u64) -> Grants {
+    let (id, life) = (HostId(1), Incarnation(life));
+    let mut grants = Grants::open(&Settings { id, life }, now);
+    grants.set_hosts(now, vec![Seat { id, life, zone: "a".into(), usable: true }]);
+    grants
+}
+
+fn beat(grants: &mut Grants, now: Time, grant: Option<Grant>, age: u32) -> Answer {
+    grants.announce(now, announcement(), grant.map(|grant| Echo { grant, age_ms: Some(age) }));
+    let answer = grants.drain().into_iter().find_map(|output| match output {
+        Output::Event(Event::Answered { answer, .. }) => Some(answer),
+        _ => None,
+    });
+    answer.expect("answered at once")
+}
+
+#[test]
+fn heartbeats_that_come_late_change_nothing() {
+    let (mut grants, mut now) = (alone(Time::ZERO, 1), Time::from_millis(1_000));
+    let target = Target::of(&announcement());
+    let first = beat(&mut grants, now, None, 0).grant;
+    let second = beat(&mut grants, now, first, 1).grant;
+    assert!(grants.holds(now, &target));
+    now += Duration::from_millis(100);
+    let other = Grant { epoch: 7, owner: HostId(2), life: Incarnation(1), serial: 5 };
+    let taken = beat(&mut grants, now, Some(other), 2_000).grant;
+    assert_eq!(taken.map(|grant| grant.epoch), Some(8));
+    beat(&mut grants, now, taken, 1);
+    assert!(!grants.holds(now, &target), "the other's lease has not run out");
+    now += LEASE.saturating_sub(Duration::from_millis(1_900));
+    let mine = beat(&mut grants, now, taken, 400).grant;
+    beat(&mut grants, now, mine, 1);
+    assert!(grants.holds(now, &target));
+    assert_eq!(beat(&mut grants, now, second, 2_000).grant, None, "an own grant of an earlier epoch");
+    assert_eq!(beat(&mut grants, now, Some(other), 2_000).grant, None, "the grant of the former owner");
+    assert!(grants.holds(now, &target));
+}
+
+#[test]
+fn answers_of_an_earlier_life_find_no_heartbeat() {
+    let ticket = |life| alone(Time::ZERO, life).announce(Time::ZERO, announcement(), None);
+    assert_ne!(ticket(1), ticket(2));
+}
--- a/crates/cluster/tests/members/main.rs
+++ b/crates/cluster/tests/members/main.rs
@@ -3,7 +3,7 @@
 mod fuzz;
 mod net;
 
-use mangogw_cluster::members::{Output, Status};
+use mangogw_cluster::members::{Body, Message, News, Output, Status};
 use mangogw_model::{HostId, Incarnation, Zone};
 use net::Net;
 use std::time::Duration;
@@ -65,6 +65,7 @@
     net.block(0, 1);
     net.run(SECOND * 20);
     assert!(net.downs.is_empty(), "{:?}", net.downs);
+    assert!(net.doubts.is_empty(), "{:?}", net.doubts);
     assert!(!net.hosts[0].members.reachable(HostId(1)));
     net.heal();
     net.run(SECOND * 3);
@@ -78,6 +79,7 @@
     net.block(4, 3);
     net.run(SECOND * 20);
     assert!(net.downs.is_empty(), "{:?}", net.downs);
+    assert!(net.doubts.is_empty(), "hosts of other zones vouch: {:?}", net.doubts);
 }
 
 #[test]
@@ -128,3 +130,47 @@
     net.run(SECOND * 3);
     assert!(net.hosts[1].log.contains(&Output::Superseded));
 }
+
+#[test]
+fn parts_find_each_other_without_seeds() {
+    let mut net = seven();
+    net.crash(0);
+    net.crash(6);
+    net.isolate(2);
+    net.run(SECOND * 30);
+    net.heal();
+    net.run(SECOND * 15);
+    assert!(net.agree());
+}
+
+#[test]
+fn host_heard_from_lately_is_not_dead_on_the_word_of_another() {
+    let mut net = seven();
+    let records = vec![net.claim(2, Status::Dead)];
+    let message = Message { life: Incarnation(1), body: Body::Records { records, answer: false } };
+    net.forge(1, 0, message);
+    net.run(SECOND * 3);
+    assert!(net.downs.is_empty(), "{:?}", net.downs);
+    assert!(net.agree());
+}
+
+#[test]
+fn earlier_life_is_not_answered() {
+    let mut net = seven();
+    let ping = |life| Message { life: Incarnation(life), body: Body::Ping { serial: 1, news: News::default() } };
+    assert!(net.forge(1, 0, ping(1)) > 0);
+    net.restart(1);
+    net.run(SECOND * 3);
+    assert_eq!(net.forge(1, 0, ping(1)), 0);
+}
+
+#[test]
+fn hosts_of_another_zone_bury_no_one() {
+    let mut net = seven();
+    net.cut_zone(&Zone::from("z1"));
+    let records = vec![net.claim(3, Status::Suspect)];
+    let message = Message { life: Incarnation(1), body: Body::Records { records, answer: false } };
+    net.forge(1, 0, message);
+    net.run(SECOND * 10);
+    assert!(net.downs.is_empty(), "{:?}", net.downs);
+}
--- a/crates/cluster/tests/members/net.rs
+++ b/crates/cluster/tests/members/net.rs
@@ -1,6 +1,6 @@
 //! A fake network for the membership: hosts with a link delay, cuts, and flows that can be dropped.
 
-use mangogw_cluster::members::{Host, Members, Message, Output, Settings, Status};
+use mangogw_cluster::members::{Body, Host, Members, Message, Output, Record, Settings, Status};
 use mangogw_model::{HostId, Incarnation, Time, Zone};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -27,6 +27,8 @@
     pub now: Time,
     pub hosts: Vec<Node>,
     pub downs: Vec<(usize, HostId)>,
+    /// Claims that a host is suspect or dead, by sender.
+    pub doubts: Vec<(usize, HostId)>,
     pub chaos: bool,
     rng: Pcg64Mcg,
     zones: Vec<Zone>,
@@ -75,6 +77,7 @@
             now,
             hosts: (0..zones.len()).map(node).collect(),
             downs: Vec::new(),
+            doubts: Vec::new(),
             chaos: false,
             rng: Pcg64Mcg::seed_from_u64(seed),
             zones,
@@ -133,6 +136,10 @@
     }
 
     fn post(&mut self, from: usize, to: usize, message: &Message) {
+        if let Body::Ping { news, .. } | Body::Ack { news, .. } = &message.body {
+            let doubted = news.records.iter().filter(|record| matches!(record.status, Status::Suspect | Status::Dead));
+            self.doubts.extend(doubted.map(|record| (from, record.host.id)));
+        }
         self.hosts[from].sent += 1;
         self.hosts[from].bytes += postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) as u64;
         if self.blocked.contains(&(from, to)) || self.dropped.contains(&(from, to)) {
@@ -148,6 +155,19 @@
         }
     }
 
+    /// Hands `to` a message that `from` never sent; gives what `to` answers at once.
+    pub fn forge(&mut self, from: usize, to: usize, message: Message) -> usize {
+        self.hosts[to].members.on_message(self.now, HostId(from as u64), message);
+        let before = self.hosts[to].sent;
+        self.collect(to);
+        (self.hosts[to].sent - before) as usize
+    }
+
+    /// The record of `host` with another status.
+    pub fn claim(&self, host: usize, status: Status) -> Record {
+        Record { host: self.hosts[host].members.me().clone(), objections: 0, status }
+    }
+
     pub fn crash(&mut self, index: usize) {
         self.hosts[index].up = false;
     }
