Cluster: a leave outlives its owner

Cause: a host that became owner after a leave, having missed it, gave the target new work; and a leave that named no life marked later lives of the target as leaving (found by the new tests). Change: heartbeats passed on say that the target leaves; a leave without a life means the life that is known, or the first heard of. Conclusion: holds wherever any host that passes heartbeats has heard the leave.

--- a/crates/cluster/src/grants/entry.rs
+++ b/crates/cluster/src/grants/entry.rs
@@ -111,6 +111,7 @@
         let to = if open.tried.len() < MAX_TRIES { self.next(now, open) } else { None };
         let target = Target::of(&open.announcement);
         let (digest, echo) = (digest(&open.announcement), open.echo);
+        let leaving = self.surely_left(&target, open.announcement.incarnation);
         match to {
             Some(to) if to == self.id => {
                 let announcement = open.announcement.clone();
@@ -122,7 +123,7 @@
                     open.tried.push(to);
                     open.until = now + PASS_TIMEOUT;
                 }
-                self.send(to, Message::Beat { ticket, target, digest, echo });
+                self.send(to, Message::Beat { ticket, target, digest, echo, leaving });
             }
             None => {
                 self.open.swap_remove(&ticket);
@@ -156,11 +157,13 @@
             Verdict::NeedsAnnouncement => {
                 let announcement = Box::new(open.announcement.clone());
                 let echo = open.echo;
-                self.send(from, Message::Announce { ticket, announcement, echo });
+                let leaving = self.surely_left(&target, announcement.incarnation);
+                self.send(from, Message::Announce { ticket, announcement, echo, leaving });
                 return;
             }
             Verdict::Granted { grant, soon } => {
-                self.owners.insert(target, Place { host: grant.owner, at: now });
+                let life = open.announcement.incarnation;
+                self.owners.insert(target, Place { host: grant.owner, life, at: now });
                 self.reply(Ticket(ticket), Some(grant), if soon { SOON } else { HEARTBEAT }, true);
             }
             Verdict::Kept => self.reply(Ticket(ticket), None, RETRY, true),
--- a/crates/cluster/src/grants/message.rs
+++ b/crates/cluster/src/grants/message.rs
@@ -33,6 +33,8 @@
         digest: u64,
         /// What the target sent back.
         echo: Option<Echo>,
+        /// True if the sender has heard that the target leaves.
+        leaving: bool,
     },
     /// A heartbeat with its announcement.
     Announce {
@@ -42,6 +44,8 @@
         announcement: Box<Announcement>,
         /// What the target sent back.
         echo: Option<Echo>,
+        /// True if the sender has heard that the target leaves.
+        leaving: bool,
     },
     /// The answer to both.
     Answer {
--- a/crates/cluster/src/grants/mod.rs
+++ b/crates/cluster/src/grants/mod.rs
@@ -197,6 +197,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Place {
     host: HostId,
+    life: Incarnation,
     at: Time,
 }
 
@@ -249,6 +250,11 @@
         self.held.get(target).filter(|held| held.acts(now)).map(Held::until)
     }
 
+    /// True if this host has heard that the target leaves: it takes no new work.
+    pub fn is_leaving(&self, target: &Target, life: Incarnation) -> bool {
+        self.has_left(target, life)
+    }
+
     /// The targets that this host owns.
     pub fn owned(&self, now: Time) -> impl Iterator<Item = &Announcement> {
         self.held.values().filter(move |held| held.acts(now)).map(Held::announcement)
@@ -283,11 +289,19 @@
     /// Takes a message in.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         match message {
-            Message::Beat { ticket, target, digest, echo } => {
+            Message::Beat { ticket, target, digest, echo, leaving } => {
+                let known = self.held.get(&target).filter(|held| held.announces(digest));
+                let life = known.map(|held| held.announcement().incarnation);
+                if leaving && life.is_some() {
+                    _ = self.on_leave(now, target.clone(), life);
+                }
                 let verdict = self.judge_beat(now, &target, digest, echo);
                 self.send(from, Message::Answer { ticket, verdict });
             }
-            Message::Announce { ticket, announcement, echo } => {
+            Message::Announce { ticket, announcement, echo, leaving } => {
+                if leaving {
+                    _ = self.on_leave(now, Target::of(&announcement), Some(announcement.incarnation));
+                }
                 let verdict = self.judge(now, *announcement, echo);
                 self.send(from, Message::Answer { ticket, verdict });
             }
@@ -312,6 +326,11 @@
         self.left.get(target).is_some_and(|gone| gone.life.is_none_or(|left| left >= life))
     }
 
+    /// True if a leave that named this life, or a later one, was heard of.
+    fn surely_left(&self, target: &Target, life: Incarnation) -> bool {
+        self.left.get(target).is_some_and(|gone| gone.life.is_some_and(|left| left >= life))
+    }
+
     fn send(&mut self, to: HostId, message: Message) {
         self.out.push(Output::Send { to, message });
     }
--- a/crates/cluster/src/grants/owner.rs
+++ b/crates/cluster/src/grants/owner.rs
@@ -74,6 +74,11 @@
         self.until
     }
 
+    /// True if `digest` is that of its announcement.
+    pub(crate) const fn announces(&self, digest: u64) -> bool {
+        self.digest == digest
+    }
+
     /// What the target announced.
     pub(crate) const fn announcement(&self) -> &Announcement {
         &self.announcement
@@ -125,7 +130,12 @@
             self.held.insert(target.clone(), Held::new(now, announcement.clone()));
         }
         self.refresh(now, &target, announcement);
-        self.left.entry(target.clone()).and_modify(|gone| gone.at = now);
+        let life = self.held.get(&target).map(|held| held.announcement.incarnation);
+        if let Some(gone) = self.left.get_mut(&target) {
+            // A leave that named no life means the first one heard of.
+            gone.life = gone.life.or(life);
+            gone.at = if gone.life >= life { now } else { gone.at };
+        }
         let verdict = match echo {
             None => self.judge_new(now, &target),
             Some(echo) if echo.grant.names(self.id, self.life) => self.judge_mine(now, &target, echo.grant),
@@ -309,7 +319,8 @@
     /// Notes that a target leaves; true if this host owns it.
     pub(super) fn on_leave(&mut self, now: Time, target: Target, life: Option<Incarnation>) -> bool {
         let owner = self.holds(now, &target);
-        let known = self.held.get(&target).map(|held| held.announcement.incarnation);
+        let held = self.held.get(&target).map(|held| held.announcement.incarnation);
+        let known = held.or(self.owners.get(&target).map(|place| place.life));
         let stale = matches!((life, known), (Some(left), Some(known)) if left < known);
         if stale {
             return false;
--- a/crates/cluster/tests/grants/main.rs
+++ b/crates/cluster/tests/grants/main.rs
@@ -252,3 +252,17 @@
     let ticket = |life| alone(Time::ZERO, life).announce(Time::ZERO, announcement(), None);
     assert_ne!(ticket(1), ticket(2));
 }
+
+#[test]
+fn target_that_restarts_after_a_leave_takes_work_again() {
+    let mut field = settled(3, 3);
+    let target = field.backs[0].target.clone();
+    field.leave(1, &target);
+    field.run(SECOND);
+    let owner = field.owners(0)[0];
+    assert!(field.hosts[owner].grants.is_leaving(&target, Incarnation(1)));
+    field.restart_target(0);
+    field.run(SECOND * 40);
+    let owner = field.owners(0)[0];
+    assert!(!field.hosts[owner].grants.is_leaving(&target, Incarnation(2)));
+}
