--- a/crates/cluster/src/route/mod.rs
+++ b/crates/cluster/src/route/mod.rs
@@ -180,7 +180,8 @@
         };
         own.load = load;
         let turned = (load.free > 0) != (own.told.free > 0);
-        if turned && now - own.sent >= GOSSIP_URGENT {
+        let rested = now - own.sent >= GOSSIP_URGENT;
+        if turned && rested && self.refill(now) >= FANOUT as f64 {
             self.spread(now, vec![Row { entry: entry.clone(), load }]);
         }
     }
@@ -309,16 +310,21 @@
         self.spread(now, rows.into_iter().map(|(_, row)| row).collect());
     }
 
+    /// The rows that may be sent now.
+    fn refill(&mut self, now: Time) -> f64 {
+        let filled = (now - self.filled).as_secs_f64() * ROWS_PER_SECOND;
+        self.tokens = (self.tokens + filled).min(ROWS_BURST);
+        self.filled = now;
+        self.tokens
+    }
+
     /// Sends loads to some peers of the zone, as many as [`ROWS_PER_SECOND`] allows.
     fn spread(&mut self, now: Time, mut rows: Vec<Row>) {
         let peers = self.hosts.iter().filter(|&(&host, zone)| host != self.id && *zone == self.zone);
         let mut peers: Vec<HostId> = peers.map(|(&host, _)| host).collect();
         peers.shuffle(&mut self.rng);
         peers.truncate(FANOUT);
-        let filled = (now - self.filled).as_secs_f64() * ROWS_PER_SECOND;
-        self.tokens = (self.tokens + filled).min(ROWS_BURST);
-        self.filled = now;
-        rows.truncate((self.tokens / peers.len().max(1) as f64) as usize);
+        rows.truncate((self.refill(now) / peers.len().max(1) as f64) as usize);
         self.tokens -= (rows.len() * peers.len()) as f64;
         for row in &rows {
             if let Some(own) = self.own.get_mut(&row.entry) {
