--- a/crates/cluster/src/records/mod.rs
+++ b/crates/cluster/src/records/mod.rs
@@ -70,7 +70,9 @@
 mod settings;
 mod takeover;
 
-pub use message::{Ask, Body, Digest, Image, Page, Placed, RecordMessage, Step, Task, TaskEnd, Told, Verdict, Work};
+pub use message::{
+    Ask, Body, Change, Digest, Image, Page, Placed, RecordMessage, Step, Task, TaskEnd, Told, Verdict, Work,
+};
 pub use output::{Output, Reply, Tag};
 pub use settings::Settings;
 
--- a/crates/cluster/tests/submissions.rs
+++ b/crates/cluster/tests/submissions.rs
@@ -1,7 +1,10 @@
 //! One promise of the records at a time, on a host alone and on the table.
 
-use mangogw_cluster::ownership::{Command, Ownership, Peer};
-use mangogw_cluster::records::{Output, Records, Reply, Settings, Submission, Tag, Task, TaskEnd, Verdict, Work};
+use mangogw_cluster::ownership::{Command, Holder, Ownership, Peer, RangeId};
+use mangogw_cluster::records::{
+    Body, Change, Output, Page, RecordMessage, Records, Reply, Settings, Step, Submission, Tag, Task, TaskEnd, Verdict,
+    Work,
+};
 use mangogw_model::{Code, HostId, Incarnation, Key, TaskIndex, Time};
 use std::sync::Arc;
 use std::time::Duration;
@@ -255,3 +258,53 @@
         }
     }
 }
+
+/// A message of a host in its first life to another in its first.
+fn message(body: Body) -> RecordMessage {
+    RecordMessage { from: Incarnation(1), to: Incarnation(1), body }
+}
+
+fn sent(records: &mut Records) -> Vec<Body> {
+    let bodies = records.drain().into_iter().filter_map(|output| match output {
+        Output::Send { message, .. } => Some(message.body),
+        _ => None,
+    });
+    bodies.collect()
+}
+
+#[test]
+fn a_follower_that_sealed_helps_the_former_owner_no_more() {
+    let range = RangeId(0);
+    let (owner, follower) = (HostId(1), HostId(2));
+    let holders: Vec<Holder> = [owner, follower].map(|host| Holder::new(host, Incarnation(1))).into();
+    let mut now = Time::from_millis(1);
+    let mut records = Records::open(Settings::new(follower, Incarnation(1), "a".into()), now);
+    let page = Page::default();
+    records.on_message(now, owner, message(Body::Sync { range, epoch: 1, holders, page }));
+    let renew = |sent: Time| message(Body::Renew { sent, ranges: vec![(range, 1)] });
+    let open = |key: &str| {
+        let step = Step::Open { work: work(1, "one"), left: WAIT, below: 1 };
+        message(Body::Step(Change { range, epoch: 1, key: key.into(), serial: 1, step }))
+    };
+    records.on_message(now, owner, renew(now));
+    records.on_message(now, owner, open("before"));
+    let helped = sent(&mut records);
+    assert!(helped.contains(&Body::Renewed { sent: now, ranges: vec![(range, 1)] }), "{helped:?}");
+    assert!(helped.iter().any(|body| matches!(body, Body::Stepped { .. })), "{helped:?}");
+    // The new owner is put off until the lease is over, but the follower stops its help at once.
+    let seal = || message(Body::Seal { range, epoch: 2, cursor: 0 });
+    records.on_message(now, HostId(3), seal());
+    assert_eq!(sent(&mut records), Vec::new());
+    now += Duration::from_millis(500);
+    records.on_message(now, owner, renew(now));
+    records.on_message(now, owner, open("after"));
+    assert_eq!(sent(&mut records), vec![Body::Renewed { sent: now, ranges: Vec::new() }]);
+    now += Duration::from_millis(599);
+    records.on_message(now, HostId(3), seal());
+    assert_eq!(sent(&mut records), Vec::new());
+    now += Duration::from_millis(1);
+    records.on_message(now, HostId(3), seal());
+    let handed = sent(&mut records);
+    let whole = |page: &Page| page.images.iter().map(|image| image.key.as_str()).eq(["before"]);
+    assert!(matches!(&*handed, [Body::State { page, .. }] if whole(page)), "{handed:?}");
+}
