--- a/crates/mangogw/src/command.rs
+++ b/crates/mangogw/src/command.rs
@@ -1,6 +1,7 @@
 //! The commands of the tool, as a table.
 
 use crate::client::{BadCall, Client, Response};
+use crate::operators;
 use crate::target::{Fault, Settings as TargetSettings, Target};
 use bytes::Bytes;
 use http::Method;
@@ -104,6 +105,12 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// An operators' command failed.
+    #[snafu(display("{source}"))]
+    Operate {
+        /// What is wrong.
+        source: operators::BadOperation,
+    },
     /// The host gave no answer.
     #[snafu(display("{source}"))]
     Call {
@@ -121,10 +128,13 @@
     if matches!(name.as_str(), "help" | "--help") {
         return Ok(print_help());
     }
-    let command = COMMANDS.iter().find(|command| command.name == name);
+    let command = COMMANDS.iter().chain(operators::COMMANDS).find(|command| command.name == name);
     let command = command.ok_or_else(|| BadCommand::Unknown { name: name.clone() })?;
     let given = flags::parse(command.flags, rest, env).context(FlagsSnafu)?;
     match command.name {
+        name if operators::COMMANDS.iter().any(|command| command.name == name) => {
+            operators::run(name, &given).await.context(OperateSnafu)
+        }
         "target" => target(&given).await,
         _ => call(command, &given).await,
     }
@@ -132,8 +142,8 @@
 
 fn print_help() -> ExitCode {
     println!("Usage: mangogw COMMAND [flags]\n");
-    for command in COMMANDS {
-        println!("  {:<8} {:<6} {}", command.name, command.args, command.help);
+    for command in COMMANDS.iter().chain(operators::COMMANDS) {
+        println!("  {:<9} {:<6} {}", command.name, command.args, command.help);
     }
     ExitCode::SUCCESS
 }
--- a/crates/mangogw/src/lib.rs
+++ b/crates/mangogw/src/lib.rs
@@ -9,4 +9,5 @@
 
 pub mod client;
 pub mod command;
+pub mod operators;
 pub mod target;
--- /dev/null
+++ b/crates/mangogw/src/operators.rs
@@ -0,0 +1,419 @@
+//! The commands of operators: catalogue, shift, audit trail and tokens.
+
+use crate::client::{BadCall, Client, Response};
+use crate::command::Command;
+use bytes::Bytes;
+use http::Method;
+use http::header::{ACCEPT, AUTHORIZATION, CONTENT_TYPE, IF_MATCH};
+use jiff::Timestamp;
+use mangogw_catalogue::{AuditRecord, Catalogue, Faults, Role, parse_entry, verify_export};
+use mangogw_model::Outcome;
+use mangogw_wire::{Problem, header};
+use mangogwd::disk::draw_token;
+use mangogwd::flags::{BadFlag, Flag, Given, between};
+use snafu::{ResultExt, Snafu};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// Tries of a change whose answer is lost or not known, under one idempotency key.
+const TRIES: u32 = 5;
+
+/// The wait between two tries.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Audit records that a host hands out at once.
+const PAGE: usize = 1_000;
+
+/// The longest life of a token, in days.
+const MAX_DAYS: u64 = 3_650;
+
+/// The kind of a body in TOML.
+const TOML: &str = "application/toml";
+
+/// The kind of a body in JSON.
+const JSON: &str = "application/json";
+
+/// The operators' commands.
+pub const COMMANDS: &[Command] = &[
+    Command {
+        name: "catalogue",
+        args: "get|check FILE|diff FILE|apply FILE|put ENTRY FILE|delete ENTRY|history|rollback VERSION",
+        help: "read and change the catalogue",
+        flags: FLAGS,
+    },
+    Command { name: "shift", args: "status|open|close", help: "close the catalogue during a shift", flags: FLAGS },
+    Command {
+        name: "audit",
+        args: "[verify FILE]",
+        help: "print the audit trail as JSON lines, or check an export",
+        flags: FLAGS,
+    },
+    Command {
+        name: "token",
+        args: "list|issue|revoke ID",
+        help: "list, issue and revoke operators' tokens",
+        flags: FLAGS,
+    },
+];
+
+const FLAGS: &[Flag] = &[
+    Flag::new("Host", "host", "IP:PORT", "127.0.0.1:7070", "entry host"),
+    Flag::new("Host", "token-file", "FILE", "", "file with the operator's token"),
+    Flag::new("Host", "token", "TOKEN", "", "the token itself; better by MANGOGW_TOKEN or a file"),
+    Flag::new("Change", "key", "KEY", "", "idempotency key; a new one if missing"),
+    Flag::new("Change", "base", "VERSION", "", "version the change is based on; from the file or the host if missing"),
+    Flag::new("Read", "version", "VERSION", "", "an earlier version of the catalogue"),
+    Flag::new("Audit", "who", "NAME", "", "only this principal"),
+    Flag::new("Audit", "entry", "NAME", "", "only this entry"),
+    Flag::new("Audit", "after", "N", "0", "only records behind this position"),
+    Flag::new("Audit", "since-ms", "MS", "", "only from this time on, milliseconds since the Unix epoch"),
+    Flag::new("Audit", "until-ms", "MS", "", "only up to this time"),
+    Flag::new("Audit", "refused", "", "", "only refused tries"),
+    Flag::new("Token", "name", "NAME", "", "the holder of the token"),
+    Flag::new("Token", "role", "ROLE", "viewer", "administrator, viewer or team:OWNER"),
+    Flag::new("Token", "days", "N", "90", "how long the token is valid"),
+];
+
+/// Why an operators' command failed.
+#[derive(Debug, Snafu)]
+pub enum BadOperation {
+    /// The words after the command do not fit.
+    #[snafu(display("mangogw {command} {words}: give {args}"))]
+    Words {
+        /// The command.
+        command: String,
+        /// What was given.
+        words: String,
+        /// What it takes.
+        args: &'static str,
+    },
+    /// A wrong value.
+    #[snafu(display("{source}"))]
+    Value {
+        /// What is wrong.
+        source: BadFlag,
+    },
+    /// There is no token.
+    #[snafu(display("no token: give --token-file FILE, or set MANGOGW_TOKEN"))]
+    NoToken,
+    /// A file can't be read, or the system gives no random numbers.
+    #[snafu(display("{path}: {source}"))]
+    File {
+        /// What was read.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// A file has faults.
+    #[snafu(display("{path} has faults:\n{source}"))]
+    Faulty {
+        /// The file.
+        path: String,
+        /// Every fault.
+        source: Faults,
+    },
+    /// An export of the audit trail is not whole.
+    #[snafu(display("{path}: {source}"))]
+    Broken {
+        /// The file.
+        path: String,
+        /// Where it breaks.
+        source: mangogw_catalogue::Break,
+    },
+    /// The host gave no answer.
+    #[snafu(display("{source}"))]
+    Call {
+        /// What is wrong.
+        source: BadCall,
+    },
+    /// The host's answer can't be read.
+    #[snafu(display("the host's answer can't be read: {what}"))]
+    Answer {
+        /// What is wrong.
+        what: String,
+    },
+    /// The host refused.
+    #[snafu(display("{} {} {}\n{}", problem.code, problem.title, problem.detail, problem.advice))]
+    Refused {
+        /// Why.
+        problem: Box<Problem>,
+    },
+    /// It is not known whether the change was made.
+    #[snafu(display("it is not known whether the change was made; send it again with --key {key}"))]
+    NotKnown {
+        /// The key to use.
+        key: String,
+    },
+}
+
+type Result<T, E = BadOperation> = std::result::Result<T, E>;
+
+/// Runs one operators' command.
+///
+/// # Errors
+/// [`BadOperation`], which says what is wrong and what to do.
+pub async fn run(command: &str, given: &Given) -> Result<ExitCode> {
+    let words: Vec<&str> = given.free.iter().map(String::as_str).collect();
+    match (command, words.as_slice()) {
+        ("catalogue", ["check", file]) => check(file),
+        ("audit", ["verify", file]) => verify(file),
+        ("catalogue", words) => catalogue(&Desk::new(given)?, words).await,
+        ("shift", words) => shift(&Desk::new(given)?, words).await,
+        ("audit", []) => audit(&Desk::new(given)?).await,
+        ("token", words) => token(&Desk::new(given)?, words).await,
+        (command, words) => Err(unknown(command, words)),
+    }
+    .map(|()| ExitCode::SUCCESS)
+}
+
+fn unknown(command: &str, words: &[&str]) -> BadOperation {
+    let args = COMMANDS.iter().find(|known| known.name == command).map_or("", |known| known.args);
+    BadOperation::Words { command: command.to_owned(), words: words.join(" "), args }
+}
+
+fn check(file: &str) -> Result<()> {
+    let catalogue = parse(file)?;
+    println!("{file}: {} owners, {} entries, no faults", catalogue.owners().len(), catalogue.entries().len());
+    Ok(())
+}
+
+fn verify(file: &str) -> Result<()> {
+    let export = verify_export(&read(file)?).context(BrokenSnafu { path: file })?;
+    println!("{file}: records {} to {} are whole; the last hash is {}", export.first, export.last, export.hash);
+    Ok(())
+}
+
+async fn catalogue(desk: &Desk<'_>, words: &[&str]) -> Result<()> {
+    match words {
+        ["get"] => print!("{}", desk.current().await?),
+        ["diff", file] => print!("{}", desk.parsed().await?.diff(&parse(file)?)),
+        ["apply", file] => {
+            let base = parse(file)?.version().to_string();
+            desk.change(Method::POST, "/v1/catalogue", Some(&base), TOML, read(file)?).await?;
+        }
+        ["put", entry, file] => {
+            let text = read(file)?;
+            parse_entry(&text).context(FaultySnafu { path: *file })?;
+            let base = desk.parsed().await?.version().to_string();
+            desk.change(Method::PUT, &format!("/v1/catalogue/{entry}"), Some(&base), TOML, text).await?;
+        }
+        ["delete", entry] => {
+            let base = desk.parsed().await?.version().to_string();
+            desk.change(Method::DELETE, &format!("/v1/catalogue/{entry}"), Some(&base), JSON, String::new()).await?;
+        }
+        ["rollback", version] => {
+            let base = desk.parsed().await?.version().to_string();
+            desk.change(Method::POST, &format!("/v1/rollback/{version}"), Some(&base), JSON, String::new()).await?;
+        }
+        ["history"] => history(&desk.get("/v1/history", JSON).await?)?,
+        words => return Err(unknown("catalogue", words)),
+    }
+    Ok(())
+}
+
+fn history(body: &str) -> Result<()> {
+    let records: Vec<AuditRecord> = serde_json::from_str(body).map_err(|error| unreadable(&error))?;
+    for record in records {
+        let AuditRecord { version, who, verb, target, changes, .. } = &record;
+        println!("{version:>6} {} {who} {verb} {target}, {} changes", time(record.at_ms), changes.len());
+        for change in changes {
+            println!("       {change}");
+        }
+    }
+    Ok(())
+}
+
+/// A time for people; the number itself where it is out of range.
+fn time(millis: u64) -> String {
+    Timestamp::from_millisecond(millis as i64).map_or_else(|_range| millis.to_string(), |time| time.to_string())
+}
+
+async fn shift(desk: &Desk<'_>, words: &[&str]) -> Result<()> {
+    match words {
+        ["status"] => println!("{}", desk.get("/v1/shift", JSON).await?),
+        [turn @ ("open" | "close")] => {
+            desk.change(Method::POST, &format!("/v1/shift/{turn}"), None, JSON, String::new()).await?;
+        }
+        words => return Err(unknown("shift", words)),
+    }
+    Ok(())
+}
+
+/// Prints every record that is asked for, page by page.
+async fn audit(desk: &Desk<'_>) -> Result<()> {
+    let given = desk.given;
+    let mut after = given.read("after", between(0, u64::MAX)).context(ValueSnafu)?;
+    let filters = [("who", "who"), ("entry", "entry"), ("since-ms", "since_ms"), ("until-ms", "until_ms")];
+    let filters = filters.map(|(flag, name)| (name, given.text(flag))).into_iter().filter(|(_, text)| !text.is_empty());
+    let refused = given.text("refused") == "true";
+    let filters: Vec<String> = filters.map(|(name, text)| format!("&{name}={text}")).collect();
+    let filters = filters.concat();
+    loop {
+        let path = format!("/v1/audit?after={after}&limit={PAGE}&refused={refused}{filters}");
+        let body = desk.get(&path, JSON).await?;
+        let Some(last) = body.lines().last() else { return Ok(()) };
+        println!("{body}");
+        let line: AuditLine = serde_json::from_str(last).map_err(|error| unreadable(&error))?;
+        after = line.record.seq;
+    }
+}
+
+/// A line of the audit trail, as far as paging needs it.
+#[derive(Debug, serde::Deserialize)]
+struct AuditLine {
+    record: Position,
+}
+
+#[derive(Debug, serde::Deserialize)]
+struct Position {
+    seq: u64,
+}
+
+async fn token(desk: &Desk<'_>, words: &[&str]) -> Result<()> {
+    match words {
+        ["list"] => println!("{}", desk.get("/v1/tokens", JSON).await?),
+        ["issue"] => issue(desk).await?,
+        ["revoke", id] => {
+            desk.change(Method::DELETE, &format!("/v1/tokens/{id}"), None, JSON, String::new()).await?;
+        }
+        words => return Err(unknown("token", words)),
+    }
+    Ok(())
+}
+
+/// Mints a token here and has it taken; its text is printed once and kept nowhere.
+async fn issue(desk: &Desk<'_>) -> Result<()> {
+    let given = desk.given;
+    let role = given.read("role", role).context(ValueSnafu)?;
+    let days = given.read("days", between(1, MAX_DAYS)).context(ValueSnafu)?;
+    let token = draw_token().context(FileSnafu { path: "the system's random numbers" })?;
+    let body = serde_json::json!({
+        "token": token.to_text(),
+        "name": given.text("name"),
+        "role": role,
+        "expires_ms": mangogwd::clock::unix_millis() + days * 24 * 3_600_000,
+    });
+    desk.change(Method::POST, "/v1/tokens", None, JSON, body.to_string()).await?;
+    println!("{}", token.to_text());
+    Ok(())
+}
+
+fn role(text: &str) -> Result<Role, String> {
+    match text.split_once(':') {
+        None if text == "administrator" => Ok(Role::Administrator),
+        None if text == "viewer" => Ok(Role::Viewer),
+        Some(("team", owner)) => Ok(Role::Team(owner.into())),
+        _ => Err("give administrator, viewer or team:OWNER".to_owned()),
+    }
+}
+
+/// A host, and who speaks to it.
+#[derive(Debug)]
+struct Desk<'a> {
+    client: Client,
+    host: SocketAddr,
+    bearer: String,
+    given: &'a Given,
+}
+
+impl<'a> Desk<'a> {
+    fn new(given: &'a Given) -> Result<Self> {
+        let text = match (given.text("token-file"), given.text("token")) {
+            ("", "") => return Err(BadOperation::NoToken),
+            ("", token) => token.to_owned(),
+            (file, _) => read(file)?,
+        };
+        let host = given.read("host", host).context(ValueSnafu)?;
+        Ok(Self { client: Client::default(), host, bearer: format!("Bearer {}", text.trim()), given })
+    }
+
+    async fn get(&self, path: &str, accept: &str) -> Result<String> {
+        let headers = [(AUTHORIZATION.as_str(), self.bearer.as_str()), (ACCEPT.as_str(), accept)];
+        let call = self.client.call(self.host, Method::GET, path, &headers, Bytes::new());
+        let response = taken(call.await.context(CallSnafu)?)?;
+        String::from_utf8(response.body.to_vec()).map_err(|error| unreadable(&error))
+    }
+
+    /// The catalogue that is asked for, as TOML.
+    async fn current(&self) -> Result<String> {
+        match self.given.text("version") {
+            "" => self.get("/v1/catalogue", TOML).await,
+            version => self.get(&format!("/v1/catalogue?version={version}"), TOML).await,
+        }
+    }
+
+    async fn parsed(&self) -> Result<Catalogue> {
+        let text = self.get("/v1/catalogue", TOML).await?;
+        Catalogue::parse(&text).context(FaultySnafu { path: "the host's catalogue" })
+    }
+
+    /// Sends a change until its outcome is known, always under the same key, and prints the answer.
+    async fn change(&self, method: Method, path: &str, base: Option<&str>, kind: &str, body: String) -> Result<()> {
+        let key = match self.given.text("key") {
+            "" => draw_token().context(FileSnafu { path: "the system's random numbers" })?.id().to_string(),
+            key => key.to_owned(),
+        };
+        let base = match self.given.text("base") {
+            "" => base,
+            base => Some(base),
+        };
+        let mut headers = vec![
+            (AUTHORIZATION.as_str(), self.bearer.as_str()),
+            (CONTENT_TYPE.as_str(), kind),
+            (header::KEY, key.as_str()),
+        ];
+        headers.extend(base.map(|base| (IF_MATCH.as_str(), base)));
+        let body = Bytes::from(body);
+        for _ in 0..TRIES {
+            let call = self.client.call(self.host, method.clone(), path, &headers, body.clone());
+            match call.await.context(CallSnafu).and_then(taken) {
+                Ok(response) => {
+                    println!("{}", String::from_utf8_lossy(&response.body));
+                    return Ok(());
+                }
+                Err(BadOperation::Refused { problem }) if problem.outcome != Outcome::Unknown => {
+                    return Err(BadOperation::Refused { problem });
+                }
+                Err(error) => log::warn!(error:%; "operators: the outcome is not known, trying again"),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        Err(BadOperation::NotKnown { key })
+    }
+}
+
+/// The response, unless it is a refusal.
+fn taken(response: Response) -> Result<Response> {
+    match response.status {
+        200..=299 => Ok(response),
+        status => {
+            let bad = |_shape| BadOperation::Answer { what: format!("status {status} without a reason") };
+            let problem = serde_json::from_slice(&response.body).map_err(bad)?;
+            Err(BadOperation::Refused { problem: Box::new(problem) })
+        }
+    }
+}
+
+fn unreadable(error: &dyn std::fmt::Display) -> BadOperation {
+    BadOperation::Answer { what: error.to_string() }
+}
+
+fn host(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_bad| "give an IP number and a port, such as 127.0.0.1:7070".to_owned())
+}
+
+fn parse(file: &str) -> Result<Catalogue> {
+    Catalogue::parse(&read(file)?).context(FaultySnafu { path: file })
+}
+
+fn read(path: &str) -> Result<String> {
+    let mut text = String::new();
+    let done = match path {
+        "-" => std::io::stdin().read_to_string(&mut text).map(|_| ()),
+        path => std::fs::read_to_string(path).map(|read| text = read),
+    };
+    done.context(FileSnafu { path })?;
+    Ok(text)
+}
--- a/crates/mangogwd/src/disk.rs
+++ b/crates/mangogwd/src/disk.rs
@@ -119,7 +119,11 @@
     Ok(token)
 }
 
-fn draw_token() -> std::io::Result<Token> {
+/// A token of random numbers of the system.
+///
+/// # Errors
+/// What the system said.
+pub fn draw_token() -> std::io::Result<Token> {
     let (mut id, mut secret) = ([0; 16], [0; 32]);
     fill(&mut id)?;
     fill(&mut secret)?;
