--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`route`] chooses the host for a task.
 //! - [`ownership`] says which host may start the submissions of which keys, and [`records`] keep a submission from
 //!   starting twice.
+//! - [`shares`] splits limits that hold for the whole cluster between the hosts.
 //!
 //! ```
 //! use mangogw_cluster::grants::{Event, Grants};
@@ -67,6 +68,7 @@
 pub mod ownership;
 pub mod records;
 pub mod route;
+pub mod shares;
 
 pub use output::Output;
 pub use seat::Seat;
