--- a/crates/mangogw/src/lib.rs
+++ b/crates/mangogw/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod command;
 pub mod demo;
 pub mod load;
+pub mod operators;
 pub mod target;
