Store: an emptied folder never campaigns, also when it is handed the log; a hanging disk bounds what waits for it

Change: a host votes for itself and campaigns only if the members name its own birth. Also: bytes that wait for the disk are bounded (proposals are refused as busy, appends dropped for a retry).

--- a/crates/store/src/output.rs
+++ b/crates/store/src/output.rs
@@ -107,6 +107,17 @@
     Install(Snapshot),
 }
 
+impl Op {
+    /// Bytes it takes, roughly.
+    pub fn size(&self) -> usize {
+        match self {
+            Self::State(_) | Self::Truncate(_) => 0,
+            Self::Append(entries) => entries.iter().map(LogEntry::size).sum(),
+            Self::Compact(snapshot) | Self::Install(snapshot) => snapshot.data.len(),
+        }
+    }
+}
+
 /// What a host must not forget beside its log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -211,7 +211,7 @@
         match self.role {
             Role::Failed => {}
             Role::Leader => self.tick_leader(),
-            _ if self.now >= self.deadline && self.members().votes(self.host) => self.campaign(),
+            _ if self.now >= self.deadline && self.may_vote() => self.campaign(),
             _ => {}
         }
     }
@@ -240,6 +240,7 @@
         match self.role {
             Role::Leader if self.handover.is_some() => self.refuse(tag, Refusal::Transferring),
             Role::Leader if self.pending_bytes >= self.settings.pending_bytes => self.refuse(tag, Refusal::Busy),
+            Role::Leader if self.disk_is_behind() => self.refuse(tag, Refusal::Busy),
             Role::Leader => self.lead_entry(Payload::Command(command), Some(tag)),
             _ => self.refuse_role(tag),
         }
@@ -260,6 +261,11 @@
         &self.history.last().expect("the history starts with the base").1
     }
 
+    /// True if too many bytes wait for the disk to take more.
+    fn disk_is_behind(&self) -> bool {
+        self.hold.open_bytes() >= self.settings.pending_bytes
+    }
+
     fn advance(&mut self, now: Time) {
         self.now = self.now.max(now);
     }
@@ -302,7 +308,9 @@
             self.saved_commit = self.commit;
             self.state_dirty = false;
         }
-        self.outputs.push(Output::Write(Write { id: self.hold.issue(), ops }));
+        // A snapshot is bounded by the state, and comes once for each stretch of log.
+        let bytes = ops.iter().filter(|op| matches!(op, Op::Append(_))).map(Op::size).sum();
+        self.outputs.push(Output::Write(Write { id: self.hold.issue(bytes), ops }));
     }
 
     /// Takes no part from now on, loudly.
--- a/crates/store/src/raft/election.rs
+++ b/crates/store/src/raft/election.rs
@@ -78,6 +78,12 @@
         self.granted.len() >= self.members().quorum()
     }
 
+    /// True if this host is a voter with the folder that the group knows. An emptied folder under an old id may be
+    /// handed a log that names its id; it must not stand for the votes that the lost folder gave.
+    pub(super) fn may_vote(&self) -> bool {
+        self.members().voters.get(&self.host) == Some(&self.birth)
+    }
+
     fn lead(&mut self) {
         let next = self.last_id().index.next();
         let progress = |peer| (peer, Progress::new(next, self.now, self.patience(peer)));
--- a/crates/store/src/raft/hold.rs
+++ b/crates/store/src/raft/hold.rs
@@ -24,19 +24,32 @@
     issued: WriteId,
     synced: WriteId,
     queue: VecDeque<(WriteId, Held)>,
+    /// Writes that are not synced, with their bytes.
+    open: VecDeque<(WriteId, usize)>,
+    open_bytes: usize,
 }
 
 impl Hold {
-    /// The id of the next write.
-    pub(super) fn issue(&mut self) -> WriteId {
+    /// The id of the next write, which takes `bytes`.
+    pub(super) fn issue(&mut self, bytes: usize) -> WriteId {
         self.issued = self.issued.next();
+        self.open.push_back((self.issued, bytes));
+        self.open_bytes += bytes;
         self.issued
     }
 
+    /// Bytes that wait for the disk.
+    pub(super) fn open_bytes(&self) -> usize {
+        self.open_bytes
+    }
+
     /// What waited for the writes up to `id`, in order.
     pub(super) fn release(&mut self, id: WriteId) -> Vec<Held> {
         self.synced = self.synced.max(id);
         let synced = self.synced;
+        while let Some((_, bytes)) = self.open.pop_front_if(|(id, _)| *id <= synced) {
+            self.open_bytes -= bytes;
+        }
         let count = self.queue.iter().take_while(|(need, _)| *need <= synced).count();
         self.queue.drain(..count).map(|(_, held)| held).collect()
     }
--- a/crates/store/src/raft/replicate.rs
+++ b/crates/store/src/raft/replicate.rs
@@ -96,6 +96,10 @@
     }
 
     pub(super) fn on_append(&mut self, from: HostId, prev: LogId, commit: Index, entries: Vec<LogEntry>) {
+        // Not answered: the leader sends it again.
+        if self.disk_is_behind() {
+            return;
+        }
         let Some(merge) = self.log.merge(prev, entries) else {
             let hint = self.log.probe(prev.index.prev(), prev.term);
             return self.send(from, Body::Rejected { prev: prev.index, hint });
--- a/crates/store/src/raft/transfer.rs
+++ b/crates/store/src/raft/transfer.rs
@@ -53,7 +53,7 @@
     }
 
     pub(super) fn on_timeout_now(&mut self, from: HostId) {
-        if self.leader == Some(from) && self.members().votes(self.host) {
+        if self.leader == Some(from) && self.may_vote() {
             self.stand(true);
         }
     }
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -18,7 +18,7 @@
     pub message_bytes: usize,
     /// Messages in flight to one host.
     pub window: usize,
-    /// Bytes that may wait to be committed.
+    /// Bytes that may wait to be committed, and bytes that may wait for the disk.
     pub pending_bytes: usize,
     /// Reads that may wait for their round.
     pub pending_reads: usize,
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -437,6 +437,32 @@
     world.check_acked();
 }
 
+#[test]
+fn an_emptied_folder_that_is_handed_the_log_does_not_campaign() {
+    let members = Members::of((1..=3).map(|id| (HostId(id), birth(HostId(id)))));
+    let id = LogId { term: Term(3), index: Index(9) };
+    let snapshot = Snapshot::new(id, members, "state".into());
+    let chunk = Body::Chunk { meta: snapshot.meta.clone(), offset: 0, data: snapshot.data };
+    for (own, campaigns) in [(birth(ONE).next(), false), (birth(ONE), true)] {
+        let mut raft = Raft::open(settings(), Stored::joining(ONE, own), Time::ZERO);
+        raft.on_message(Time::ZERO, HostId(2), from_leader(3, chunk.clone()));
+        for output in raft.drain() {
+            if let Output::Write(write) = output {
+                raft.on_synced(Time::ZERO, write.id);
+            }
+        }
+        raft.on_tick(Time::from_millis(5_000));
+        assert_eq!(raft.status().role == Role::PreCandidate, campaigns, "with birth {own}");
+        raft.on_message(
+            Time::from_millis(5_000),
+            HostId(2),
+            from_leader(4, Body::Heartbeat { commit: id.index, round: 0 }),
+        );
+        raft.on_message(Time::from_millis(5_000), HostId(2), from_leader(4, Body::TimeoutNow));
+        assert_eq!(raft.status().role == Role::Candidate, campaigns, "with birth {own}, asked by the leader");
+    }
+}
+
 #[test]
 fn a_host_that_missed_a_replacement_follows_the_new_folder() {
     let (mut world, leader) = led(21, 3);
@@ -519,6 +545,33 @@
     assert!(world.raft(ONE).status().snapshot > Index(500));
 }
 
+#[test]
+fn a_disk_that_hangs_bounds_what_waits_for_it() {
+    let settings = Settings { pending_bytes: 1_000, ..settings() };
+    let mut raft = Raft::open(settings, Stored::joining(ONE, birth(ONE)), Time::ZERO);
+    let (mut prev, mut waiting, mut last) = (LogId::default(), 0, None);
+    for index in 1..200 {
+        let id = LogId { term: Term(3), index: Index(index) };
+        let entries = vec![LogEntry { id, payload: Payload::Command(vec![0; 68].into()) }];
+        let append = Body::Append { prev, commit: Index(0), entries };
+        raft.on_message(Time::ZERO, HostId(2), from_leader(3, append.clone()));
+        for output in raft.drain() {
+            if let Output::Write(write) = output {
+                waiting += write.ops.iter().map(mangogw_store::Op::size).sum::<usize>();
+                last = Some(write.id);
+            }
+        }
+        prev = id;
+    }
+    assert!((900..=1_200).contains(&waiting), "{waiting} bytes wait for the disk");
+    let before = raft.status().last;
+    raft.on_synced(Time::ZERO, last.unwrap());
+    let next = LogEntry { id: LogId { term: Term(3), index: before.next() }, payload: Payload::Blank };
+    let append = Body::Append { prev: LogId { term: Term(3), index: before }, commit: before, entries: vec![next] };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, append));
+    assert_eq!(raft.status().last, before.next(), "it goes on once the disk does");
+}
+
 #[test]
 fn too_many_proposals_are_refused() {
     let mut world = World::new(17, 3, Settings { pending_bytes: 300, ..settings() });
