Long names in faulty sets and tokens no longer make commands that the log can't read

Cause: a fault with a name of megabytes, or a token's holder of that length, became a command over 8 MiB; a replica can't decode it, and the group answered such a change with 'done'. Change: a fault's path and reason are cut at 512 bytes; the holder and the team of a token are checked at the door. The tests' control group encodes and decodes each command as the log does. Conclusion: the group's answer to a command it can't decode stays to be mended by its owner.

--- a/crates/catalogue/src/read.rs
+++ b/crates/catalogue/src/read.rs
@@ -10,6 +10,9 @@
 use mangogw_model::{Entry, EntryName, Owner, Team, Version};
 use std::sync::Arc;
 
+/// The longest path and the longest reason of a fault, in bytes; names in a faulty text may be of any length.
+const MAX_PART_BYTES: usize = 512;
+
 /// A record that was read, with the offset of its name and the node it was read from.
 struct Found<'n, T> {
     at: usize,
@@ -49,7 +52,10 @@
 impl Reader<'_> {
     fn fault(&mut self, at: usize, path: &str, reason: impl Into<String>) {
         let (line, column) = self.places.at(at);
-        self.faults.add(Fault { line, column, path: path.to_owned(), reason: reason.into() });
+        let mut fault = Fault { line, column, path: path.to_owned(), reason: reason.into() };
+        fault.path.truncate(fault.path.floor_char_boundary(MAX_PART_BYTES));
+        fault.reason.truncate(fault.reason.floor_char_boundary(MAX_PART_BYTES));
+        self.faults.add(fault);
     }
 
     /// `whole` is false if the syntax has flaws; then what is missing may only be hidden by them.
--- a/crates/catalogue/tests/suite/faults.rs
+++ b/crates/catalogue/tests/suite/faults.rs
@@ -105,6 +105,15 @@
     assert_eq!((faults.iter().count(), faults.unlisted()), (1_000, 4_000));
 }
 
+#[test]
+fn long_names_are_cut() {
+    let long = "ä".repeat(100_000);
+    let text = format!("\"{long}\" = 1\n[entries.\"{long}\"]\n[entries.a]\nowner = \"{long}\"\n");
+    let faults = Catalogue::parse(&text).expect_err("no such names");
+    assert_eq!(faults.iter().count(), 3);
+    assert!(faults.iter().all(|fault| fault.path.len() <= 512 && fault.reason.len() <= 512));
+}
+
 #[test]
 fn too_many_records_are_refused() {
     let owners = (0..=mangogw_catalogue::MAX_OWNERS).map(|index| format!("[owners.t{index}]"));
--- a/crates/mangogwd/src/operate.rs
+++ b/crates/mangogwd/src/operate.rs
@@ -9,7 +9,8 @@
 use http::{HeaderValue, Method, Response, StatusCode};
 use http_body_util::Full;
 use mangogw_catalogue::{
-    Action, AuditQuery, Catalogue, Faults, Reply as Changed, Role, Token, parse_entry, parse_entry_json,
+    Action, AuditQuery, Catalogue, Faults, NAME_RULE, Reply as Changed, Role, Token, parse_entry, parse_entry_json,
+    valid_name,
 };
 use mangogw_host::{Ask, Call, Refused, Reply, Told, View, What};
 use mangogw_model::{Code, Entry, EntryName, HostId, Outcome, Team, Version};
@@ -229,6 +230,13 @@
 }
 
 fn issue(body: TokenBody) -> Result<Action, Refused> {
+    let team = match &body.role {
+        Role::Team(owner) => owner.as_str(),
+        Role::Administrator | Role::Viewer => "none",
+    };
+    if !valid_name(&body.name) || !valid_name(team) {
+        return Err(Refused::new(Code::BadRequest, NAME_RULE));
+    }
     let token = body.token.parse::<Token>().map_err(|bad| Refused::new(Code::BadRequest, bad.to_string()))?;
     let (id, hash) = (token.id(), token.hash());
     Ok(Action::Issue { id, hash, name: body.name, role: body.role, expires_ms: body.expires_ms })
--- a/crates/mangogwd/tests/operate.rs
+++ b/crates/mangogwd/tests/operate.rs
@@ -61,6 +61,7 @@
                 let mut control = self.0.lock().unwrap();
                 let caller = Caller::Token(session.token);
                 let command = Command { from: call.from, key, base, ..Command::new(1, caller, *action) };
+                let command = Command::decode(&command.encode()).expect("the log takes it");
                 let index = control.index() + 1;
                 Told::Changed(control.apply(index, &command))
             }
@@ -166,11 +167,12 @@
     assert_eq!(code, Code::BadCatalogue);
     assert!(detail.contains("line 4, column 15: entries.a.deadline_ms"), "{detail}");
     assert!(detail.contains("line 5, column 1: entries.a.shape"), "{detail}");
-    let control = to.0.lock().unwrap();
     let query = AuditQuery { refused: true, ..AuditQuery::default() };
-    let record = control.audit(&query).last().expect("it is recorded").record;
+    let record = to.0.lock().unwrap().audit(&query).last().expect("it is recorded").record;
     assert_eq!((record.who.as_str(), record.from.as_str(), record.code), ("ana", "192.0.2.7:5", Code::BadCatalogue));
     assert!(record.target.starts_with("POST /v1/catalogue: line 4"), "{}", record.target);
+    let long = format!("\"{}\" = 1\n", "x".repeat(9_000_000));
+    assert_eq!(refused(&to, 1, "POST /v1/catalogue", &headers, &long).await, Code::BadCatalogue);
 }
 
 #[tokio::test]
@@ -216,6 +218,9 @@
     assert_eq!(refused(&to, 9, "GET /v1/catalogue", &[], "").await, Code::Unauthorized);
     assert_eq!(refused(&to, 1, "POST /v1/tokens", &[], "{\"token\":\"x\"}").await, Code::BadRequest);
     assert_eq!(refused(&to, 1, "DELETE /v1/tokens/zz", &[], "").await, Code::BadRequest);
+    let long = "x".repeat(9_000_000);
+    let body = format!("{{\"token\":\"{new}\",\"name\":\"{long}\",\"role\":\"viewer\",\"expires_ms\":{END_MS}}}");
+    assert_eq!(refused(&to, 1, "POST /v1/tokens", &[], &body).await, Code::BadRequest);
 }
 
 #[tokio::test]
