--- a/crates/cluster/src/grants/message.rs
+++ b/crates/cluster/src/grants/message.rs
@@ -29,12 +29,12 @@
         ticket: u64,
         /// The target.
         target: Target,
-        /// The life of the target.
-        life: Incarnation,
-        /// The digest of the announcement.
+        /// The digest of the announcement, which covers the life of the target.
         digest: u64,
         /// What the target sent back.
         echo: Option<Echo>,
+        /// True if the sender has heard that the target leaves.
+        leaving: bool,
     },
     /// A heartbeat with its announcement.
     Announce {
@@ -44,6 +44,8 @@
         announcement: Box<Announcement>,
         /// What the target sent back.
         echo: Option<Echo>,
+        /// True if the sender has heard that the target leaves.
+        leaving: bool,
     },
     /// The answer to both.
     Answer {
