Four faults mended: an empty zone catalogue, silent state loss, codes by place, clipped quantiles

The member now fails and the process ends. - codes travelled between hosts by their place in the table; they travel by number now. - the doc test of Quantiles: the histogram did not grow, figures over 2.047 were clipped.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -76,6 +76,7 @@
                 GroupOutput::Told { asker, told } => self.told(asker, told),
                 GroupOutput::Forward { asker, call, leader } => self.pass_call(now, asker, call, Some(leader)),
                 GroupOutput::Changed => changed = true,
+                GroupOutput::Broken => self.effects.push(Effect::Halt { why: "a snapshot can't be read" }),
             }
         }
         if changed {
@@ -189,7 +190,7 @@
                 let have = self.have();
                 self.send(parent, Message::Spread(SpreadMessage::Have { have, fresh }));
             }
-            None => self.spread.settle(now),
+            None => self.spread.settle(now, self.catalogue.version().0 > 0),
         }
     }
 
@@ -255,7 +256,7 @@
         }
         let caught_up = self.have().catalogue >= news.have.catalogue;
         if caught_up {
-            self.spread.on_news(now, from, news.standing);
+            self.spread.on_news(now, from, news.standing, self.catalogue.version().0 > 0);
         }
         self.tell_children(now);
     }
--- a/crates/host/src/effect.rs
+++ b/crates/host/src/effect.rs
@@ -40,8 +40,11 @@
     },
     /// Write and sync, then call `on_synced`, or `on_failed`.
     Write(mangogw_store::Write),
-    /// A later life of this host exists: the process must end.
-    Superseded,
+    /// The process must end.
+    Halt {
+        /// Why, for the log.
+        why: &'static str,
+    },
     /// Tell a target to stop an attempt.
     Stop {
         /// The attempt.
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -113,6 +113,7 @@
     Told { asker: T, told: Told },
     Forward { asker: T, call: Box<Call>, leader: HostId },
     Changed,
+    Broken,
 }
 
 /// One member of the control group.
@@ -367,8 +368,7 @@
             Output::Send { to, message } => self.out.push(GroupOutput::Send { to, message }),
             Output::Write(write) => self.out.push(GroupOutput::Write(write)),
             Output::Restore(snapshot) => {
-                self.state = State::decode(&snapshot.data).unwrap_or_default();
-                self.out.push(GroupOutput::Changed);
+                self.restore(now, &snapshot.data);
             }
             Output::Apply { entries } => {
                 for entry in entries {
@@ -387,6 +387,21 @@
         }
     }
 
+    /// Takes a state over. One that can't be read ends this member: going on without it would turn versions back.
+    fn restore(&mut self, now: Time, bytes: &[u8]) {
+        let state = if bytes.is_empty() { Some(State::default()) } else { State::decode(bytes) };
+        match state {
+            Some(state) => {
+                self.state = state;
+                self.out.push(GroupOutput::Changed);
+            }
+            None => {
+                self.raft.on_failed(now);
+                self.out.push(GroupOutput::Broken);
+            }
+        }
+    }
+
     fn apply(&mut self, entry: &Applied) {
         let reply = self.state.apply(entry);
         match (entry.tag, reply) {
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -130,8 +130,9 @@
         self.parent
     }
 
-    /// Takes what a parent said of itself. The news themselves are installed by the host.
-    pub fn on_news(&mut self, now: Time, from: HostId, standing: Standing) {
+    /// Takes what a parent said of itself. The news themselves are installed by the host; `holds` is true if the host
+    /// has any catalogue, since an empty one is never the newest of a zone.
+    pub fn on_news(&mut self, now: Time, from: HostId, standing: Standing, holds: bool) {
         if Some(from) == self.parent {
             self.answered = now;
         }
@@ -142,7 +143,7 @@
         }
         self.standing = match (self.standing, standing) {
             (Standing::Current, _) | (_, Standing::Current) => Standing::Current,
-            (Standing::Blank, Standing::Zone | Standing::Blank) if alone => Standing::Zone,
+            (Standing::Blank, Standing::Zone | Standing::Blank) if alone && holds => Standing::Zone,
             (standing, _) => standing,
         };
     }
@@ -152,9 +153,9 @@
         self.standing = Standing::Current;
     }
 
-    /// Says that there is nobody to ask; after a while the host serves what it has.
-    pub fn settle(&mut self, now: Time) {
-        if self.standing == Standing::Blank && now - self.opened >= CUT_TIME {
+    /// Says that there is nobody to ask; after a while the host serves what it has, if it has anything.
+    pub fn settle(&mut self, now: Time, holds: bool) {
+        if self.standing == Standing::Blank && holds && now - self.opened >= CUT_TIME {
             self.standing = Standing::Zone;
         }
     }
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -262,7 +262,7 @@
                     self.after(Duration::from_micros(300), Event::Reach { host: number, life, start: Box::new(start) });
                 }
                 Effect::Reply { caller, reply } => self.told(number, caller, reply),
-                Effect::Superseded => panic!("host {number} was told that a later life exists"),
+                Effect::Halt { why } => panic!("host {number} was told to end: {why}"),
                 _ => {}
             }
         }
--- a/crates/mangogw/src/load/report.rs
+++ b/crates/mangogw/src/load/report.rs
@@ -117,7 +117,10 @@
         // Three digits are valid for any histogram.
         let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Self::default() };
         for figure in figures {
-            histogram.saturating_record((figure.max(0.0) * SCALE) as u64);
+            // The histogram grows with what it is given; `saturating_record` would not let it.
+            if histogram.record((figure.max(0.0) * SCALE) as u64).is_err() {
+                return Self::default();
+            }
         }
         let at = |quantile| histogram.value_at_quantile(quantile) as f64 / SCALE;
         Self { p50: at(0.5), p99: at(0.99), p999: at(0.999) }
--- a/crates/mangogwd/src/node.rs
+++ b/crates/mangogwd/src/node.rs
@@ -175,8 +175,8 @@
             Effect::Checkpoint { attempt, address } => self.say(address, attempt, Word::Checkpoint),
             Effect::Send { to, message } => self.links.send(to, message.encode()),
             Effect::Reconnect { to } => self.links.reconnect(to),
-            Effect::Superseded => {
-                log::error!("node: a later life of this host exists, this process ends");
+            Effect::Halt { why } => {
+                log::error!(why; "node: this process ends");
                 self.over.send_replace(true);
             }
             Effect::Write(_) => {}
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -39,6 +39,7 @@
     ($($name:ident = $number:literal, $outcome:ident, $status:literal, $title:literal, $advice:literal;)*) => {
         /// A numbered result code. The table is in `docs/CODES.md`.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(into = "u16", try_from = "u16")]
         pub enum Code {
             $(#[doc = $title] $name = $number,)*
         }
@@ -152,6 +153,30 @@
     Internal = 1900, Unknown, 500, "An internal error.", "Report it with the log of the host.";
 }
 
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+/// A number that is no code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadCode(u16);
+
+impl fmt::Display for BadCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is no result code", self.0)
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = BadCode;
+
+    fn try_from(number: u16) -> Result<Self, BadCode> {
+        Self::from_number(number).ok_or(BadCode(number))
+    }
+}
+
 impl Code {
     /// The number, as in the `Mangogw-Code` header.
     pub const fn number(self) -> u16 {
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use announce::{Announcement, Capacity, Kind, Usage};
 pub use class::Class;
-pub use code::{Code, Outcome};
+pub use code::{BadCode, Code, Outcome};
 pub use entry::{Entry, Hedge, Limits, Quota, Retry, Team};
 pub use ids::{AttemptId, EntryName, HostId, Incarnation, Key, Owner, Rack, TargetName, TaskIndex, Version, Zone};
 pub use job::{JobState, JobView, Needs, TaskView};
