--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -1,4 +1,4 @@
-//! How many hosts act as one: membership, grants of targets, relays between hosts and shares of limits.
+//! How many hosts act as one: membership, grants of targets, submission records, relays and shares of limits.
 //!
 //! Each part is a state machine without I/O: `open(settings, now)`, `on_message(now, from, message)`, `on_tick(now)`
 //! and `drain()`, which gives the messages to send and the events to act on. Messages are `serde` types; any link may
@@ -9,6 +9,8 @@
 //! - [`grants`] takes targets' heartbeats in on any host, brings them to the owner, and tells the owner's dispatcher
 //!   which targets it may use.
 //! - [`route`] chooses the host for a task.
+//! - [`ownership`] says which host may start the submissions of which keys, and [`records`] keep a submission from
+//!   starting twice.
 //! - [`shares`] splits limits that hold for the whole cluster between the hosts.
 //!
 //! ```
@@ -63,6 +65,8 @@
 
 pub mod grants;
 pub mod members;
+pub mod ownership;
+pub mod records;
 pub mod route;
 pub mod shares;
 
--- /dev/null
+++ b/crates/mangogw/src/command.rs
@@ -0,0 +1,330 @@
+//! The commands of the tool, as a table.
+
+use crate::client::{BadCall, Client, Response};
+use crate::demo;
+use crate::load;
+use crate::operators;
+use crate::target::{Fault, Settings as TargetSettings, Target};
+use bytes::Bytes;
+use http::Method;
+use mangogw_model::{Capacity, EntryName, Kind};
+use mangogw_wire::header;
+use mangogwd::flags::{self, BadFlag, Flag, Given, between};
+use snafu::{ResultExt, Snafu};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+/// One command.
+#[derive(Debug, Clone, Copy)]
+pub struct Command {
+    /// The word on the command line.
+    pub name: &'static str,
+    /// What it takes besides flags.
+    pub args: &'static str,
+    /// One line for people.
+    pub help: &'static str,
+    /// Its flags.
+    pub flags: &'static [Flag],
+}
+
+/// Every command.
+pub const COMMANDS: &[Command] = &[
+    Command { name: "run", args: "ENTRY", help: "run one request; the payload comes from standard input", flags: CALL },
+    Command { name: "submit", args: "FILE", help: "submit a job from a JSON file; - is standard input", flags: CALL },
+    Command { name: "job", args: "KEY", help: "read a job", flags: CALL },
+    Command { name: "cancel", args: "KEY", help: "cancel a job", flags: CALL },
+    Command { name: "load", args: "", help: "send load to a cluster and report what came of it", flags: LOAD },
+    Command { name: "demo", args: "", help: "run three zones, their targets and traffic in one process", flags: DEMO },
+    Command { name: "target", args: "", help: "run a stand-in target", flags: TARGET },
+];
+
+const HOST: Flag = Flag::new("Host", "host", "IP:PORT", "127.0.0.1:7070", "entry host");
+
+const LOAD: &[Flag] = &[
+    Flag::new("Host", "hosts", "LIST", "127.0.0.1:7070", "entry hosts, joined by commas, asked in turn"),
+    Flag::new("Load", "rate", "N", "100", "calls a second"),
+    Flag::new("Load", "seconds", "S", "10", "how long calls are sent"),
+    Flag::new("Load", "shape", "SHAPE", "poisson", "poisson, or burst: ten times the rate for 0.1 s every 2 s"),
+    Flag::new("Load", "entries", "LIST", "", "entries of single requests, joined by commas"),
+    Flag::new("Load", "jobs", "ENTRY", "", "entry of jobs"),
+    Flag::new("Load", "job-percent", "N", "0", "how many of a hundred calls are jobs"),
+    Flag::new("Load", "tasks", "N", "20", "tasks of a job"),
+    Flag::new("Load", "resubmit-percent", "N", "50", "how many of a hundred jobs are sent again to another host"),
+    Flag::new("Load", "cancel-percent", "N", "0", "how many of a hundred jobs are cancelled"),
+    Flag::new("Load", "run-ms", "MS", "60", "mean run time at speed 1"),
+    Flag::new("Load", "deadline-ms", "MS", "20000", "deadline of jobs"),
+    Flag::new("Load", "seed", "N", "1", "seed of the plan"),
+    Flag::new("Output", "json", "", "", "print the report as JSON"),
+];
+
+const DEMO: &[Flag] = &[
+    Flag::new("Demo", "deployment", "NAME", "candle-desk", "candle-desk or foldplan"),
+    Flag::new("Demo", "hosts", "N", "6", "entry hosts"),
+    Flag::new("Demo", "executors", "N", "50", "executors"),
+    Flag::new("Demo", "rate", "N", "600", "calls a second"),
+    Flag::new("Demo", "seconds", "S", "10", "how long calls are sent"),
+    Flag::new("Demo", "calm", "", "", "no failures"),
+    Flag::new("Demo", "seed", "N", "1", "seed of speeds and calls"),
+    Flag::new("Output", "json", "", "", "print the report as JSON"),
+];
+
+const CALL: &[Flag] = &[
+    HOST,
+    Flag::new("Request", "key", "KEY", "", "idempotency key"),
+    Flag::new("Request", "deadline-ms", "MS", "", "deadline; the entry's own if missing"),
+    Flag::new("Request", "wait-ms", "MS", "0", "how long to wait for the end of a job"),
+];
+
+const TARGET: &[Flag] = &[
+    HOST,
+    Flag::new("Target", "name", "NAME", "target-1", "name to announce"),
+    Flag::new("Target", "zone", "ZONE", "zone-1", "zone to announce"),
+    Flag::new("Target", "listen", "IP:PORT", "127.0.0.1:0", "where tasks are taken"),
+    Flag::new("Target", "entries", "LIST", "", "entries to serve, joined by commas"),
+    Flag::new("Target", "slots", "N", "8", "tasks at once"),
+    Flag::new("Target", "speed", "FACTOR", "1", "how many times faster than speed 1"),
+    Flag::new("Target", "fault", "FAULT", "none", "none, stall, fail, cut, late, cross, silent or refuse"),
+];
+
+/// Why a command failed.
+#[derive(Debug, Snafu)]
+pub enum BadCommand {
+    /// There is no such command.
+    #[snafu(display("there is no command {name:?}; see mangogw help"))]
+    Unknown {
+        /// The word that was given.
+        name: String,
+    },
+    /// A wrong flag or value.
+    #[snafu(display("{source}"))]
+    Flags {
+        /// What is wrong.
+        source: BadFlag,
+    },
+    /// An argument is missing.
+    #[snafu(display("mangogw {command} needs {args}"))]
+    Missing {
+        /// The command.
+        command: &'static str,
+        /// What it takes.
+        args: &'static str,
+    },
+    /// A file or standard input can't be read, or a socket can't be bound.
+    #[snafu(display("{path}: {source}"))]
+    File {
+        /// What was read or bound.
+        path: String,
+        /// What the system said.
+        source: std::io::Error,
+    },
+    /// An operators' command failed.
+    #[snafu(display("{source}"))]
+    Operate {
+        /// What is wrong.
+        source: operators::BadOperation,
+    },
+    /// The demo can't run.
+    #[snafu(display("{source}"))]
+    Demo {
+        /// What is wrong.
+        source: demo::BadDemo,
+    },
+    /// The host gave no answer.
+    #[snafu(display("{source}"))]
+    Call {
+        /// What is wrong.
+        source: BadCall,
+    },
+}
+
+/// Runs the command that `args` name.
+///
+/// # Errors
+/// [`BadCommand`], which says what is wrong and what to do.
+pub async fn run(args: &[String], env: &dyn Fn(&str) -> Option<String>) -> Result<ExitCode, BadCommand> {
+    let Some((name, rest)) = args.split_first() else { return Ok(print_help()) };
+    if matches!(name.as_str(), "help" | "--help") {
+        return Ok(print_help());
+    }
+    let command = COMMANDS.iter().chain(operators::COMMANDS).find(|command| command.name == name);
+    let command = command.ok_or_else(|| BadCommand::Unknown { name: name.clone() })?;
+    let given = flags::parse(command.flags, rest, env).context(FlagsSnafu)?;
+    match command.name {
+        name if operators::COMMANDS.iter().any(|command| command.name == name) => {
+            operators::run(name, &given).await.context(OperateSnafu)
+        }
+        "target" => target(&given).await,
+        "load" => load(&given).await,
+        "demo" => demo(&given).await,
+        _ => call(command, &given).await,
+    }
+}
+
+fn print_help() -> ExitCode {
+    println!("Usage: mangogw COMMAND [flags]\n");
+    for command in COMMANDS.iter().chain(operators::COMMANDS) {
+        println!("  {:<9} {:<6} {}", command.name, command.args, command.help);
+    }
+    ExitCode::SUCCESS
+}
+
+async fn call(command: &Command, given: &Given) -> Result<ExitCode, BadCommand> {
+    let host = given.read("host", host).context(FlagsSnafu)?;
+    let arg = given.free.first().ok_or(BadCommand::Missing { command: command.name, args: command.args })?;
+    let wait = given.read("wait-ms", between(0, 60_000)).context(FlagsSnafu)?;
+    let (method, path, body) = match command.name {
+        "run" => (Method::POST, format!("/v1/run/{arg}"), read("-")?),
+        "submit" => (Method::POST, "/v1/jobs".to_owned(), read(arg)?),
+        "cancel" => (Method::DELETE, format!("/v1/jobs/{arg}"), Bytes::new()),
+        _ => (Method::GET, format!("/v1/jobs/{arg}?wait_ms={wait}"), Bytes::new()),
+    };
+    let headers = [(header::KEY, given.text("key")), (header::DEADLINE, given.text("deadline-ms"))];
+    let headers: Vec<_> = headers.into_iter().filter(|(_, value)| !value.is_empty()).collect();
+    let response = Client::default().call(host, method, &path, &headers, body).await.context(CallSnafu)?;
+    println!("{}", String::from_utf8_lossy(&response.body));
+    Ok(exit(&response))
+}
+
+/// The exit code of an outcome: 0 answered, 3 failed, 4 not run, 5 unknown.
+fn exit(response: &Response) -> ExitCode {
+    let code = match response.outcome() {
+        "answered" => 0,
+        "failed" => 3,
+        "not-run" => 4,
+        _ => 5,
+    };
+    eprintln!("{} {} {}", response.outcome(), response.code(), response.submission());
+    ExitCode::from(code)
+}
+
+fn read(path: &str) -> Result<Bytes, BadCommand> {
+    let mut bytes = Vec::new();
+    let done = match path {
+        "-" => std::io::stdin().read_to_end(&mut bytes).map(|_| ()),
+        path => std::fs::read(path).map(|read| bytes = read),
+    };
+    done.context(FileSnafu { path })?;
+    Ok(bytes.into())
+}
+
+fn host(text: &str) -> Result<SocketAddr, String> {
+    text.parse().map_err(|_bad| "give an IP number and a port, such as 127.0.0.1:7070".to_owned())
+}
+
+async fn load(given: &Given) -> Result<ExitCode, BadCommand> {
+    let settings = load_settings(given).context(FlagsSnafu)?;
+    let report = load::run(&settings).await;
+    print_report(given, &report);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn load_settings(given: &Given) -> Result<load::Settings, BadFlag> {
+    let percent = |name| given.read(name, between(0, 100)).map(|percent| percent as f64 / 100.0);
+    let jobs = Some(given.text("jobs")).filter(|name| !name.is_empty()).map(EntryName::from);
+    let entries = names(given.text("entries"));
+    if entries.is_empty() && jobs.is_none() {
+        return Err(given.fault("entries", "give at least one entry, or --jobs"));
+    }
+    Ok(load::Settings {
+        hosts: given.read("hosts", |text| text.split(',').map(host).collect::<Result<Vec<_>, _>>())?,
+        rate: given.read("rate", between(1, 1_000_000))? as f64,
+        span: Duration::from_secs(given.read("seconds", between(1, 86_400))?),
+        shape: given.read("shape", shape)?,
+        job_share: if entries.is_empty() { 1.0 } else { percent("job-percent")? },
+        entries,
+        jobs,
+        tasks: given.read("tasks", between(1, 10_000))? as u32,
+        resubmit: percent("resubmit-percent")?,
+        cancel: percent("cancel-percent")?,
+        run: Duration::from_millis(given.read("run-ms", between(1, 60_000))?),
+        deadline: Duration::from_millis(given.read("deadline-ms", between(1, 3_600_000))?),
+        seed: given.read("seed", between(0, u64::MAX))?,
+        bar: !given.is_set("json"),
+    })
+}
+
+async fn demo(given: &Given) -> Result<ExitCode, BadCommand> {
+    let settings = demo_settings(given).context(FlagsSnafu)?;
+    let report = demo::run(&settings).await.context(DemoSnafu)?;
+    print_report(given, &report);
+    Ok(if report.wrong == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn demo_settings(given: &Given) -> Result<demo::Settings, BadFlag> {
+    Ok(demo::Settings {
+        deployment: given.read("deployment", deployment)?,
+        hosts: given.read("hosts", between(2, 60))? as usize,
+        executors: given.read("executors", between(3, 2_000))? as usize,
+        rate: given.read("rate", between(1, 1_000_000))? as f64,
+        span: Duration::from_secs(given.read("seconds", between(1, 86_400))?),
+        faults: !given.is_set("calm"),
+        seed: given.read("seed", between(0, u64::MAX))?,
+        bar: !given.is_set("json"),
+    })
+}
+
+fn print_report(given: &Given, report: &load::Report) {
+    match serde_json::to_string(report) {
+        Ok(json) if given.is_set("json") => println!("{json}"),
+        _ => print!("{report}"),
+    }
+}
+
+fn deployment(text: &str) -> Result<demo::Deployment, String> {
+    let found = demo::DEPLOYMENTS.iter().find(|deployment| deployment.name == text);
+    found.copied().ok_or_else(|| "give candle-desk or foldplan".to_owned())
+}
+
+fn shape(text: &str) -> Result<load::Shape, String> {
+    match text {
+        "poisson" => Ok(load::Shape::Poisson),
+        "burst" => Ok(load::Shape::Burst),
+        _ => Err("give poisson or burst".to_owned()),
+    }
+}
+
+fn names(text: &str) -> Vec<EntryName> {
+    text.split(',').filter(|name| !name.is_empty()).map(EntryName::from).collect()
+}
+
+async fn target(given: &Given) -> Result<ExitCode, BadCommand> {
+    let settings = target_settings(given).context(FlagsSnafu)?;
+    let listen = given.read("listen", host).context(FlagsSnafu)?;
+    let target = Target::bind(listen, settings).await;
+    let target = target.context(FileSnafu { path: given.text("listen") })?;
+    println!("listening on {}", target.address());
+    // The interrupt ends the stand-in; a failed handler ends it at once.
+    drop(tokio::signal::ctrl_c().await);
+    target.kill();
+    Ok(ExitCode::SUCCESS)
+}
+
+fn target_settings(given: &Given) -> Result<TargetSettings, BadFlag> {
+    let entries = names(given.text("entries"));
+    let slots = given.read("slots", between(1, 10_000))? as u32;
+    Ok(TargetSettings {
+        name: given.text("name").into(),
+        zone: given.text("zone").into(),
+        rack: "".into(),
+        kind: Kind::Executor,
+        entries,
+        capacity: Capacity { slots, ..Capacity::default() },
+        speed: given.read("speed", speed)?,
+        fault: given.read("fault", fault)?,
+        hosts: vec![given.read("host", host)?],
+    })
+}
+
+fn speed(text: &str) -> Result<f64, String> {
+    match text.parse() {
+        Ok(speed) if (0.01..=100.0).contains(&speed) => Ok(speed),
+        _ => Err("give a factor from 0.01 to 100".to_owned()),
+    }
+}
+
+fn fault(text: &str) -> Result<Fault, String> {
+    serde_json::from_value(text.into())
+        .map_err(|_bad| "give none, stall, fail, cut, late, cross, silent or refuse".to_owned())
+}
