Cluster: attempts of an announcement don't make it another, and a leaving target is not told anew

Cause: the host hands each changed announcement to its dispatcher, which would give a leaving target new work; the list of running attempts changes with every heartbeat, so each one was sent whole. Change: the digest leaves the attempts out; no change is told for a target that leaves.

--- a/crates/cluster/src/grants/entry.rs
+++ b/crates/cluster/src/grants/entry.rs
@@ -31,9 +31,13 @@
     answered: bool,
 }
 
-/// The digest of an announcement.
+/// The digest of an announcement, without the attempts it lists: they change all the time, and count only when a host
+/// begins to own the target.
 pub(crate) fn digest(announcement: &Announcement) -> u64 {
-    let text = postcard::to_stdvec(announcement).unwrap_or_default();
+    let said = announcement;
+    let place = (&said.name, said.address, &said.zone, &said.rack);
+    let size = (said.kind, &said.entries, said.capacity, said.incarnation, said.connections);
+    let text = postcard::to_stdvec(&(place, size)).unwrap_or_default();
     text.chunks(8).fold(text.len() as u64, |sum, chunk| {
         let mut word = [0; 8];
         word[..chunk.len()].copy_from_slice(chunk);
--- a/crates/cluster/src/grants/mod.rs
+++ b/crates/cluster/src/grants/mod.rs
@@ -107,7 +107,8 @@
         /// True if it takes no new work.
         leaving: bool,
     },
-    /// A target that this host owns announced itself differently.
+    /// A target that this host owns, and that is not leaving, announced itself differently. The attempts it lists don't
+    /// count.
     Changed(Box<Announcement>),
     /// A target that this host owns takes no new work.
     Leaving(Target),
--- a/crates/cluster/src/grants/owner.rs
+++ b/crates/cluster/src/grants/owner.rs
@@ -155,7 +155,8 @@
         }
         held.digest = digest;
         held.announcement = announcement.clone();
-        if held.told {
+        let told = held.told;
+        if told && !self.has_left(target, announcement.incarnation) {
             self.event(Event::Changed(Box::new(announcement)));
         }
     }
--- a/crates/cluster/tests/grants/main.rs
+++ b/crates/cluster/tests/grants/main.rs
@@ -6,7 +6,7 @@
 use field::Field;
 use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, LEASE, Reason, Settings, Target};
 use mangogw_cluster::{Output, Seat};
-use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
+use mangogw_model::{Announcement, AttemptId, Capacity, HostId, Incarnation, Kind, Time};
 use std::time::Duration;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -266,3 +266,22 @@
     let owner = field.owners(0)[0];
     assert!(!field.hosts[owner].grants.is_leaving(&target, Incarnation(2)));
 }
+
+#[test]
+fn changed_announcement_is_told_unless_the_target_leaves() {
+    let now = Time::from_millis(1_000);
+    let mut grants = alone(now, 1);
+    let first = beat(&mut grants, now, None, 0).grant;
+    beat(&mut grants, now, first, 1);
+    let changes = |grants: &mut Grants, said: Announcement| {
+        grants.announce(now, said, first.map(|grant| Echo { grant, age_ms: Some(1) }));
+        let changed = |output: &Output<_, Event>| matches!(output, Output::Event(Event::Changed(_)));
+        grants.drain().iter().filter(|output| changed(output)).count()
+    };
+    let running = vec![AttemptId::new(HostId(1), Incarnation(1), 7)];
+    assert_eq!(changes(&mut grants, Announcement { running, ..announcement() }), 0, "attempts change all the time");
+    let more = Capacity { slots: 16, ..Capacity::default() };
+    assert_eq!(changes(&mut grants, Announcement { capacity: more, ..announcement() }), 1);
+    grants.leave(now, Target::of(&announcement()), None);
+    assert_eq!(changes(&mut grants, announcement()), 0, "a leaving target must not be announced anew");
+}
