--- a/crates/cluster/tests/shares.rs
+++ b/crates/cluster/tests/shares.rs
@@ -283,3 +283,30 @@
         arbtest::arbtest(property).seed(seed).run();
     }
 }
+
+/// An answer that was overtaken by a later one must not bring back a larger share, which the home counts no more.
+#[test]
+fn overtaken_answer_is_dropped() {
+    let (now, limit) =
+        (Time::from_millis(1_000), Limit { scope: Scope::Owner("tally".into()), resource: Resource::Rate });
+    let mut shares = Shares::open(&Settings { id: HostId(0), alone: false }, now);
+    shares.set_limits([(limit.clone(), TOTAL)]);
+    // The home is whichever host ranks first; with only the other usable it is the other.
+    let seat = |id, usable| Seat { id: HostId(id), life: Incarnation(1), zone: "a".into(), usable };
+    shares.set_hosts(now, &[seat(0, false), seat(1, true)]);
+    shares.set_demand(&limit, 500.0);
+    let mut reports = Vec::new();
+    for tick in 1..=300 {
+        shares.on_tick(now + TICK * tick);
+        reports.extend(shares.drain().into_iter().filter_map(|output| match output {
+            Output::Send { message: Message::Report { sent, .. }, .. } => Some(sent),
+            _ => None,
+        }));
+    }
+    assert!(reports.len() >= 2);
+    let at = now + TICK * 300;
+    shares.on_message(at, HostId(1), Message::Lease { sent: reports[1], amounts: vec![Some(10_000)] });
+    let small = shares.share(at, &limit);
+    shares.on_message(at, HostId(1), Message::Lease { sent: reports[0], amounts: vec![Some(400_000)] });
+    assert_eq!(shares.share(at, &limit), small);
+}
