Cluster: a known announcement is judged without being copied and digested again

Change: the owner compares the digest it was sent; an announcement that can't be encoded is no silent empty text; a test encodes the longest message; a test of an owner that hears nothing.

--- a/crates/cluster/src/grants/entry.rs
+++ b/crates/cluster/src/grants/entry.rs
@@ -37,7 +37,7 @@
     let said = announcement;
     let place = (&said.name, said.address, &said.zone, &said.rack);
     let size = (said.kind, &said.entries, said.capacity, said.incarnation, said.connections);
-    let text = postcard::to_stdvec(&(place, size)).unwrap_or_default();
+    let text = postcard::to_stdvec(&(place, size)).expect("names and numbers can be encoded");
     text.chunks(8).fold(text.len() as u64, |sum, chunk| {
         let mut word = [0; 8];
         word[..chunk.len()].copy_from_slice(chunk);
--- a/crates/cluster/src/grants/owner.rs
+++ b/crates/cluster/src/grants/owner.rs
@@ -109,10 +109,7 @@
     /// Judges a heartbeat whose announcement may be known here.
     pub(super) fn judge_beat(&mut self, now: Time, target: &Target, digest: u64, echo: Option<Echo>) -> Verdict {
         match self.held.get(target) {
-            Some(held) if held.digest == digest => {
-                let announcement = held.announcement.clone();
-                self.judge(now, announcement, echo)
-            }
+            Some(held) if held.digest == digest => self.decide(now, target, echo),
             Some(_) | None => Verdict::NeedsAnnouncement,
         }
     }
@@ -129,26 +126,32 @@
         if known != Some(announcement.incarnation) {
             self.held.insert(target.clone(), Held::new(now, announcement.clone()));
         }
-        self.refresh(now, &target, announcement);
-        let life = self.held.get(&target).map(|held| held.announcement.incarnation);
-        if let Some(gone) = self.left.get_mut(&target) {
+        self.refresh(&target, announcement);
+        self.decide(now, &target, echo)
+    }
+
+    /// Judges the heartbeat of a target whose announcement is known here.
+    fn decide(&mut self, now: Time, target: &Target, echo: Option<Echo>) -> Verdict {
+        let Some(held) = self.held.get_mut(target) else { return Verdict::Kept };
+        held.seen = now;
+        let life = Some(held.announcement.incarnation);
+        if let Some(gone) = self.left.get_mut(target) {
             // A leave that named no life means the first one heard of.
             gone.life = gone.life.or(life);
             gone.at = if gone.life >= life { now } else { gone.at };
         }
         let verdict = match echo {
-            None => self.judge_new(now, &target),
-            Some(echo) if echo.grant.names(self.id, self.life) => self.judge_mine(now, &target, echo.grant),
-            Some(echo) => self.judge_other(now, &target, &echo),
+            None => self.judge_new(now, target),
+            Some(echo) if echo.grant.names(self.id, self.life) => self.judge_mine(now, target, echo.grant),
+            Some(echo) => self.judge_other(now, target, &echo),
         };
-        self.tell(now, &target);
+        self.tell(now, target);
         verdict
     }
 
-    /// Notes a heartbeat, and what changed in the announcement.
-    fn refresh(&mut self, now: Time, target: &Target, announcement: Announcement) {
+    /// Notes what changed in the announcement.
+    fn refresh(&mut self, target: &Target, announcement: Announcement) {
         let Some(held) = self.held.get_mut(target) else { return };
-        held.seen = now;
         let digest = digest(&announcement);
         if held.digest == digest {
             return;
--- a/crates/cluster/tests/grants/main.rs
+++ b/crates/cluster/tests/grants/main.rs
@@ -4,7 +4,7 @@
 mod fuzz;
 
 use field::Field;
-use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, LEASE, Reason, Settings, Target};
+use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, LEASE, Message, Reason, Settings, Target};
 use mangogw_cluster::{Output, Seat};
 use mangogw_model::{Announcement, AttemptId, Capacity, HostId, Incarnation, Kind, Time};
 use std::time::Duration;
@@ -285,3 +285,31 @@
     grants.leave(now, Target::of(&announcement()), None);
     assert_eq!(changes(&mut grants, announcement()), 0, "a leaving target must not be announced anew");
 }
+
+#[test]
+fn owner_that_hears_nothing_stops_at_the_end_of_its_lease() {
+    let mut now = Time::from_millis(1_000);
+    let (mut grants, target) = (alone(now, 1), Target::of(&announcement()));
+    let first = beat(&mut grants, now, None, 0).grant;
+    beat(&mut grants, now, first, 1);
+    now += LEASE.saturating_sub(Duration::from_millis(1));
+    grants.on_tick(now);
+    assert!(grants.holds(now, &target));
+    now += Duration::from_millis(1);
+    assert!(!grants.holds(now, &target), "also before the tick");
+    grants.on_tick(now);
+    assert_eq!(grants.drain(), [Output::Event(Event::Ended { target, reason: Reason::Lapsed })]);
+    assert!(LEASE <= SECOND * 5);
+}
+
+/// Announcements must survive the encoding between hosts; a field that can't be encoded made all digests equal once.
+#[test]
+fn messages_survive_their_encoding() {
+    let echo =
+        Some(Echo { grant: Grant { epoch: 1, owner: HostId(2), life: Incarnation(3), serial: 4 }, age_ms: None });
+    let running = vec![AttemptId::new(HostId(1), Incarnation(1), 7)];
+    let said = Announcement { running, entries: vec!["route".into()], ..announcement() };
+    let message = Message::Announce { ticket: 9, announcement: Box::new(said), echo, leaving: true };
+    let bytes = postcard::to_stdvec(&message).expect("encoded");
+    assert_eq!(postcard::from_bytes::<Message>(&bytes), Ok(message));
+}
