--- a/crates/host/src/peers.rs
+++ b/crates/host/src/peers.rs
@@ -24,7 +24,7 @@
                     self.effects.extend(address.map(|to| Effect::Reconnect { to }));
                 }
                 Output::Up(_) | Output::Down { .. } | Output::ZoneCut(_) | Output::ZoneBack(_) => changed = true,
-                Output::Superseded => self.effects.push(Effect::Superseded),
+                Output::Superseded => self.effects.push(Effect::Halt { why: "a later life of this host exists" }),
             }
         }
         if changed {
@@ -41,6 +41,7 @@
             self.seats = seats;
             self.grants.set_hosts(now, self.seats.clone());
             self.route.set_hosts(now, &self.seats);
+            self.shares.set_hosts(now, &self.seats);
             let peers = self.peers();
             self.records.on_peers(now, &peers);
         }
