--- a/crates/dispatch/src/dispatch.rs
+++ b/crates/dispatch/src/dispatch.rs
@@ -78,6 +78,9 @@
 
     /// A second.
     pub(crate) fn rate(&self, now: Time) -> f64 {
+        if self.sum <= 0.0 {
+            return 0.0;
+        }
         self.sum / Self::SPAN * (-(now - self.at).as_secs_f64() / Self::SPAN).exp()
     }
 }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -112,8 +112,11 @@
     pub(crate) fn worth(&self, now: Time, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
         let row = &self.entries[entry];
         let step = row.speeds.step(id);
-        let flow: f64 = self.pools[row.pool].flow.iter().map(|flow| flow.rate(now) / 1e6).sum();
         let faster = if step == 0 { 0.0 } else { row.supply.upto[step - 1] };
+        if faster <= 0.0 {
+            return true;
+        }
+        let flow: f64 = self.pools[row.pool].flow.iter().map(|flow| flow.rate(now) / 1e6).sum();
         flow > f64::from(faster) * TAKEN_UP || self.shorter(entry, size, id, ahead)
     }
 
