--- /dev/null
+++ b/crates/cluster/tests/grants/main.rs
@@ -0,0 +1,268 @@
+//! Grants of targets: one owner, moved evenly, waited out, handed over.
+
+mod field;
+mod fuzz;
+
+use field::Field;
+use mangogw_cluster::grants::{Answer, Echo, Event, Grant, Grants, LEASE, Reason, Settings, Target};
+use mangogw_cluster::{Output, Seat};
+use mangogw_model::{Announcement, Capacity, HostId, Incarnation, Kind, Time};
+use std::time::Duration;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn settled(hosts: usize, targets: usize) -> Field {
+    let mut field = Field::open(hosts, targets, 7);
+    field.run(SECOND * 8);
+    assert!(field.all_owned());
+    field
+}
+
+fn counts(field: &Field) -> Vec<usize> {
+    let mut counts = vec![0; field.hosts.len()];
+    for back in 0..field.backs.len() {
+        for owner in field.owners(back) {
+            counts[owner] += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn new_target_is_owned_within_its_first_heartbeats() {
+    let mut field = Field::open(3, 20, 3);
+    field.run(Duration::from_millis(1_200));
+    assert!(field.all_owned());
+}
+
+#[test]
+fn targets_are_spread_evenly() {
+    let counts = counts(&settled(3, 300));
+    let four_deviations = 33;
+    assert!(counts.iter().all(|&count| count.abs_diff(100) <= four_deviations), "{counts:?}");
+}
+
+#[test]
+fn targets_of_a_dead_host_are_back_within_three_seconds() {
+    let mut field = settled(3, 40);
+    field.crash(0);
+    let mut waited = Duration::ZERO;
+    while !field.all_owned() {
+        field.step();
+        waited += field::TICK;
+        assert!(waited <= SECOND * 3, "not back");
+    }
+    println!("back after {waited:?}");
+}
+
+#[test]
+fn crash_is_covered_even_where_membership_has_not_noticed() {
+    let mut field = settled(3, 40);
+    field.crash(0);
+    field.hosts[0].up = true;
+    for other in 0..3 {
+        field.blocked.insert((0, other));
+        field.blocked.insert((other, 0));
+    }
+    for back in &mut field.backs {
+        back.entry = Some(1);
+    }
+    field.run(SECOND * 4);
+    assert!(field.all_owned());
+    assert_eq!(counts(&field)[0], 0);
+}
+
+#[test]
+fn new_host_gets_its_part_and_no_target_idles_long() {
+    let mut field = settled(3, 60);
+    field.crash(2);
+    field.run(SECOND * 40);
+    field.restart(2);
+    let mut idle = vec![Duration::ZERO; 60];
+    for _ in 0..2_400 {
+        field.step();
+        for (back, idle) in idle.iter_mut().enumerate() {
+            *idle += if field.owners(back).is_empty() { field::TICK } else { Duration::ZERO };
+        }
+    }
+    assert!(counts(&field)[2] >= 10, "{:?}", counts(&field));
+    assert!(idle.iter().all(|&idle| idle <= Duration::from_millis(100)), "{idle:?}");
+}
+
+#[test]
+fn leaving_host_hands_everything_over_within_two_heartbeats() {
+    let mut field = settled(3, 40);
+    field.leave_cluster(1);
+    field.run(Duration::from_millis(1_700));
+    assert_eq!(counts(&field)[1], 0);
+    assert!(field.all_owned());
+    let handed = |event: &&Event| matches!(event, Event::Ended { reason: Reason::Handed(_), .. });
+    assert!(field.hosts[1].events.iter().filter(handed).count() >= 5);
+}
+
+#[test]
+fn host_cut_off_from_hosts_serves_the_targets_that_reach_it() {
+    let mut field = settled(3, 30);
+    let mine: Vec<usize> = (0..30).filter(|&back| field.owners(back) == [0]).collect();
+    for &back in &mine {
+        field.backs[back].entry = Some(0);
+    }
+    for back in (0..30).filter(|back| !mine.contains(back)) {
+        field.backs[back].entry = Some(1);
+    }
+    for other in [1, 2] {
+        field.blocked.insert((0, other));
+        field.blocked.insert((other, 0));
+        field.unseen.insert((0, other));
+        field.unseen.insert((other, 0));
+    }
+    field.run(SECOND * 20);
+    assert!(field.all_owned());
+    assert!(mine.iter().all(|&back| field.owners(back) == [0]));
+}
+
+#[test]
+fn leave_reaches_the_owner_at_once() {
+    let mut field = settled(3, 9);
+    for back in 0..9 {
+        let owner = field.owners(back)[0];
+        let entry = (owner + 1) % 3;
+        let target = field.backs[back].target.clone();
+        field.leave(entry, &target);
+        field.run(Duration::from_millis(20));
+        assert!(field.hosts[owner].events.contains(&Event::Leaving(target)));
+    }
+}
+
+#[test]
+fn leave_is_repeated_past_lost_messages() {
+    let mut field = settled(3, 1);
+    let owner = field.owners(0)[0];
+    let entry = (owner + 1) % 3;
+    let target = field.backs[0].target.clone();
+    field.blocked.insert((entry, owner));
+    field.leave(entry, &target);
+    field.run(SECOND);
+    field.blocked.clear();
+    field.run(Duration::from_millis(300));
+    assert!(field.hosts[owner].events.contains(&Event::Leaving(target)));
+}
+
+#[test]
+fn target_that_never_sends_a_grant_back_is_used_after_a_lease() {
+    let mut field = Field::open(1, 1, 5);
+    field.backs[0].echoes = false;
+    field.run(SECOND * 6);
+    assert!(field.all_owned());
+}
+
+#[test]
+fn restarted_target_is_used_at_once() {
+    let mut field = settled(3, 10);
+    field.restart_target(4);
+    field.run(SECOND);
+    assert!(field.all_owned());
+}
+
+#[test]
+fn host_that_hangs_is_covered_within_three_seconds() {
+    let mut field = settled(3, 40);
+    for other in [1, 2] {
+        field.silent.extend([(0, other), (other, 0)]);
+    }
+    for (index, back) in field.backs.iter_mut().enumerate() {
+        back.entry = Some(1 + index % 2);
+    }
+    field.run(SECOND * 3);
+    assert!(field.all_owned());
+    assert_eq!(counts(&field)[0], 0);
+}
+
+/// Targets reach two groups of hosts that believe each other dead: the target's own word keeps the owner.
+#[test]
+fn owner_stays_while_some_hosts_believe_it_dead() {
+    let mut field = settled(3, 12);
+    for link in [(2, 0), (2, 1), (0, 2), (1, 2)] {
+        field.unseen.insert(link);
+        field.blocked.insert(link);
+    }
+    let mut owned = 0;
+    for _ in 0..4_000 {
+        field.step();
+        owned += (0..12).filter(|&back| field.owners(back).len() == 1).count();
+    }
+    assert!(owned >= 4_000 * 12 * 9 / 10, "owned {owned} of {}", 4_000 * 12);
+}
+
+fn announcement() -> Announcement {
+    Announcement {
+        name: "t".into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        zone: "a".into(),
+        rack: "".into(),
+        kind: Kind::Executor,
+        entries: Vec::new(),
+        capacity: Capacity { slots: 8, ..Capacity::default() },
+        incarnation: Incarnation(1),
+        running: Vec::new(),
+        connections: 0,
+    }
+}
+
+fn alone(now: Time, life: u64) -> Grants {
+    let (id, life) = (HostId(1), Incarnation(life));
+    let mut grants = Grants::open(&Settings { id, life }, now);
+    grants.set_hosts(now, vec![Seat { id, life, zone: "a".into(), usable: true }]);
+    grants
+}
+
+fn beat(grants: &mut Grants, now: Time, grant: Option<Grant>, age: u32) -> Answer {
+    grants.announce(now, announcement(), grant.map(|grant| Echo { grant, age_ms: Some(age) }));
+    let answer = grants.drain().into_iter().find_map(|output| match output {
+        Output::Event(Event::Answered { answer, .. }) => Some(answer),
+        _ => None,
+    });
+    answer.expect("answered at once")
+}
+
+#[test]
+fn heartbeats_that_come_late_change_nothing() {
+    let (mut grants, mut now) = (alone(Time::ZERO, 1), Time::from_millis(1_000));
+    let target = Target::of(&announcement());
+    let first = beat(&mut grants, now, None, 0).grant;
+    let second = beat(&mut grants, now, first, 1).grant;
+    assert!(grants.holds(now, &target));
+    now += Duration::from_millis(100);
+    let other = Grant { epoch: 7, owner: HostId(2), life: Incarnation(1), serial: 5 };
+    let taken = beat(&mut grants, now, Some(other), 2_000).grant;
+    assert_eq!(taken.map(|grant| grant.epoch), Some(8));
+    beat(&mut grants, now, taken, 1);
+    assert!(!grants.holds(now, &target), "the other's lease has not run out");
+    now += LEASE.saturating_sub(Duration::from_millis(1_900));
+    let mine = beat(&mut grants, now, taken, 400).grant;
+    beat(&mut grants, now, mine, 1);
+    assert!(grants.holds(now, &target));
+    assert_eq!(beat(&mut grants, now, second, 2_000).grant, None, "an own grant of an earlier epoch");
+    assert_eq!(beat(&mut grants, now, Some(other), 2_000).grant, None, "the grant of the former owner");
+    assert!(grants.holds(now, &target));
+}
+
+#[test]
+fn answers_of_an_earlier_life_find_no_heartbeat() {
+    let ticket = |life| alone(Time::ZERO, life).announce(Time::ZERO, announcement(), None);
+    assert_ne!(ticket(1), ticket(2));
+}
+
+#[test]
+fn target_that_restarts_after_a_leave_takes_work_again() {
+    let mut field = settled(3, 3);
+    let target = field.backs[0].target.clone();
+    field.leave(1, &target);
+    field.run(SECOND);
+    let owner = field.owners(0)[0];
+    assert!(field.hosts[owner].grants.is_leaving(&target, Incarnation(1)));
+    field.restart_target(0);
+    field.run(SECOND * 40);
+    let owner = field.owners(0)[0];
+    assert!(!field.hosts[owner].grants.is_leaving(&target, Incarnation(2)));
+}
