Records: focused tests of promotion and of ranges nobody holds

Cause: the wait of a promoted follower and the operator's Forget had no test of their own. Change: three tests.

--- a/crates/cluster/tests/submissions.rs
+++ b/crates/cluster/tests/submissions.rs
@@ -308,3 +308,70 @@
     let whole = |page: &Page| page.images.iter().map(|image| image.key.as_str()).eq(["before"]);
     assert!(matches!(&*handed, [Body::State { page, .. }] if whole(page)), "{handed:?}");
 }
+
+#[test]
+fn a_range_whose_holders_never_come_back_waits_for_the_operator_and_then_starts_blind() {
+    let mut alone = Alone::open(|_| {});
+    let range = alone.table.locate(&"k".into()).unwrap();
+    let epoch = alone.table.range(range).unwrap().epoch;
+    let gone = Holder::new(HostId(9), Incarnation(1));
+    let apply = |alone: &mut Alone, command: &Command| {
+        alone.index += 1;
+        alone.table.apply(alone.index, command);
+        alone.records.install(alone.now, &alone.table);
+        alone.pass(Duration::from_millis(400));
+    };
+    apply(&mut alone, &Command::Assign { range, epoch, holders: vec![gone] });
+    apply(&mut alone, &Command::Ready { range, epoch: epoch + 1 });
+    apply(&mut alone, &Command::Assign { range, epoch: epoch + 1, holders: vec![peer(1).holder] });
+    let ready = Command::Ready { range, epoch: epoch + 2 };
+    assert!(!alone.seen.contains(&Output::Propose(ready.clone())), "nobody has the records");
+    apply(&mut alone, &Command::Forget { range, epoch: epoch + 2 });
+    assert!(alone.seen.contains(&Output::Propose(ready.clone())));
+    apply(&mut alone, &ready);
+    alone.submit(1, "k", &work(1, "one"));
+    assert_eq!(alone.reply(1), Some(&Reply::Refused(Code::HomeUnknown)));
+}
+
+/// A follower of host 1 that granted it a lease just now and is named the owner in its place.
+fn promoted() -> (Time, Records) {
+    let (owner, follower) = (HostId(1), HostId(2));
+    let holders: Vec<Holder> = [owner, follower].map(|host| Holder::new(host, Incarnation(1))).into();
+    let (range, now) = (RangeId(0), Time::from_millis(1));
+    let mut table = Ownership::default();
+    table.apply(1, &Command::Open { hashed: 1, pinned: 1, zones: Vec::new() });
+    table.apply(2, &Command::Assign { range, epoch: 0, holders: holders.clone() });
+    table.apply(3, &Command::Ready { range, epoch: 1 });
+    let mut records = Records::open(Settings::new(follower, Incarnation(1), "a".into()), now);
+    let sync = Body::Sync { range, epoch: 1, holders: holders.clone(), page: Page::default() };
+    records.on_message(now, owner, message(sync));
+    records.install(now, &table);
+    records.on_message(now, owner, message(Body::Renew { sent: now, ranges: vec![(range, 1)] }));
+    table.apply(4, &Command::Assign { range, epoch: 1, holders: holders[1..].to_vec() });
+    records.install(now, &table);
+    (now, records)
+}
+
+fn proposes(records: &mut Records) -> bool {
+    records.drain().iter().any(|output| matches!(output, Output::Propose(Command::Ready { epoch: 2, .. })))
+}
+
+#[test]
+fn a_promoted_follower_waits_until_the_former_owner_may_no_longer_act() {
+    let (now, mut records) = promoted();
+    records.on_tick(now + Duration::from_millis(1_099));
+    assert!(!proposes(&mut records));
+    records.on_tick(now + Duration::from_millis(1_100));
+    assert!(proposes(&mut records));
+}
+
+#[test]
+fn a_promoted_follower_goes_on_at_once_when_the_former_owner_hands_over_or_restarts() {
+    let (now, mut records) = promoted();
+    let state = Body::State { range: RangeId(0), epoch: 2, page: Page { exact: true, ..Page::default() } };
+    records.on_message(now, HostId(1), message(state));
+    assert!(proposes(&mut records));
+    let (now, mut records) = promoted();
+    records.on_peers(now, &[Peer::new(HostId(1), Incarnation(2), "a".into())]);
+    assert!(proposes(&mut records));
+}
