--- a/crates/cluster/tests/submissions.rs
+++ b/crates/cluster/tests/submissions.rs
@@ -2,8 +2,8 @@
 
 use mangogw_cluster::ownership::{Command, Holder, Ownership, Peer, RangeId};
 use mangogw_cluster::records::{
-    Body, Change, Output, Page, RecordMessage, Records, Reply, Settings, Step, Submission, Tag, Task, TaskEnd, Verdict,
-    Work,
+    Ask, Body, Change, Output, Page, RecordMessage, Records, Reply, Settings, Step, Submission, Tag, Task, TaskEnd,
+    Told, Verdict, Work,
 };
 use mangogw_model::{Code, HostId, Incarnation, Key, TaskIndex, Time};
 use std::sync::Arc;
@@ -375,3 +375,75 @@
     records.on_peers(now, &[Peer::new(HostId(1), Incarnation(2), "a".into())]);
     assert!(proposes(&mut records));
 }
+
+/// A submission of one task by the entry host 2.
+fn asked(request: u64, floor: u64, key: &str) -> RecordMessage {
+    let ask = Ask::Submit { work: work(1, "one"), left: WAIT, wait: WAIT, fresh: false };
+    message(Body::Ask { request, floor, key: key.into(), ask })
+}
+
+/// An owner that refused request 1, for the key "k", and has room again.
+fn refused() -> Alone {
+    let mut alone = Alone::open(|settings| {
+        settings.bytes = 1_000;
+        settings.retention = Duration::from_secs(1);
+    });
+    alone.submit(1, "first", &work(1, "one"));
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    let told = Body::Told { request: 1, told: Told::Refused(Code::Overloaded) };
+    assert!(sent(&mut alone.records).contains(&told));
+    alone.records.cancel(alone.now, Tag(2), "first".into());
+    for _ in 0..300 {
+        alone.pass(Duration::from_millis(10));
+    }
+    assert_eq!(alone.records.bytes(), 0);
+    alone
+}
+
+fn runs(records: &mut Records) -> usize {
+    records.drain().iter().filter(|output| matches!(output, Output::Run { .. })).count()
+}
+
+#[test]
+fn a_doubled_request_that_was_refused_does_not_start_later() {
+    let mut alone = refused();
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    assert_eq!(runs(&mut alone.records), 0);
+    alone.records.on_message(alone.now, HostId(2), asked(2, 2, "other"));
+    assert_eq!(runs(&mut alone.records), 1);
+}
+
+#[test]
+fn an_old_copy_of_a_settled_request_does_not_start_later() {
+    let mut alone = refused();
+    let read = Body::Ask { request: 2, floor: 2, key: "x".into(), ask: Ask::Read { wait: Duration::ZERO } };
+    alone.records.on_message(alone.now, HostId(2), message(read));
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    assert_eq!(runs(&mut alone.records), 0);
+}
+
+#[test]
+fn a_refusal_is_not_run_only_if_everyone_who_got_the_request_refused_it() {
+    let mut alone = Alone::open(|_| {});
+    let range = alone.table.locate(&"k".into()).unwrap();
+    let give = |alone: &mut Alone, host: u64| {
+        let epoch = alone.table.range(range).unwrap().epoch;
+        let holders = vec![Holder::new(HostId(host), Incarnation(1))];
+        for command in [Command::Assign { range, epoch, holders }, Command::Ready { range, epoch: epoch + 1 }] {
+            alone.index += 1;
+            alone.table.apply(alone.index, &command);
+        }
+        alone.records.install(alone.now, &alone.table);
+    };
+    let told = || message(Body::Told { request: 1, told: Told::Refused(Code::Overloaded) });
+    give(&mut alone, 8);
+    alone.submit(1, "k", &work(1, "one"));
+    give(&mut alone, 9);
+    alone.pass(Duration::from_millis(200));
+    alone.records.on_message(alone.now, HostId(9), told());
+    alone.collect();
+    assert_eq!(alone.reply(1), None, "host 8 may have recorded it");
+    alone.records.on_message(alone.now, HostId(8), told());
+    alone.collect();
+    assert_eq!(alone.reply(1), Some(&Reply::Refused(Code::Overloaded)));
+}
