--- a/crates/cluster/tests/submissions.rs
+++ b/crates/cluster/tests/submissions.rs
@@ -334,7 +334,7 @@
 }
 
 /// A follower of host 1 that granted it a lease just now and is named the owner in its place.
-fn promoted() -> (Time, Records) {
+fn promoted() -> (Time, Ownership, Records) {
     let (owner, follower) = (HostId(1), HostId(2));
     let holders: Vec<Holder> = [owner, follower].map(|host| Holder::new(host, Incarnation(1))).into();
     let (range, now) = (RangeId(0), Time::from_millis(1));
@@ -346,10 +346,13 @@
     let sync = Body::Sync { range, epoch: 1, holders: holders.clone(), page: Page::default() };
     records.on_message(now, owner, message(sync));
     records.install(now, &table);
+    let step = Step::Open { work: work(1, "one"), left: WAIT * 9, below: 1 };
+    let change = Change { range, epoch: 1, key: "k".into(), serial: 1, step };
+    records.on_message(now, owner, message(Body::Step(change)));
     records.on_message(now, owner, message(Body::Renew { sent: now, ranges: vec![(range, 1)] }));
     table.apply(4, &Command::Assign { range, epoch: 1, holders: holders[1..].to_vec() });
     records.install(now, &table);
-    (now, records)
+    (now, table, records)
 }
 
 fn proposes(records: &mut Records) -> bool {
@@ -358,7 +361,7 @@
 
 #[test]
 fn a_promoted_follower_waits_until_the_former_owner_may_no_longer_act() {
-    let (now, mut records) = promoted();
+    let (now, _, mut records) = promoted();
     records.on_tick(now + Duration::from_millis(1_099));
     assert!(!proposes(&mut records));
     records.on_tick(now + Duration::from_millis(1_100));
@@ -367,11 +370,11 @@
 
 #[test]
 fn a_promoted_follower_goes_on_at_once_when_the_former_owner_hands_over_or_restarts() {
-    let (now, mut records) = promoted();
+    let (now, _, mut records) = promoted();
     let state = Body::State { range: RangeId(0), epoch: 2, page: Page { exact: true, ..Page::default() } };
     records.on_message(now, HostId(1), message(state));
     assert!(proposes(&mut records));
-    let (now, mut records) = promoted();
+    let (now, _, mut records) = promoted();
     records.on_peers(now, &[Peer::new(HostId(1), Incarnation(2), "a".into())]);
     assert!(proposes(&mut records));
 }
@@ -447,3 +450,24 @@
     alone.collect();
     assert_eq!(alone.reply(1), Some(&Reply::Refused(Code::Overloaded)));
 }
+
+#[test]
+fn a_later_owner_frees_no_task_by_the_word_of_one_that_did_not_start_it() {
+    let (now, mut table, mut records) = promoted();
+    let later = now + Duration::from_secs(2);
+    records.on_tick(later);
+    table.apply(5, &Command::Ready { range: RangeId(0), epoch: 2 });
+    records.install(later, &table);
+    assert_eq!(runs(&mut records), 0, "the former owner may have started it");
+    let late = |end: TaskEnd| {
+        let assigned = Some((Holder::new(HostId(1), Incarnation(1)), 1));
+        message(Body::Late { key: "k".into(), task: TaskIndex(0), assigned, end })
+    };
+    // The former owner may have placed it anew after host 3 said so.
+    records.on_message(later, HostId(3), late(TaskEnd::NotStarted));
+    assert_eq!(runs(&mut records), 0);
+    records.read(later, Tag(1), "k".into(), WAIT);
+    records.on_message(later, HostId(3), late(answered("yes")));
+    let whole = Reply::Ended(Arc::new(Verdict::Complete(vec![(200, "yes".into())])));
+    assert!(records.drain().contains(&Output::Reply { tag: Tag(1), reply: whole }));
+}
