--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -39,6 +39,7 @@
     ($($name:ident = $number:literal, $outcome:ident, $status:literal, $title:literal, $advice:literal;)*) => {
         /// A numbered result code. The table is in `docs/CODES.md`.
         #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(into = "u16", try_from = "u16")]
         pub enum Code {
             $(#[doc = $title] $name = $number,)*
         }
@@ -140,6 +141,9 @@
     NoLeader = 1406, Unknown, 503, "The control group has no reachable leader.", "Send the change again under the same Idempotency-Key.";
     StoreFailed = 1407, Unknown, 503, "The data folder can't be written.", "Check the disk of the host, then send it again under the same Idempotency-Key.";
     ShiftState = 1408, NotRun, 409, "The shift is already in that state.", "Nothing to do.";
+    UnknownVersion = 1409, NotRun, 404, "The version is not in the history.", "Choose one that `mangogw catalogue history` lists.";
+    UnknownToken = 1410, NotRun, 404, "There is no token with this id.", "List the tokens with `mangogw token list`.";
+    TableFull = 1411, NotRun, 507, "A bounded table of the control group is full.", "Remove what is no longer used, as the detail says.";
     // 1500: targets.
     BadAnnouncement = 1500, NotRun, 422, "The announcement is not valid.", "Correct it as the detail says.";
     AddressRefused = 1501, NotRun, 403, "The announced address is not allowed.", "Announce IP:port in a network that --target-networks lists.";
@@ -149,6 +153,30 @@
     Internal = 1900, Unknown, 500, "An internal error.", "Report it with the log of the host.";
 }
 
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+/// A number that is no code.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BadCode(u16);
+
+impl fmt::Display for BadCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} is no result code", self.0)
+    }
+}
+
+impl TryFrom<u16> for Code {
+    type Error = BadCode;
+
+    fn try_from(number: u16) -> Result<Self, BadCode> {
+        Self::from_number(number).ok_or(BadCode(number))
+    }
+}
+
 impl Code {
     /// The number, as in the `Mangogw-Code` header.
     pub const fn number(self) -> u16 {
