--- a/crates/cluster/tests/submissions.rs
+++ b/crates/cluster/tests/submissions.rs
@@ -2,8 +2,8 @@
 
 use mangogw_cluster::ownership::{Command, Holder, Ownership, Peer, RangeId};
 use mangogw_cluster::records::{
-    Body, Change, Output, Page, RecordMessage, Records, Reply, Settings, Step, Submission, Tag, Task, TaskEnd, Verdict,
-    Work,
+    Ask, Body, Change, Output, Page, RecordMessage, Records, Reply, Settings, Step, Submission, Tag, Task, TaskEnd,
+    Told, Verdict, Work,
 };
 use mangogw_model::{Code, HostId, Incarnation, Key, TaskIndex, Time};
 use std::sync::Arc;
@@ -308,3 +308,166 @@
     let whole = |page: &Page| page.images.iter().map(|image| image.key.as_str()).eq(["before"]);
     assert!(matches!(&*handed, [Body::State { page, .. }] if whole(page)), "{handed:?}");
 }
+
+#[test]
+fn a_range_whose_holders_never_come_back_waits_for_the_operator_and_then_starts_blind() {
+    let mut alone = Alone::open(|_| {});
+    let range = alone.table.locate(&"k".into()).unwrap();
+    let epoch = alone.table.range(range).unwrap().epoch;
+    let gone = Holder::new(HostId(9), Incarnation(1));
+    let apply = |alone: &mut Alone, command: &Command| {
+        alone.index += 1;
+        alone.table.apply(alone.index, command);
+        alone.records.install(alone.now, &alone.table);
+        alone.pass(Duration::from_millis(400));
+    };
+    apply(&mut alone, &Command::Assign { range, epoch, holders: vec![gone] });
+    apply(&mut alone, &Command::Ready { range, epoch: epoch + 1 });
+    apply(&mut alone, &Command::Assign { range, epoch: epoch + 1, holders: vec![peer(1).holder] });
+    let ready = Command::Ready { range, epoch: epoch + 2 };
+    assert!(!alone.seen.contains(&Output::Propose(ready.clone())), "nobody has the records");
+    apply(&mut alone, &Command::Forget { range, epoch: epoch + 2 });
+    assert!(alone.seen.contains(&Output::Propose(ready.clone())));
+    apply(&mut alone, &ready);
+    alone.submit(1, "k", &work(1, "one"));
+    assert_eq!(alone.reply(1), Some(&Reply::Refused(Code::HomeUnknown)));
+}
+
+/// A follower of host 1 that granted it a lease just now and is named the owner in its place.
+fn promoted() -> (Time, Ownership, Records) {
+    let (owner, follower) = (HostId(1), HostId(2));
+    let holders: Vec<Holder> = [owner, follower].map(|host| Holder::new(host, Incarnation(1))).into();
+    let (range, now) = (RangeId(0), Time::from_millis(1));
+    let mut table = Ownership::default();
+    table.apply(1, &Command::Open { hashed: 1, pinned: 1, zones: Vec::new() });
+    table.apply(2, &Command::Assign { range, epoch: 0, holders: holders.clone() });
+    table.apply(3, &Command::Ready { range, epoch: 1 });
+    let mut records = Records::open(Settings::new(follower, Incarnation(1), "a".into()), now);
+    let sync = Body::Sync { range, epoch: 1, holders: holders.clone(), page: Page::default() };
+    records.on_message(now, owner, message(sync));
+    records.install(now, &table);
+    let step = Step::Open { work: work(1, "one"), left: WAIT * 9, below: 1 };
+    let change = Change { range, epoch: 1, key: "k".into(), serial: 1, step };
+    records.on_message(now, owner, message(Body::Step(change)));
+    records.on_message(now, owner, message(Body::Renew { sent: now, ranges: vec![(range, 1)] }));
+    table.apply(4, &Command::Assign { range, epoch: 1, holders: holders[1..].to_vec() });
+    records.install(now, &table);
+    (now, table, records)
+}
+
+fn proposes(records: &mut Records) -> bool {
+    records.drain().iter().any(|output| matches!(output, Output::Propose(Command::Ready { epoch: 2, .. })))
+}
+
+#[test]
+fn a_promoted_follower_waits_until_the_former_owner_may_no_longer_act() {
+    let (now, _, mut records) = promoted();
+    records.on_tick(now + Duration::from_millis(1_099));
+    assert!(!proposes(&mut records));
+    records.on_tick(now + Duration::from_millis(1_100));
+    assert!(proposes(&mut records));
+}
+
+#[test]
+fn a_promoted_follower_goes_on_at_once_when_the_former_owner_hands_over_or_restarts() {
+    let (now, _, mut records) = promoted();
+    let state = Body::State { range: RangeId(0), epoch: 2, page: Page { exact: true, ..Page::default() } };
+    records.on_message(now, HostId(1), message(state));
+    assert!(proposes(&mut records));
+    let (now, _, mut records) = promoted();
+    records.on_peers(now, &[Peer::new(HostId(1), Incarnation(2), "a".into())]);
+    assert!(proposes(&mut records));
+}
+
+/// A submission of one task by the entry host 2.
+fn asked(request: u64, floor: u64, key: &str) -> RecordMessage {
+    let ask = Ask::Submit { work: work(1, "one"), left: WAIT, wait: WAIT, fresh: false };
+    message(Body::Ask { request, floor, key: key.into(), ask })
+}
+
+/// An owner that refused request 1, for the key "k", and has room again.
+fn refused() -> Alone {
+    let mut alone = Alone::open(|settings| {
+        settings.bytes = 1_000;
+        settings.retention = Duration::from_secs(1);
+    });
+    alone.submit(1, "first", &work(1, "one"));
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    let told = Body::Told { request: 1, told: Told::Refused(Code::Overloaded) };
+    assert!(sent(&mut alone.records).contains(&told));
+    alone.records.cancel(alone.now, Tag(2), "first".into());
+    for _ in 0..300 {
+        alone.pass(Duration::from_millis(10));
+    }
+    assert_eq!(alone.records.bytes(), 0);
+    alone
+}
+
+fn runs(records: &mut Records) -> usize {
+    records.drain().iter().filter(|output| matches!(output, Output::Run { .. })).count()
+}
+
+#[test]
+fn a_doubled_request_that_was_refused_does_not_start_later() {
+    let mut alone = refused();
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    assert_eq!(runs(&mut alone.records), 0);
+    alone.records.on_message(alone.now, HostId(2), asked(2, 2, "other"));
+    assert_eq!(runs(&mut alone.records), 1);
+}
+
+#[test]
+fn an_old_copy_of_a_settled_request_does_not_start_later() {
+    let mut alone = refused();
+    let read = Body::Ask { request: 2, floor: 2, key: "x".into(), ask: Ask::Read { wait: Duration::ZERO } };
+    alone.records.on_message(alone.now, HostId(2), message(read));
+    alone.records.on_message(alone.now, HostId(2), asked(1, 1, "k"));
+    assert_eq!(runs(&mut alone.records), 0);
+}
+
+#[test]
+fn a_refusal_is_not_run_only_if_everyone_who_got_the_request_refused_it() {
+    let mut alone = Alone::open(|_| {});
+    let range = alone.table.locate(&"k".into()).unwrap();
+    let give = |alone: &mut Alone, host: u64| {
+        let epoch = alone.table.range(range).unwrap().epoch;
+        let holders = vec![Holder::new(HostId(host), Incarnation(1))];
+        for command in [Command::Assign { range, epoch, holders }, Command::Ready { range, epoch: epoch + 1 }] {
+            alone.index += 1;
+            alone.table.apply(alone.index, &command);
+        }
+        alone.records.install(alone.now, &alone.table);
+    };
+    let told = || message(Body::Told { request: 1, told: Told::Refused(Code::Overloaded) });
+    give(&mut alone, 8);
+    alone.submit(1, "k", &work(1, "one"));
+    give(&mut alone, 9);
+    alone.pass(Duration::from_millis(200));
+    alone.records.on_message(alone.now, HostId(9), told());
+    alone.collect();
+    assert_eq!(alone.reply(1), None, "host 8 may have recorded it");
+    alone.records.on_message(alone.now, HostId(8), told());
+    alone.collect();
+    assert_eq!(alone.reply(1), Some(&Reply::Refused(Code::Overloaded)));
+}
+
+#[test]
+fn a_later_owner_frees_no_task_by_the_word_of_one_that_did_not_start_it() {
+    let (now, mut table, mut records) = promoted();
+    let later = now + Duration::from_secs(2);
+    records.on_tick(later);
+    table.apply(5, &Command::Ready { range: RangeId(0), epoch: 2 });
+    records.install(later, &table);
+    assert_eq!(runs(&mut records), 0, "the former owner may have started it");
+    let late = |end: TaskEnd| {
+        let assigned = Some((Holder::new(HostId(1), Incarnation(1)), 1));
+        message(Body::Late { key: "k".into(), task: TaskIndex(0), assigned, end })
+    };
+    // The former owner may have placed it anew after host 3 said so.
+    records.on_message(later, HostId(3), late(TaskEnd::NotStarted));
+    assert_eq!(runs(&mut records), 0);
+    records.read(later, Tag(1), "k".into(), WAIT);
+    records.on_message(later, HostId(3), late(answered("yes")));
+    let whole = Reply::Ended(Arc::new(Verdict::Complete(vec![(200, "yes".into())])));
+    assert!(records.drain().contains(&Output::Reply { tag: Tag(1), reply: whole }));
+}
