--- a/crates/mangogw/src/demo.rs
+++ b/crates/mangogw/src/demo.rs
@@ -22,6 +22,8 @@
 const SPREAD: f64 = 8.0;
 /// How long the parts may take to find each other.
 const SETTLE: Duration = Duration::from_secs(20);
+/// How long the homes of limits wait before they lease: one lease of a share, and a little.
+const SHARES: Duration = Duration::from_secs(6);
 /// Between two looks at whether they have.
 const LOOK: Duration = Duration::from_millis(20);
 
@@ -122,6 +124,7 @@
     let hosts: Vec<SocketAddr> = daemons.iter().map(Daemon::address).collect();
     let mut targets = start_targets(settings, &hosts).await?;
     until("that every target is owned", || owned(&daemons) == targets.len()).await?;
+    tokio::time::sleep(SHARES).await;
     let traffic = load_settings(settings, &hosts);
     let report = if settings.faults {
         // The host that is killed gets no traffic of its own: its callers would only see their connections cut.
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP interface: requests to [`Ask`]s, and [`Reply`]s to responses. The reference is `docs/API.md`.
 
+use crate::meters;
 use crate::node::Node;
 use crate::operate;
 use crate::settings::Network;
@@ -95,6 +96,7 @@
                 Ok(as_json(StatusCode::OK, &self.node.with(Host::target_views)))
             }
             (&Method::GET, ["v1", "status"]) => Ok(as_json(StatusCode::OK, &self.node.with(Host::status_view))),
+            (&Method::GET, ["metrics"]) => Ok(text_of(StatusCode::OK, meters::render(&self.node))),
             (&Method::GET, ["healthz"]) => Ok(text(StatusCode::OK, "alive\n")),
             (&Method::GET, ["readyz"]) if self.node.is_ready() => Ok(text(StatusCode::OK, "ready\n")),
             (&Method::GET, ["readyz"]) => Ok(text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
@@ -267,7 +269,11 @@
 }
 
 fn text(status: StatusCode, body: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from_static(body.as_bytes())));
+    text_of(status, body.to_owned())
+}
+
+fn text_of(status: StatusCode, body: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
     *response.status_mut() = status;
     response
 }
--- a/crates/mangogwd/src/lib.rs
+++ b/crates/mangogwd/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod flags;
 pub mod links;
 pub mod logs;
+pub mod meters;
 pub mod node;
 pub mod operate;
 pub mod pipeline;
--- /dev/null
+++ b/crates/mangogwd/src/meters.rs
@@ -0,0 +1,61 @@
+//! Metrics in Prometheus' text format. `docs/operate/metrics.md` says what each one means.
+
+use crate::node::Node;
+use metrics::{counter, gauge};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use std::sync::OnceLock;
+use std::sync::atomic::Ordering;
+
+static HANDLE: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// The recorder of this process; it is installed with the first use.
+fn handle() -> Option<&'static PrometheusHandle> {
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        // Another recorder, set by a program that embeds the daemon, stays.
+        metrics::set_global_recorder(recorder).ok().map(|()| handle)
+    };
+    HANDLE.get_or_init(install).as_ref()
+}
+
+/// Counts a response by its code.
+pub fn response(code: u16) {
+    if handle().is_some() {
+        counter!("mangogw_responses_total", "code" => code.to_string()).increment(1);
+    }
+}
+
+/// Every metric of this process, with the gauges of `node` as they are now.
+pub fn render(node: &Node) -> String {
+    let Some(handle) = handle() else { return String::new() };
+    observe(node);
+    handle.render()
+}
+
+fn observe(node: &Node) {
+    let status = node.with(mangogw_host::Host::status_view);
+    let host = status.host.to_string();
+    let set = |name: &'static str, value: f64| gauge!(name, "host" => host.clone()).set(value);
+    set("mangogw_ready", f64::from(u8::from(status.ready)));
+    set("mangogw_catalogue_version", status.catalogue.0 as f64);
+    set("mangogw_hosts", status.hosts as f64);
+    set("mangogw_hosts_reachable", status.reachable as f64);
+    set("mangogw_targets_owned", status.targets as f64);
+    set("mangogw_tasks", status.tasks as f64);
+    set("mangogw_relayed_requests", status.relayed as f64);
+    set("mangogw_records", status.records as f64);
+    set("mangogw_records_bytes", status.record_bytes as f64);
+    set("mangogw_leader", f64::from(u8::from(status.role.as_deref() == Some("leader"))));
+    let total = |name: &'static str, value: u64| counter!(name, "host" => host.clone()).absolute(value);
+    total("mangogw_wasted_messages_total", status.wasted);
+    let counts = node.links().counts();
+    total("mangogw_link_frames_total", counts.sent.load(Ordering::Relaxed));
+    total("mangogw_link_bytes_total", counts.bytes.load(Ordering::Relaxed));
+    total("mangogw_link_frames_dropped_total", counts.dropped.load(Ordering::Relaxed));
+    total("mangogw_link_frames_refused_total", counts.refused.load(Ordering::Relaxed));
+    for view in node.with(mangogw_host::Host::target_views) {
+        let labels = [("target", view.name.to_string()), ("state", view.state.to_owned())];
+        gauge!("mangogw_target_running", &labels).set(f64::from(view.running));
+    }
+}
--- a/crates/mangogwd/src/pipeline.rs
+++ b/crates/mangogwd/src/pipeline.rs
@@ -1,6 +1,7 @@
 //! The layers a request passes before it is handled.
 
 use crate::api::{self, Api};
+use crate::meters;
 use crate::operate::Peer;
 use bytes::Bytes;
 use http::header::CONNECTION;
@@ -9,6 +10,7 @@
 use hyper::body::Incoming;
 use mangogw_host::Refused;
 use mangogw_model::Code;
+use mangogw_wire::header;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -54,11 +56,12 @@
         let api = self.api.clone();
         let place = Arc::clone(&self.open).try_acquire_owned();
         Box::pin(async move {
-            let version = req.version();
+            let (version, code) = (req.version(), overload(&req));
             let mut response = match &place {
                 Ok(_held) => api.handle(req).await,
-                Err(_full) => api::refusal(&Refused::new(Code::Overloaded, "too many open requests")),
+                Err(_full) => api::refusal(&Refused::new(code, "too many open requests")),
             };
+            count(&response);
             // A client that is told to close moves on before the listener goes.
             if api.node.is_closing() && version < Version::HTTP_2 {
                 response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -68,3 +71,16 @@
         })
     }
 }
+
+/// What a full host says: with a key it can't know whether the submission ran before.
+fn overload(request: &Request<Incoming>) -> Code {
+    let keyed = request.headers().contains_key(header::KEY) || request.uri().path().starts_with("/v1/jobs");
+    if keyed { Code::HomeUnknown } else { Code::Overloaded }
+}
+
+fn count(response: &Response<Full<Bytes>>) {
+    let code = response.headers().get(header::CODE).and_then(|value| value.to_str().ok());
+    if let Some(code) = code.and_then(|text| text.parse().ok()) {
+        meters::response(code);
+    }
+}
--- /dev/null
+++ b/crates/model/tests/codes.rs
@@ -0,0 +1,40 @@
+//! The table of codes in the documentation is the table in the code.
+//!
+//! `MANGOGW_WRITE_CODES=1` writes the page anew.
+
+use mangogw_model::Code;
+use std::fmt::Write;
+use std::path::Path;
+
+fn page() -> String {
+    let mut page = String::from(
+        "# Result codes\n\nEvery answer of a host carries `Mangogw-Code` and `Mangogw-Outcome`. `not-run` is said only \
+         where nothing of the\nsubmission has started or will start; where that can't be told, the outcome is `unknown`.\n\n\
+         | code | outcome | status | meaning | what to do |\n|---|---|---|---|---|\n",
+    );
+    for code in Code::ALL {
+        let (number, outcome, status) = (code.number(), code.outcome(), code.status());
+        writeln!(page, "| {number} | {outcome} | {status} | {} | {} |", code.title(), code.advice()).unwrap();
+    }
+    page
+}
+
+#[test]
+fn the_page_is_the_table() {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/CODES.md");
+    if std::env::var_os("MANGOGW_WRITE_CODES").is_some() {
+        std::fs::write(&path, page()).unwrap();
+    }
+    assert_eq!(std::fs::read_to_string(&path).unwrap(), page(), "run with MANGOGW_WRITE_CODES=1");
+}
+
+#[test]
+fn numbers_lead_back_to_their_codes() {
+    for code in Code::ALL {
+        assert_eq!(Code::from_number(code.number()), Some(*code));
+        let text = serde_json::to_string(code).unwrap();
+        assert_eq!(text, code.number().to_string());
+        assert_eq!(serde_json::from_str::<Code>(&text).unwrap(), *code);
+    }
+    assert!(serde_json::from_str::<Code>("1").is_err());
+}
