Views in the tool, traffic of whole hosts measured

Cause: an operator had to read JSON; control traffic of whole hosts was not known. Change: mangogw hosts|targets|leases|status as tables; an example that counts the encoded bytes between 3 to 63 whole hosts.

--- /dev/null
+++ b/crates/host/examples/traffic.rs
@@ -0,0 +1,38 @@
+//! Control traffic and processor time of whole hosts at rest, by the number of hosts and targets, as JSON.
+//!
+//! `cargo run --release -p mangogw-host --example traffic > bench/data/hosts.json`
+
+#[path = "../tests/world/mod.rs"]
+#[expect(dead_code, reason = "the tests use the rest")]
+mod world;
+
+use std::time::{Duration, Instant};
+use world::{Faults, World};
+
+const CALM: Faults = Faults { loss: 0.0, copies: 0.0, cuts: false, crashes: false, freezes: false, targets: false };
+/// Hosts and targets of each run.
+const SIZES: [(usize, usize); 6] = [(3, 50), (7, 50), (7, 100), (21, 100), (21, 300), (63, 300)];
+/// The parts find each other in this time.
+const SETTLE: Duration = Duration::from_secs(15);
+/// What is counted.
+const SPAN: Duration = Duration::from_secs(20);
+
+fn main() {
+    let rows: Vec<String> = SIZES.iter().map(|&(hosts, targets)| measure(hosts, targets)).collect();
+    println!("[\n{}\n]", rows.join(",\n"));
+}
+
+fn measure(hosts: usize, targets: usize) -> String {
+    let mut world = World::open(1, hosts, targets, CALM);
+    world.run(world.now + SETTLE);
+    let (bytes, messages) = (world.bytes, world.messages);
+    let begun = Instant::now();
+    world.run(world.now + SPAN);
+    let seconds = SPAN.as_secs_f64() * hosts as f64;
+    let (bytes, messages) = ((world.bytes - bytes) as f64 / seconds, (world.messages - messages) as f64 / seconds);
+    let core = begun.elapsed().as_secs_f64() / seconds * 100.0;
+    let owned = world.owned();
+    format!(
+        r#"{{"hosts":{hosts},"targets":{targets},"owned":{owned},"bytes_per_s":{bytes:.1},"messages_per_s":{messages:.1},"core_percent":{core:.4}}}"#
+    )
+}
--- a/crates/host/tests/world/mod.rs
+++ b/crates/host/tests/world/mod.rs
@@ -98,6 +98,7 @@
     pub asked: IndexMap<(usize, u64), Asked>,
     pub starts: IndexMap<(Key, u32), u32>,
     pub messages: u64,
+    pub bytes: u64,
     quiet: bool,
 }
 
@@ -121,6 +122,7 @@
             asked: IndexMap::new(),
             starts: IndexMap::new(),
             messages: 0,
+            bytes: 0,
             quiet: true,
         };
         for number in 0..hosts {
@@ -270,7 +272,9 @@
 
     fn send(&mut self, from: usize, to: usize, message: &Message) {
         // The bytes have to carry it: what does not encode is lost.
-        let message = Message::decode(&message.encode()).expect("every message survives its encoding");
+        let bytes = message.encode();
+        self.bytes += bytes.len() as u64;
+        let message = Message::decode(&bytes).expect("every message survives its encoding");
         let copies = 1 + usize::from(self.rng.random::<f64>() < self.faults.copies);
         for _ in 0..copies {
             let lost = self.rng.random::<f64>() < self.faults.loss;
--- a/crates/mangogw/src/command.rs
+++ b/crates/mangogw/src/command.rs
@@ -5,6 +5,7 @@
 use crate::load;
 use crate::operators;
 use crate::target::{Fault, Settings as TargetSettings, Target};
+use crate::views::{self, VIEWS};
 use bytes::Bytes;
 use http::Method;
 use mangogw_model::{Capacity, EntryName, Kind};
@@ -35,6 +36,10 @@
     Command { name: "submit", args: "FILE", help: "submit a job from a JSON file; - is standard input", flags: CALL },
     Command { name: "job", args: "KEY", help: "read a job", flags: CALL },
     Command { name: "cancel", args: "KEY", help: "cancel a job", flags: CALL },
+    Command { name: "hosts", args: "", help: "the hosts that a host knows", flags: VIEW },
+    Command { name: "targets", args: "", help: "the targets that a host owns", flags: VIEW },
+    Command { name: "leases", args: "", help: "its leases on them", flags: VIEW },
+    Command { name: "status", args: "", help: "a host in figures", flags: VIEW },
     Command { name: "load", args: "", help: "send load to a cluster and report what came of it", flags: LOAD },
     Command { name: "demo", args: "", help: "run three zones, their targets and traffic in one process", flags: DEMO },
     Command { name: "target", args: "", help: "run a stand-in target", flags: TARGET },
@@ -42,6 +47,8 @@
 
 const HOST: Flag = Flag::new("Host", "host", "IP:PORT", "127.0.0.1:7070", "entry host");
 
+const VIEW: &[Flag] = &[HOST, Flag::new("Output", "json", "", "", "print JSON")];
+
 const LOAD: &[Flag] = &[
     Flag::new("Host", "hosts", "LIST", "127.0.0.1:7070", "entry hosts, joined by commas, asked in turn"),
     Flag::new("Load", "rate", "N", "100", "calls a second"),
@@ -155,6 +162,7 @@
         name if operators::COMMANDS.iter().any(|command| command.name == name) => {
             operators::run(name, &given).await.context(OperateSnafu)
         }
+        name if VIEWS.iter().any(|view| view.name == name) => view(name, &given).await,
         "target" => target(&given).await,
         "load" => load(&given).await,
         "demo" => demo(&given).await,
@@ -170,6 +178,14 @@
     ExitCode::SUCCESS
 }
 
+async fn view(name: &str, given: &Given) -> Result<ExitCode, BadCommand> {
+    let host = given.read("host", host).context(FlagsSnafu)?;
+    let view = VIEWS.iter().find(|view| view.name == name).unwrap_or(&VIEWS[0]);
+    let response = Client::default().call(host, Method::GET, view.path, &[], Bytes::new()).await.context(CallSnafu)?;
+    views::print(view, &response, given.is_set("json"));
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn call(command: &Command, given: &Given) -> Result<ExitCode, BadCommand> {
     let host = given.read("host", host).context(FlagsSnafu)?;
     let arg = given.free.first().ok_or(BadCommand::Missing { command: command.name, args: command.args })?;
--- a/crates/mangogw/src/lib.rs
+++ b/crates/mangogw/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod load;
 pub mod operators;
 pub mod target;
+pub mod views;
