--- a/crates/host/examples/traffic.rs
+++ b/crates/host/examples/traffic.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p mangogw-host --example traffic > bench/data/hosts.json`
 
-#[path = "../tests/world/mod.rs"]
+#[path = "../tests/hosts/world/mod.rs"]
 #[expect(dead_code, reason = "the tests use the rest")]
 mod world;
 
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -1,14 +1,17 @@
 //! The control group on one of its members: the replicated log and the state that it makes.
 
+mod view;
+
 use crate::operate::{Call, Told, View, What};
 use bytes::Bytes;
 use indexmap::IndexMap;
-use mangogw_catalogue::{Action, Caller as Principal, Command, Control, Gate, Line, Session};
+use mangogw_catalogue::{Action, Caller as Principal, Command, Control, Gate};
 use mangogw_cluster::ownership::{self, Ownership, Peer};
 use mangogw_model::{Code, HostId, Incarnation, Time};
 use mangogw_store::{Applied, Birth, Change, Output, Raft, Refusal, Role, Stored, Tag, Write, WriteId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use view::refusal;
 
 /// The leader looks for changes of the ownership table and the members so often.
 const PLAN_PERIOD: Duration = Duration::from_millis(250);
@@ -87,9 +90,15 @@
     fn apply(&mut self, entry: &Applied) -> Option<mangogw_catalogue::Reply> {
         let index = entry.id.index.0;
         match postcard::from_bytes(entry.command()?).ok()? {
-            LogCommand::Control(bytes) => {
-                Command::decode(&bytes).ok().map(|command| self.control.apply(index, &command))
-            }
+            LogCommand::Control(bytes) => match Command::decode(&bytes) {
+                Ok(command) => Some(self.control.apply(index, &command)),
+                // Every replica passes over it alike; whoever waits for it must not hear that it was done.
+                Err(error) => Some(mangogw_catalogue::Reply {
+                    code: Code::Internal,
+                    version: self.control.catalogue().version(),
+                    detail: error.to_string(),
+                }),
+            },
             LogCommand::Ownership(command) => {
                 self.table.apply(index, &command);
                 None
@@ -440,69 +449,4 @@
         };
         self.tell(waiting.asker, Told::refused(code, detail));
     }
-
-    fn view(&self, view: &View) -> Told {
-        let control = &self.state.control;
-        let version = control.catalogue().version();
-        let body = match view {
-            View::Catalogue { toml, version } => {
-                let catalogue = match version {
-                    None => Some(control.catalogue().clone()),
-                    Some(version) => control.catalogue_at(*version),
-                };
-                catalogue.map(|catalogue| if *toml { catalogue.to_toml() } else { catalogue.to_json() })
-            }
-            View::Entry(name) => control.catalogue().entry(name).map(|entry| json(entry.as_ref())),
-            View::History => Some(json(&control.history().collect::<Vec<_>>())),
-            View::Audit(query) => Some(lines(control.audit(query))),
-            View::Tokens => Some(json(&control.tokens().collect::<Vec<_>>())),
-            View::Shift => Some(json(control.shift())),
-            View::Group => Some(self.members()),
-            View::Ownership => Some(json(&self.state.table)),
-        };
-        match body {
-            Some(body) => Told::Read { version, body },
-            None => Told::refused(Code::UnknownEntry, "there is no such entry or version"),
-        }
-    }
-
-    fn members(&self) -> String {
-        let status = self.raft.status();
-        let group = GroupView {
-            leader: status.leader,
-            term: status.term.0,
-            commit: status.commit.0,
-            voters: status.members.voters.keys().copied().collect(),
-            learners: status.members.learners.keys().copied().collect(),
-            silent: status.peers.iter().filter(|peer| !peer.alive).map(|peer| peer.host).collect(),
-        };
-        json(&group)
-    }
-}
-
-/// The control group as operators see it.
-#[derive(Debug, Serialize)]
-struct GroupView {
-    leader: Option<HostId>,
-    term: u64,
-    commit: u64,
-    voters: Vec<HostId>,
-    learners: Vec<HostId>,
-    silent: Vec<HostId>,
-}
-
-fn lines(found: impl Iterator<Item = Line>) -> String {
-    let lines: Vec<String> = found.map(|line| line.to_string()).collect();
-    lines.join("\n")
-}
-
-fn json<T: Serialize + ?Sized>(value: &T) -> String {
-    serde_json::to_string(value).unwrap_or_default()
-}
-
-/// Tokens and the audit trail are for administrators.
-fn refusal(view: &View, session: &Session) -> Option<Told> {
-    let guarded = matches!(view, View::Tokens);
-    let allowed = session.principal.role == mangogw_catalogue::Role::Administrator;
-    (guarded && !allowed).then(|| Told::refused(Code::Forbidden, "only an administrator reads the tokens"))
 }
--- /dev/null
+++ b/crates/host/src/group/view.rs
@@ -0,0 +1,74 @@
+//! What operators read of the control group.
+
+use super::Group;
+use crate::operate::{Told, View};
+use mangogw_catalogue::{Line, Role, Session};
+use mangogw_model::{Code, HostId};
+use serde::Serialize;
+
+impl<T: Clone> Group<T> {
+    pub(super) fn view(&self, view: &View) -> Told {
+        let control = &self.state.control;
+        let version = control.catalogue().version();
+        let body = match view {
+            View::Catalogue { toml, version } => {
+                let catalogue = match version {
+                    None => Some(control.catalogue().clone()),
+                    Some(version) => control.catalogue_at(*version),
+                };
+                catalogue.map(|catalogue| if *toml { catalogue.to_toml() } else { catalogue.to_json() })
+            }
+            View::Entry(name) => control.catalogue().entry(name).map(|entry| json(entry.as_ref())),
+            View::History => Some(json(&control.history().collect::<Vec<_>>())),
+            View::Audit(query) => Some(lines(control.audit(query))),
+            View::Tokens => Some(json(&control.tokens().collect::<Vec<_>>())),
+            View::Shift => Some(json(control.shift())),
+            View::Group => Some(self.members()),
+            View::Ownership => Some(json(&self.state.table)),
+        };
+        match body {
+            Some(body) => Told::Read { version, body },
+            None => Told::refused(Code::UnknownEntry, "there is no such entry or version"),
+        }
+    }
+
+    fn members(&self) -> String {
+        let status = self.raft.status();
+        let group = GroupView {
+            leader: status.leader,
+            term: status.term.0,
+            commit: status.commit.0,
+            voters: status.members.voters.keys().copied().collect(),
+            learners: status.members.learners.keys().copied().collect(),
+            silent: status.peers.iter().filter(|peer| !peer.alive).map(|peer| peer.host).collect(),
+        };
+        json(&group)
+    }
+}
+
+/// The control group as operators see it.
+#[derive(Debug, Serialize)]
+struct GroupView {
+    leader: Option<HostId>,
+    term: u64,
+    commit: u64,
+    voters: Vec<HostId>,
+    learners: Vec<HostId>,
+    silent: Vec<HostId>,
+}
+
+fn lines(found: impl Iterator<Item = Line>) -> String {
+    let lines: Vec<String> = found.map(|line| line.to_string()).collect();
+    lines.join("\n")
+}
+
+fn json<T: Serialize + ?Sized>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+/// Tokens are for administrators.
+pub(super) fn refusal(view: &View, session: &Session) -> Option<Told> {
+    let guarded = matches!(view, View::Tokens);
+    let allowed = session.principal.role == Role::Administrator;
+    (guarded && !allowed).then(|| Told::refused(Code::Forbidden, "only an administrator reads the tokens"))
+}
--- a/crates/host/tests/focused.rs
+++ b/crates/host/tests/hosts/focused.rs
@@ -1,13 +1,10 @@
 //! Single failures between whole hosts that the seeded runs meet too rarely.
 
-#[expect(dead_code, reason = "the seeded runs use the rest")]
-mod world;
-
+use crate::world::{Faults, World};
 use bytes::Bytes;
 use mangogw_host::{Ask, Message, Order, RelayMessage, Reply};
 use mangogw_model::{Code, HostId, Incarnation, Key, Time};
 use std::time::Duration;
-use world::{Faults, World};
 
 const CALM: Faults = Faults { loss: 0.0, copies: 0.0, cuts: false, crashes: false, freezes: false, targets: false };
 const SETTLED: Time = Time::from_millis(8_000);
@@ -19,15 +16,15 @@
     world
 }
 
-fn order(life: u64) -> Box<Order> {
-    Box::new(Order {
+fn order(life: u64) -> Order {
+    Order {
         life: Incarnation(life),
         entry: "scan".into(),
         key: "relayed".into(),
         left: Duration::from_secs(3),
         repeat: false,
         body: Bytes::from_static(b"once"),
-    })
+    }
 }
 
 fn starts(world: &World) -> u32 {
@@ -43,7 +40,7 @@
 #[test]
 fn an_order_for_an_earlier_life_is_not_run() {
     let mut world = settled(3, 3);
-    let run = Message::Relay(RelayMessage::Run { serial: 7, order: order(0) });
+    let run = Message::Relay(RelayMessage::Run { serial: 7, order: Box::new(order(0)) });
     world.bring(0, HostId(2), run);
     world.run(world.now + Duration::from_secs(1));
     assert_eq!(starts(&world), 0);
@@ -52,7 +49,7 @@
 #[test]
 fn a_late_copy_of_an_order_is_not_run_again() {
     let mut world = settled(3, 3);
-    let run = || Message::Relay(RelayMessage::Run { serial: 7, order: order(1) });
+    let run = || Message::Relay(RelayMessage::Run { serial: 7, order: Box::new(order(1)) });
     world.bring(0, HostId(2), run());
     world.run(world.now + Duration::from_secs(1));
     assert_eq!(starts(&world), 1);
--- /dev/null
+++ b/crates/host/tests/hosts/main.rs
@@ -0,0 +1,5 @@
+//! Whole host values together: seeded runs under faults, and single failures.
+
+mod focused;
+mod promises;
+mod world;
--- a/crates/host/tests/promises.rs
+++ b/crates/host/tests/hosts/promises.rs
@@ -2,12 +2,10 @@
 //!
 //! `MANGOGW_WORLD_SEEDS=100..200` runs other seeds.
 
-mod world;
-
+use crate::world::{Faults, World};
 use mangogw_host::{Ask, Reply};
 use mangogw_model::Time;
 use std::time::Duration;
-use world::{Faults, World};
 
 const CALM: Faults = Faults { loss: 0.0, copies: 0.0, cuts: false, crashes: false, freezes: false, targets: false };
 const STORM: Faults = Faults { loss: 0.02, copies: 0.02, cuts: true, crashes: true, freezes: true, targets: true };
