A host that was paused runs its timers before it judges what comes in

Change: on a request or message more than 250 ms after the last look at other hosts, the timers run first.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -26,6 +26,8 @@
 
 /// The view of other hosts is taken anew at least so often.
 const VIEW_PERIOD: Duration = Duration::from_millis(50);
+/// A host whose timers did not run for so long was paused.
+const PAUSE: Duration = Duration::from_millis(250);
 /// The dispatch core trusts a target that this host owns for so long after the grants were looked at.
 const TARGET_LEASE: Duration = Duration::from_secs(1);
 
@@ -148,6 +150,7 @@
 
     /// Takes a request of a caller, a target or an operator.
     pub fn on_request(&mut self, now: Time, caller: Caller, ask: Ask) {
+        self.catch_up(now);
         match ask {
             Ask::Run { entry, key, within, body } => self.run(now, caller, entry, key, within, body),
             Ask::Submit(job) => self.submit(now, caller, job),
@@ -171,6 +174,7 @@
 
     /// Takes a message of another host in.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        self.catch_up(now);
         match message {
             Message::Members(message) => self.members.on_message(now, from, message),
             Message::Grants(message) => self.grants.on_message(now, from, message),
@@ -243,6 +247,14 @@
         self.settle(now);
     }
 
+    /// Runs what depends on time first if the process was paused: what comes in after a pause must not be judged by
+    /// views and leases from before it.
+    fn catch_up(&mut self, now: Time) {
+        if self.viewed.is_some_and(|viewed| now - viewed >= PAUSE) {
+            self.on_tick(now);
+        }
+    }
+
     /// Takes no new work from callers; what was taken goes on, and what this host owns is handed over.
     pub fn on_drain(&mut self, now: Time) {
         self.draining = true;
--- a/crates/host/tests/hosts/focused.rs
+++ b/crates/host/tests/hosts/focused.rs
@@ -100,3 +100,14 @@
     world.run(world.now + Duration::from_secs(6));
     assert!(ready(&world, 4) && ready(&world, 7));
 }
+
+/// Cause: the first request after a pause met targets whose trust had run out, because the timers had not run yet.
+#[test]
+fn the_first_request_after_a_pause_is_served() {
+    let mut world = settled(3, 3);
+    world.pause(0, Duration::from_millis(1_500));
+    let before = world.asked.len();
+    world.ask(0, None, Ask::run("route", b"after a pause"));
+    world.run(world.now + Duration::from_secs(1));
+    assert!(matches!(world.asked[before].reply, Some(Reply::Answer { .. })), "{:?}", world.asked[before]);
+}
--- a/crates/host/tests/hosts/world/mod.rs
+++ b/crates/host/tests/hosts/world/mod.rs
@@ -441,6 +441,12 @@
         ended
     }
 
+    /// Lets time pass for all but one host, which stands still until then.
+    pub fn pause(&mut self, number: usize, span: Duration) {
+        self.nodes[number].frozen = self.now + span + TICK;
+        self.run(self.now + span);
+    }
+
     /// Brings a message to a host, as if another host had sent it.
     pub fn bring(&mut self, to: usize, from: HostId, message: Message) {
         let now = self.now;
