Routing: slow answers of other zones are awaited before an entry is said to have no targets

Cause: a host without targets of an entry waited four one-way times, 4 ms, for other zones and then said 1206; one slow packet was enough. Change: 30 ms at least, counted from the first question of a series, so that an entry nobody serves is still refused. Conclusion: a request to an entry without targets near may wait 30 ms once before it is refused.

--- a/crates/cluster/src/route/mod.rs
+++ b/crates/cluster/src/route/mod.rs
@@ -42,6 +42,10 @@
 pub const STALE: Duration = Duration::from_secs(5);
 /// Another zone's load for an entry is asked for at most so often.
 pub const ASK_PERIOD: Duration = Duration::from_millis(50);
+/// Answers of other zones are awaited at least so long before no host is said to serve an entry.
+pub const ASK_PATIENCE: Duration = Duration::from_millis(30);
+/// A question after such a pause is the first of a new series.
+pub const ASK_PAUSE: Duration = Duration::from_secs(1);
 /// Other zones asked at once.
 pub const ASK_ZONES: usize = 3;
 /// A task leaves the queue for another host if that saves this part of its run time.
@@ -101,6 +105,8 @@
     told: Load,
     sent: Time,
     asked: Option<Time>,
+    /// Since when other zones have been asked again and again.
+    since: Option<Time>,
 }
 
 /// The choice of hosts for tasks.
@@ -269,6 +275,9 @@
         if own.asked.is_some_and(|at| now - at < ASK_PERIOD) {
             return;
         }
+        if own.asked.is_none_or(|at| now - at >= ASK_PAUSE) {
+            own.since = Some(now);
+        }
         own.asked = Some(now);
         let mut zones: Vec<Zone> = self.hosts.values().filter(|&zone| *zone != self.zone).cloned().collect();
         zones.sort_unstable();
@@ -283,11 +292,12 @@
         }
     }
 
-    /// True while answers of other zones are still expected.
+    /// True while answers of other zones are still expected. Links are slower than their usual delay at times, and "no
+    /// host serves it" must not be said because one was.
     fn unasked(&self, now: Time, entry: &EntryName) -> bool {
-        let asked = self.own.get(entry).and_then(|own| own.asked);
+        let since = self.own.get(entry).and_then(|own| own.since);
         let others = self.hosts.values().any(|zone| *zone != self.zone);
-        others && asked.is_none_or(|at| now - at < self.far * 4)
+        others && since.is_none_or(|at| now - at < ASK_PATIENCE.max(self.far * 4))
     }
 
     /// Takes the outputs since the last call.
