--- a/crates/cluster/tests/route.rs
+++ b/crates/cluster/tests/route.rs
@@ -99,7 +99,7 @@
 fn entry_without_targets_waits_for_other_zones_then_ends() {
     let mut route = route(1.0);
     assert_eq!(route.place(NOW, &entry()), Place::Wait);
-    assert_eq!(route.place(NOW + ASK_PATIENCE - Duration::from_millis(1), &entry()), Place::Wait);
+    assert_eq!(route.place(NOW + (ASK_PATIENCE - Duration::from_millis(1)), &entry()), Place::Wait);
     assert_eq!(route.place(NOW + ASK_PATIENCE, &entry()), Place::Nowhere);
 }
 
