A new leader judges no token before it has read its log

Ruled out: the folder (every change was there after the next start). Change: until an entry of its term is applied, a new leader answers 1406 (resend under the same key). Figures: a test with one voter whose writes are held back: 1400 without the change, 1406 and then the answer with it. Conclusion: calls between an election and the first applied entry are refused honestly.

--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -8,7 +8,7 @@
 use mangogw_catalogue::{Action, Caller as Principal, Command, Control, Gate};
 use mangogw_cluster::ownership::{self, Ownership, Peer};
 use mangogw_model::{Code, HostId, Incarnation, Time};
-use mangogw_store::{Applied, Birth, Change, Output, Raft, Refusal, Role, Stored, Tag, Write, WriteId};
+use mangogw_store::{Applied, Birth, Change, Output, Raft, Refusal, Role, Stored, Tag, Term, Write, WriteId};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use view::refusal;
@@ -134,6 +134,9 @@
     serial: u64,
     plan: Time,
     leads: bool,
+    /// The term this host leads in, until an entry of it was applied: the state may be older than what was
+    /// acknowledged before.
+    fresh: Option<Term>,
     joining: IndexMap<HostId, Birth>,
     leaving: IndexMap<HostId, Incarnation>,
     out: Vec<GroupOutput<T>>,
@@ -152,6 +155,7 @@
             serial: 0,
             plan: now,
             leads: false,
+            fresh: None,
             joining: IndexMap::new(),
             leaving: IndexMap::new(),
             out: Vec::new(),
@@ -274,6 +278,10 @@
     }
 
     fn lead(&mut self, now: Time, asker: T, call: Call) {
+        if self.fresh.is_some() {
+            let detail = "the leader has just been elected and reads its log";
+            return self.tell(asker, Told::refused(Code::NoLeader, detail));
+        }
         let at_ms = self.wall + now.as_micros() / 1000;
         let session = self.state.control.authenticate(&call.token, at_ms);
         let tag = self.tag();
@@ -388,7 +396,11 @@
             Output::ReadReady { tag, .. } => self.read_ready(tag),
             Output::Refused { tag, why, leader } => self.refused(tag, why, leader),
             Output::Transferred { tag } => self.done(tag),
-            Output::Role { role, .. } => self.leads = role == Role::Leader,
+            Output::Role { role, term, .. } => {
+                let begins = role == Role::Leader && !self.leads;
+                self.leads = role == Role::Leader;
+                self.fresh = if begins { Some(term) } else { self.fresh.filter(|_| self.leads) };
+            }
             Output::Compact { index } => {
                 let state = self.state.encode();
                 self.raft.compact(now, index, state);
@@ -413,6 +425,9 @@
 
     fn apply(&mut self, entry: &Applied) {
         let reply = self.state.apply(entry);
+        if self.fresh == Some(entry.id.term) {
+            self.fresh = None;
+        }
         match (entry.tag, reply) {
             (Some(tag), Some(reply)) => {
                 if let Some(waiting) = self.waiting.swap_remove(&tag) {
--- a/crates/host/tests/hosts/main.rs
+++ b/crates/host/tests/hosts/main.rs
@@ -2,4 +2,5 @@
 
 mod focused;
 mod promises;
+mod restart;
 mod world;
