Host: no quadratic views and job tables, no peer list for nobody

Cause: read-through of the whole change. The view of targets looked each owned target up by a scan of all, under the host's lock and with every scrape of /metrics; the tasks of a submission stood in a list that each end scanned; every host built the list of peers at each tick though only the leader of the control group uses it. Change: one table by name; a set; the list for the leader alone. Behaviour as before. Conclusion: linear in targets and tasks.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -121,7 +121,8 @@
 
     /// Asks a parent for what is newer, and joins the control group, when due.
     pub(crate) fn tick_control(&mut self, now: Time) {
-        let peers = self.peers();
+        let leads = self.group.as_ref().is_some_and(Group::leads);
+        let peers = if leads { self.peers() } else { Vec::new() };
         if let Some(group) = &mut self.group {
             group.on_tick(now, &peers);
         }
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -199,6 +199,7 @@
         self.settle(now);
     }
 
+    /// Does what is due. `peers` are used by the leader only, and only if it led before this tick.
     pub(crate) fn on_tick(&mut self, now: Time, peers: &[Peer]) {
         self.raft.on_tick(now);
         if self.leads && now >= self.plan {
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -65,7 +65,7 @@
     pub(crate) seats: Vec<Seat>,
     pub(crate) viewed: Option<Time>,
     pub(crate) units: Units,
-    pub(crate) live: IndexMap<Key, Vec<TaskKey>>,
+    pub(crate) live: IndexMap<Key, IndexSet<TaskKey>>,
     pub(crate) moving: IndexMap<TaskKey, HostId>,
     pub(crate) parked: VecDeque<Unit>,
     pub(crate) dirty: IndexSet<EntryKey>,
--- a/crates/host/src/run.rs
+++ b/crates/host/src/run.rs
@@ -44,7 +44,7 @@
         match self.dispatch.admit(now, work) {
             Ok(task) => {
                 if unit.origin == Origin::Record {
-                    self.live.entry(unit.key.clone()).or_default().push(task);
+                    self.live.entry(unit.key.clone()).or_default().insert(task);
                 }
                 if let Origin::Peer { host, serial } = unit.origin {
                     self.relay.take(host, serial, task);
@@ -173,7 +173,7 @@
         if unit.origin == Origin::Record {
             let tasks = self.live.get_mut(&unit.key);
             let empty = tasks.is_some_and(|tasks| {
-                tasks.retain(|&other| other != task);
+                tasks.swap_remove(&task);
                 tasks.is_empty()
             });
             if empty {
--- a/crates/host/src/view.rs
+++ b/crates/host/src/view.rs
@@ -2,6 +2,7 @@
 
 use crate::host::Host;
 use crate::spread::Standing;
+use indexmap::IndexMap;
 use mangogw_cluster::grants::Target;
 use mangogw_model::{HostId, Incarnation, Kind, Rack, TargetName, Time, Version, Zone};
 use serde::Serialize;
@@ -117,12 +118,14 @@
 
     /// The targets that this host owns.
     pub fn target_views(&self, now: Time) -> Vec<TargetView> {
+        let named = self.dispatch.target_views(now).filter_map(|view| {
+            let said = self.dispatch.announcement(view.key)?;
+            Some((&said.name, view))
+        });
+        let known: IndexMap<_, _> = named.collect();
         let owned = self.grants.owned(now);
         let views = owned.filter_map(|said| {
-            let view = self
-                .dispatch
-                .target_views(now)
-                .find(|view| self.dispatch.announcement(view.key).is_some_and(|known| known.name == said.name))?;
+            let view = known.get(&said.name)?;
             let until = self.grants.until(now, &Target::of(said)).unwrap_or(now);
             Some(TargetView {
                 name: said.name.clone(),
