--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,242 @@
+//! Calls on their way to the leader and back.
+
+use crate::{Call, Message, Reply};
+use indexmap::IndexMap;
+use mangogw_model::{HostId, Time};
+use mangogw_store::Term;
+use std::time::Duration;
+
+/// The shell's handle of an open request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Caller(pub u64);
+
+/// How long a call waits for a leader before it is refused: an election takes 0.3 to 0.6 s.
+const NO_LEADER: Duration = Duration::from_millis(450);
+/// Open calls are asked after this often.
+const ASK_AFTER: Duration = Duration::from_millis(200);
+/// The leader is asked whether it still leads this often.
+const WHERE: Duration = Duration::from_millis(150);
+/// A leader that has not said so for this long is taken for lost.
+const SILENCE: Duration = Duration::from_millis(500);
+/// A client that was refused for want of a leader may come back after this.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A call without an answer.
+#[derive(Debug)]
+struct Open {
+    caller: Caller,
+    call: Call,
+    came: Time,
+    /// When the caller stops waiting.
+    until: Time,
+    /// The leader it was last sent to, and when.
+    sent: Option<(HostId, Time)>,
+    /// Hosts that were sent the call and may have carried it out.
+    doubts: u32,
+}
+
+/// Calls on their way to the leader and back.
+#[derive(Debug)]
+pub(crate) struct Calls {
+    serial: u64,
+    open: IndexMap<u64, Open>,
+    by_caller: IndexMap<Caller, u64>,
+    leader: Option<HostId>,
+    term: Term,
+    heard: Option<Time>,
+    asked: Option<Time>,
+    checked: Time,
+    /// Where the control group may be found.
+    pub(crate) hosts: Vec<HostId>,
+    pub(crate) sends: Vec<(HostId, Message)>,
+    pub(crate) replies: Vec<(Caller, Reply)>,
+}
+
+impl Calls {
+    pub(crate) fn new(seed: u64, hosts: Vec<HostId>, now: Time) -> Self {
+        Self {
+            serial: seed << 24,
+            open: IndexMap::new(),
+            by_caller: IndexMap::new(),
+            leader: None,
+            term: Term(0),
+            heard: None,
+            asked: None,
+            checked: now,
+            hosts,
+            sends: Vec::new(),
+            replies: Vec::new(),
+        }
+    }
+
+    pub(crate) const fn leader(&self) -> Option<HostId> {
+        self.leader
+    }
+
+    /// True if a leader has lately said that it leads.
+    pub(crate) fn is_led(&self, now: Time) -> bool {
+        self.leader.is_some() && self.heard.is_some_and(|heard| now - heard < 2 * SILENCE)
+    }
+
+    /// Takes a call for the leader.
+    pub(crate) fn call(&mut self, now: Time, caller: Caller, call: Call, patience: Duration) {
+        let within = match &call {
+            Call::Submit { within: Some(within), .. } => *within,
+            _ => patience,
+        };
+        self.serial += 1;
+        let serial = self.serial;
+        self.by_caller.insert(caller, serial);
+        self.open.insert(serial, Open { caller, call, came: now, until: now + within, sent: None, doubts: 0 });
+        self.send(now, serial);
+    }
+
+    /// The client of a call has left.
+    pub(crate) fn on_gone(&mut self, caller: Caller) {
+        let Some(serial) = self.by_caller.swap_remove(&caller) else { return };
+        match self.open.swap_remove(&serial) {
+            Some(Open { sent: Some((leader, _)), call: Call::Submit { .. }, .. }) => {
+                self.sends.push((leader, Message::Gone(serial)));
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn on_answer(&mut self, serial: u64, reply: Reply) {
+        if let Some(open) = self.open.swap_remove(&serial) {
+            self.by_caller.swap_remove(&open.caller);
+            self.replies.push((open.caller, reply));
+        }
+    }
+
+    /// A host that was taken for the leader did nothing about a call.
+    pub(crate) fn on_astray(&mut self, from: HostId, serial: u64) {
+        if let Some(open) = self.open.get_mut(&serial).filter(|open| open.sent.is_some_and(|(to, _)| to == from)) {
+            open.sent = None;
+            open.doubts -= 1;
+        }
+        if self.leader == Some(from) {
+            self.leader = None;
+            self.asked = None;
+        }
+    }
+
+    /// The leader does not know these calls: they are sent again.
+    pub(crate) fn on_unknown(&mut self, now: Time, from: HostId, serials: &[u64]) {
+        for serial in serials {
+            match self.open.get_mut(serial) {
+                Some(open) if open.sent.is_some_and(|(to, _)| to == from) => open.sent = None,
+                _ => continue,
+            }
+            self.send(now, *serial);
+        }
+    }
+
+    /// Takes word of who leads; `from` is none where this host is a member itself.
+    pub(crate) fn on_leads(&mut self, now: Time, from: Option<HostId>, term: Term, leader: Option<HostId>) {
+        if term < self.term {
+            return;
+        }
+        let direct = from.is_none() || leader.is_some() && from == leader;
+        if direct && leader.is_some() {
+            self.heard = Some(now);
+        }
+        let news = term > self.term || self.leader.is_none();
+        self.term = term;
+        if !news && self.leader == leader || leader.is_none() && from.is_some() {
+            return;
+        }
+        if self.leader != leader {
+            log::info!(leader = leader.map(|host| host.0), term = term.0; "calls: leader");
+        }
+        self.leader = leader;
+        self.resend(now);
+    }
+
+    /// Sends every open call that is not with the present leader.
+    fn resend(&mut self, now: Time) {
+        let elsewhere = |open: &Open| open.sent.is_none_or(|(to, _)| Some(to) != self.leader);
+        let serials: Vec<u64> =
+            self.open.iter().filter(|(_, open)| elsewhere(open)).map(|(serial, _)| *serial).collect();
+        for serial in serials {
+            self.send(now, serial);
+        }
+    }
+
+    fn send(&mut self, now: Time, serial: u64) {
+        let (Some(leader), Some(open)) = (self.leader, self.open.get_mut(&serial)) else { return };
+        let left = open.until - now;
+        let call = match &open.call {
+            Call::Submit { host, path, id, spec, within: Some(_) } => {
+                let (host, path, spec) = (host.clone(), path.clone(), std::sync::Arc::clone(spec));
+                Call::Submit { host, path, id: *id, spec, within: Some(left) }
+            }
+            call => call.clone(),
+        };
+        open.sent = Some((leader, now));
+        open.doubts += 1;
+        self.sends.push((leader, Message::Call { serial, call }));
+    }
+
+    pub(crate) fn on_tick(&mut self, now: Time, member: bool) {
+        if !member {
+            self.seek(now);
+        }
+        self.expire(now);
+        if now - self.checked >= ASK_AFTER {
+            self.checked = now;
+            self.ask_after(now);
+        }
+    }
+
+    /// Asks who leads: the leader itself, and everybody once it is silent.
+    fn seek(&mut self, now: Time) {
+        if self.asked.is_some_and(|asked| now - asked < WHERE) {
+            return;
+        }
+        self.asked = Some(now);
+        let fresh = self.heard.is_some_and(|heard| now - heard < SILENCE);
+        match self.leader {
+            Some(leader) if fresh => self.sends.push((leader, Message::Where)),
+            _ => self.sends.extend(self.hosts.iter().map(|host| (*host, Message::Where))),
+        }
+        if !fresh && self.leader.take().is_some() {
+            log::info!("calls: the leader is silent");
+        }
+    }
+
+    /// Ends calls whose time is over, and those that find no leader.
+    fn expire(&mut self, now: Time) {
+        let leaderless = self.leader.is_none();
+        let over = |open: &Open| {
+            let stuck = leaderless && open.doubts == 0 && now - open.came >= NO_LEADER;
+            let unsure = leaderless && open.call.is_read() && now - open.came >= NO_LEADER;
+            now >= open.until || stuck || unsure
+        };
+        let ended: Vec<u64> = self.open.iter().filter(|(_, open)| over(open)).map(|(serial, _)| *serial).collect();
+        for serial in ended {
+            let Some(open) = self.open.swap_remove(&serial) else { continue };
+            self.by_caller.swap_remove(&open.caller);
+            let clean = open.doubts == 0 || open.call.is_read();
+            let reply = match clean {
+                true => Reply::Refused { why: "no leader can be reached".to_owned(), wait: COME_BACK },
+                false => Reply::Unclear,
+            };
+            log::info!(serial, waited = (now - open.came).as_millis() as u64, clean; "calls: given up");
+            if let (Some((leader, _)), Call::Submit { .. }) = (open.sent, &open.call) {
+                self.sends.push((leader, Message::Gone(serial)));
+            }
+            self.replies.push((open.caller, reply));
+        }
+    }
+
+    /// Asks the leader whether it still knows the calls that it has had for a while.
+    fn ask_after(&mut self, now: Time) {
+        let Some(leader) = self.leader else { return };
+        let old = |open: &Open| open.sent.is_some_and(|(to, at)| to == leader && now - at >= ASK_AFTER);
+        let serials: Vec<u64> = self.open.iter().filter(|(_, open)| old(open)).map(|(serial, _)| *serial).collect();
+        if !serials.is_empty() {
+            self.sends.push((leader, Message::Still(serials)));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/identity.rs
@@ -0,0 +1,54 @@
+//! Host ids: the address of a host and a number that is new for each data folder.
+
+use mangogw_model::HostId;
+use mangogw_store::{Birth, GroupId, Members, Stored};
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Bits of the number behind the address.
+const NONCE_BITS: u32 = 16;
+/// Distinguishes births of folders that found a group from drawn ones.
+const FOUNDED: u64 = 1 << 62;
+
+/// The id of a host at an address. Founders and hosts without a folder have number 0; a folder that comes to a group
+/// later draws a number, since an id is never used again after its disk was lost.
+///
+/// ```
+/// use mangogw_control::{address_of, host_at};
+/// let host = host_at("10.0.0.7".parse().unwrap(), 3);
+/// assert_eq!(address_of(host, 7720).to_string(), "10.0.0.7:7720");
+/// ```
+pub const fn host_at(ip: Ipv4Addr, nonce: u16) -> HostId {
+    HostId(((ip.to_bits() as u64) << NONCE_BITS) | nonce as u64)
+}
+
+/// Where a host listens for others; the port is the same on all hosts.
+pub fn address_of(host: HostId, port: u16) -> SocketAddr {
+    SocketAddr::from((ip_of(host), port))
+}
+
+pub(crate) const fn ip_of(host: HostId) -> Ipv4Addr {
+    Ipv4Addr::from_bits((host.0 >> NONCE_BITS) as u32)
+}
+
+/// The state of a founder: all founders write the same members, so that nobody has to decide.
+///
+/// ```
+/// let ips = ["10.0.0.1".parse().unwrap(), "10.0.0.2".parse().unwrap()];
+/// let one = mangogw_control::found(ips[0], &ips);
+/// assert_eq!(one.members().voters.len(), 2);
+/// assert_eq!(one.members(), mangogw_control::found(ips[1], &ips).members());
+/// ```
+pub fn found(ip: Ipv4Addr, founders: &[Ipv4Addr]) -> Stored {
+    let host = |ip: &Ipv4Addr| host_at(*ip, 0);
+    let birth = |host: HostId| Birth(FOUNDED | host.0);
+    let members = Members::of(founders.iter().map(|ip| (host(ip), birth(host(ip)))));
+    let group = founders.iter().map(|ip| u64::from(ip.to_bits())).fold(FOUNDED, |sum, ip| sum.wrapping_mul(31) ^ ip);
+    let own = host(&ip);
+    Stored::founding(own, birth(own), GroupId(group | 1), members, bytes::Bytes::new())
+}
+
+/// The state of a new folder that waits to be taken into a group; `drawn` is random.
+pub fn join(ip: Ipv4Addr, drawn: u64) -> Stored {
+    let nonce = ((drawn % u64::from(u16::MAX)) + 1) as u16;
+    Stored::joining(host_at(ip, nonce), Birth((drawn >> 2) | 1))
+}
--- /dev/null
+++ b/crates/control/src/member.rs
@@ -0,0 +1,526 @@
+//! The control group on one of its members: the log, the state that it makes, and the board of the leader.
+
+use crate::grow::Growth;
+use crate::{Call, Message, Reply, Settings};
+use indexmap::IndexMap;
+use mangogw_jobs::{Board, Command, JobId, Kept, Ledger, Note, Outcome, Phase, Submission, TargetKey};
+use mangogw_jobs::{Order, Output as Wish, Verdict};
+use mangogw_model::{HostId, Time};
+use mangogw_store::{Applied, Index, Output, Raft, Refusal, Role, Status, Stored, Tag, Write, WriteId};
+use std::time::Duration;
+
+/// Ended jobs are dropped from the log this often.
+const EXPIRE_PERIOD: Duration = Duration::from_secs(5);
+/// What a client is told to wait while the leader is busy or changing.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// A leader that hands over has so long before it tries another way.
+const HANDOVER: Duration = Duration::from_millis(600);
+
+/// Where a call came from: the host and its number for the call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) struct Asker {
+    pub(crate) host: HostId,
+    pub(crate) serial: u64,
+}
+
+/// What waits for the log.
+#[derive(Debug)]
+enum Waiting {
+    /// A read that must be current.
+    Read(Asker, Call),
+    /// A change whose sender wants to know.
+    Change(Asker, Command),
+    /// Ends that a target listed.
+    Ends { target: TargetKey, numbers: Vec<u64>, notes: Vec<Note> },
+    /// Nobody waits.
+    Nothing,
+}
+
+/// What a member wants done.
+#[derive(Debug)]
+pub(crate) enum MemberOutput {
+    Send(HostId, Message),
+    Write(Write),
+    Order(Order),
+    Answer(Asker, Reply),
+    /// The state can't be read: this process must end.
+    Broken,
+}
+
+/// One member of the control group.
+#[derive(Debug)]
+pub(crate) struct Member {
+    settings: Settings,
+    pub(crate) raft: Raft,
+    pub(crate) ledger: Ledger,
+    pub(crate) board: Option<Board>,
+    /// The last entry that was applied.
+    applied: Index,
+    waiting: IndexMap<Tag, Waiting>,
+    serial: u64,
+    /// Open calls by their number on the board.
+    tickets: IndexMap<u64, Asker>,
+    by_asker: IndexMap<Asker, u64>,
+    /// Calls that came before the board was open.
+    early: Vec<(Asker, Call)>,
+    /// Changes that the log would not take yet.
+    again: Vec<Waiting>,
+    /// Ends that were answered, so that a lost answer can be given again.
+    growth: Growth,
+    expired: Time,
+    stepping: Option<Time>,
+    out: Vec<MemberOutput>,
+}
+
+impl Member {
+    pub(crate) fn open(settings: Settings, stored: Stored, now: Time) -> Self {
+        let raft_settings = mangogw_store::Settings { seed: settings.seed, ..mangogw_store::Settings::default() };
+        let mut member = Self {
+            raft: Raft::open(raft_settings, stored, now),
+            ledger: Ledger::default(),
+            board: None,
+            applied: Index(0),
+            waiting: IndexMap::new(),
+            serial: settings.seed << 24,
+            tickets: IndexMap::new(),
+            by_asker: IndexMap::new(),
+            early: Vec::new(),
+            again: Vec::new(),
+            growth: Growth::new(settings.voters, now),
+            expired: now,
+            stepping: None,
+            out: Vec::new(),
+            settings,
+        };
+        member.settle(now);
+        member
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        self.raft.status()
+    }
+
+    pub(crate) const fn leads(&self) -> bool {
+        self.board.is_some()
+    }
+
+    pub(crate) fn drain(&mut self, now: Time) -> Vec<MemberOutput> {
+        self.settle(now);
+        std::mem::take(&mut self.out)
+    }
+
+    pub(crate) fn on_raft(&mut self, now: Time, from: HostId, message: mangogw_store::Message) {
+        self.raft.on_message(now, from, message);
+        self.settle(now);
+    }
+
+    pub(crate) fn on_join(&mut self, now: Time, host: HostId, birth: mangogw_store::Birth) {
+        if self.leads() {
+            self.growth.on_join(now, host, birth);
+        }
+    }
+
+    pub(crate) fn on_synced(&mut self, now: Time, id: WriteId) {
+        self.raft.on_synced(now, id);
+        self.settle(now);
+    }
+
+    pub(crate) fn on_failed(&mut self, now: Time) {
+        self.raft.on_failed(now);
+        self.settle(now);
+    }
+
+    pub(crate) fn on_outcome(&mut self, now: Time, order: &Order, asked: Time, outcome: Outcome) {
+        if let Some(board) = self.board.as_mut().filter(|board| board.token() == order.token) {
+            board.on_outcome(now, order, asked, outcome);
+        }
+        self.settle(now);
+    }
+
+    pub(crate) fn on_tick(&mut self, now: Time) {
+        self.raft.on_tick(now);
+        self.settle(now);
+        let Some(board) = &mut self.board else { return };
+        board.on_tick(now);
+        if board.is_fenced() {
+            log::warn!("member: fenced by a later leader; giving up the lead");
+            self.step_down(now);
+        }
+        if let Some(change) = self.growth.change(now, &self.raft) {
+            let tag = self.tag();
+            self.raft.change(now, change, tag);
+        }
+        if now - self.expired >= EXPIRE_PERIOD {
+            self.expired = now;
+            self.expire(now);
+        }
+        for waiting in std::mem::take(&mut self.again) {
+            self.propose_waiting(now, waiting);
+        }
+        self.settle(now);
+    }
+
+    /// Forgets stored jobs that ended long ago.
+    fn expire(&mut self, now: Time) {
+        let keep = self.settings.jobs.keep.as_millis() as u64;
+        let before = self.wall(now).saturating_sub(keep);
+        let old = |kept: &Kept| kept.ended.is_some_and(|(_, at)| at < before);
+        if self.ledger.jobs.values().any(old) {
+            self.propose(now, &Command::Expire(before), Waiting::Nothing);
+        }
+    }
+
+    /// Hands the lead to the voter that is furthest, if there is one.
+    pub(crate) fn step_down(&mut self, now: Time) {
+        if self.stepping.is_some_and(|at| now - at < HANDOVER) {
+            return;
+        }
+        let status = self.raft.status();
+        let best = status
+            .peers
+            .iter()
+            .filter(|peer| peer.alive && status.members.votes(peer.host))
+            .max_by_key(|peer| peer.matched);
+        if let Some(best) = best.filter(|_| status.role == Role::Leader) {
+            self.stepping = Some(now);
+            let tag = self.tag();
+            self.raft.transfer(now, best.host, tag);
+        }
+    }
+
+    /// Takes a call, if this member leads or is about to. Gives it back otherwise.
+    pub(crate) fn on_call(&mut self, now: Time, asker: Asker, call: Call) -> Result<(), Call> {
+        match (&self.board, self.raft.role()) {
+            (Some(_), _) => self.lead_call(now, asker, call),
+            (None, Role::Leader) => self.early.push((asker, call)),
+            _ => return Err(call),
+        }
+        self.settle(now);
+        Ok(())
+    }
+
+    /// The client of a call has left.
+    pub(crate) fn on_gone(&mut self, now: Time, asker: Asker) {
+        self.early.retain(|(other, _)| *other != asker);
+        if let (Some(ticket), Some(board)) = (self.by_asker.swap_remove(&asker), &mut self.board) {
+            self.tickets.swap_remove(&ticket);
+            board.on_gone(now, ticket);
+        }
+        self.settle(now);
+    }
+
+    /// Which of these calls are not at work here.
+    pub(crate) fn unknown(&self, host: HostId, serials: &[u64]) -> Vec<u64> {
+        let waits = |asker: Asker| {
+            self.by_asker.contains_key(&asker)
+                || self.early.iter().any(|(other, _)| *other == asker)
+                || self.waiting.values().chain(&self.again).any(|waiting| waiting.asker() == Some(asker))
+        };
+        serials.iter().copied().filter(|serial| !waits(Asker { host, serial: *serial })).collect()
+    }
+
+    fn lead_call(&mut self, now: Time, asker: Asker, call: Call) {
+        let at = self.wall(now);
+        let Some(board) = &mut self.board else { return };
+        match call {
+            Call::Submit { host, path, id, spec, within } => match board.find(&host, &path).cloned() {
+                None if !board.is_furnished() => self.answer(asker, unfurnished()),
+                None => self.answer(asker, Reply::NoQueue),
+                Some(queue) if spec.transient => {
+                    let ticket = self.ticket(asker);
+                    let patience = within.map(|within| now + within);
+                    let submission = Submission { id, spec, patience, asker: ticket };
+                    if let Some(board) = &mut self.board {
+                        board.admit(now, submission, &queue);
+                    }
+                }
+                Some(queue) => {
+                    let (queue, attempts) = (queue.name, queue.attempts);
+                    let command = Command::Accept { id, spec, queue, attempts, at };
+                    self.propose(now, &command, Waiting::Change(asker, command.clone()));
+                }
+            },
+            Call::Read { host, path, .. } | Call::Cancel { host, path, .. } | Call::Count { host, path }
+                if board.is_furnished() && board.find(&host, &path).is_none() =>
+            {
+                self.answer(asker, Reply::NoQueue);
+            }
+            Call::Cancel { id, .. } => {
+                let command = Command::Cancel { id, at };
+                self.propose(now, &command, Waiting::Change(asker, command.clone()));
+            }
+            Call::Install(set) => {
+                let command = Command::Install(set);
+                self.propose(now, &command, Waiting::Change(asker, command.clone()));
+            }
+            Call::Report(report) => match self.ledger.targets.get(&report.id) {
+                Some(known) if known.born == report.born && !known.differs(&report) => {
+                    board.on_report(now, &report);
+                    self.answer(asker, Reply::Done);
+                }
+                Some(known) if known.born > report.born => self.answer(asker, Reply::Done),
+                _ => {
+                    let command = Command::Target(report);
+                    self.propose(now, &command, Waiting::Change(asker, command.clone()));
+                }
+            },
+            Call::Leave { id } => match self.ledger.targets.get(&id).map(|known| known.born) {
+                Some(born) => {
+                    let command = Command::Forget { id, born };
+                    self.propose(now, &command, Waiting::Change(asker, command.clone()));
+                }
+                None => self.answer(asker, Reply::Done),
+            },
+            Call::Read { .. } | Call::Count { .. } | Call::Fetch => {
+                let tag = self.tag();
+                self.waiting.insert(tag, Waiting::Read(asker, call));
+                self.raft.read(now, tag);
+            }
+        }
+    }
+
+    /// Answers a read from the state applied so far.
+    fn read(&self, call: &Call) -> Reply {
+        match call {
+            Call::Fetch => Reply::Set(self.ledger.set.clone()),
+            Call::Count { host, path } => match self.board.as_ref().map(|board| (board, board.find(host, path))) {
+                Some((board, Some(queue))) => Reply::Waiting(board.waiting(&queue.name) as u64),
+                Some((board, None)) if board.is_furnished() => Reply::NoQueue,
+                _ => unfurnished(),
+            },
+            Call::Read { id, .. } => self.phase(*id).map_or(Reply::NoJob, Reply::State),
+            _ => Reply::Unclear,
+        }
+    }
+
+    fn phase(&self, id: JobId) -> Option<Phase> {
+        let kept = self.ledger.jobs.get(&id)?;
+        match kept.ended {
+            Some((phase, _)) => Some(phase),
+            None => Some(self.board.as_ref().and_then(|board| board.phase(id)).unwrap_or(Phase::Pending)),
+        }
+    }
+
+    fn wall(&self, now: Time) -> u64 {
+        self.settings.jobs.wall + now.as_micros() / 1000
+    }
+
+    fn ticket(&mut self, asker: Asker) -> u64 {
+        self.serial += 1;
+        self.tickets.insert(self.serial, asker);
+        self.by_asker.insert(asker, self.serial);
+        self.serial
+    }
+
+    fn tag(&mut self) -> Tag {
+        self.serial += 1;
+        Tag(self.serial)
+    }
+
+    fn answer(&mut self, asker: Asker, reply: Reply) {
+        self.out.push(MemberOutput::Answer(asker, reply));
+    }
+
+    fn propose(&mut self, now: Time, command: &Command, waiting: Waiting) {
+        let tag = self.tag();
+        // Plain data always encodes.
+        let bytes = postcard::to_stdvec(command).unwrap_or_default();
+        self.waiting.insert(tag, waiting);
+        self.raft.propose(now, bytes.into(), tag);
+    }
+
+    fn propose_waiting(&mut self, now: Time, waiting: Waiting) {
+        match waiting {
+            Waiting::Ends { target, numbers, notes } => {
+                let command = Command::Ends(notes.clone());
+                self.propose(now, &command, Waiting::Ends { target, numbers, notes });
+            }
+            Waiting::Change(asker, command) => {
+                self.propose(now, &command, Waiting::Change(asker, command.clone()));
+            }
+            Waiting::Read(..) | Waiting::Nothing => {}
+        }
+    }
+
+    fn settle(&mut self, now: Time) {
+        loop {
+            let outputs = self.raft.drain();
+            let wishes = self.board.as_mut().map(|board| board.drain(now)).unwrap_or_default();
+            if outputs.is_empty() && wishes.is_empty() {
+                return;
+            }
+            outputs.into_iter().for_each(|output| self.take(now, output));
+            wishes.into_iter().for_each(|wish| self.grant(now, wish));
+        }
+    }
+
+    /// Carries out what the board wants.
+    fn grant(&mut self, now: Time, wish: Wish) {
+        match wish {
+            Wish::Order(order) => self.out.push(MemberOutput::Order(order)),
+            Wish::Answer { asker, end } => {
+                if let Some(asker) = self.tickets.swap_remove(&asker) {
+                    self.by_asker.swap_remove(&asker);
+                    self.answer(asker, Reply::from(end));
+                }
+            }
+            Wish::Forget { id, born } => self.propose(now, &Command::Forget { id, born }, Waiting::Nothing),
+            Wish::Note { target, numbers, notes } => {
+                self.propose_waiting(now, Waiting::Ends { target, numbers, notes });
+            }
+        }
+    }
+
+    fn take(&mut self, now: Time, output: Output) {
+        match output {
+            Output::Send { to, message } => self.out.push(MemberOutput::Send(to, Message::Raft(message))),
+            Output::Write(write) => self.out.push(MemberOutput::Write(write)),
+            Output::Restore(snapshot) => match Ledger::decode(&snapshot.data) {
+                Ok(ledger) => {
+                    self.ledger = ledger;
+                    self.applied = snapshot.meta.id.index;
+                }
+                Err(error) => {
+                    log::error!(error:%; "member: the state can't be read");
+                    self.raft.on_failed(now);
+                    self.out.push(MemberOutput::Broken);
+                }
+            },
+            Output::Apply { entries } => entries.iter().for_each(|entry| self.apply(now, entry)),
+            Output::ReadReady { tag, .. } => {
+                if let Some(Waiting::Read(asker, call)) = self.waiting.swap_remove(&tag) {
+                    let reply = self.read(&call);
+                    self.answer(asker, reply);
+                }
+            }
+            Output::Refused { tag, why, .. } => self.refused(tag, why),
+            Output::Transferred { .. } => {}
+            Output::Role { role, term, leader } => self.on_role(role, term.0, leader),
+            Output::Compact { index } => match self.ledger.encode() {
+                Ok(state) => self.raft.compact(now, index, state.into()),
+                Err(error) => log::error!(error:%; "member: the state can't be written"),
+            },
+        }
+        self.open_board(now);
+    }
+
+    fn on_role(&mut self, role: Role, term: u64, leader: Option<HostId>) {
+        log::info!(role:?, term, leader = leader.map(|host| host.0); "member: role");
+        let token = self.board.as_ref().map(Board::token);
+        if role != Role::Leader || token.is_some_and(|token| token != term) {
+            self.board = None;
+            self.tickets.clear();
+            self.by_asker.clear();
+            self.again.clear();
+        }
+        if role != Role::Leader {
+            for (asker, _) in std::mem::take(&mut self.early) {
+                self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
+            }
+        }
+    }
+
+    /// Opens the board once this member leads and has applied all that came before.
+    fn open_board(&mut self, now: Time) {
+        if self.board.is_some() || self.raft.settled_at().is_none_or(|index| index > self.applied) {
+            return;
+        }
+        let term = self.raft.term().0;
+        self.board = Some(Board::open(self.settings.jobs.clone(), term, &self.ledger, now));
+        self.growth = Growth::new(self.settings.voters, now);
+        for (asker, call) in std::mem::take(&mut self.early) {
+            self.lead_call(now, asker, call);
+        }
+    }
+
+    fn apply(&mut self, now: Time, entry: &Applied) {
+        self.applied = entry.id.index;
+        let Some(bytes) = entry.command() else {
+            if let Some(tag) = entry.tag {
+                self.waiting.swap_remove(&tag);
+            }
+            return;
+        };
+        let command: Command = match postcard::from_bytes(bytes) {
+            Ok(command) => command,
+            Err(error) => {
+                log::error!(index = entry.id.index.0, error:%; "member: an entry of the log can't be read");
+                self.raft.on_failed(now);
+                return self.out.push(MemberOutput::Broken);
+            }
+        };
+        let applied = self.ledger.apply(&command);
+        let waiting = entry.tag.and_then(|tag| self.waiting.swap_remove(&tag));
+        if let Some(board) = &mut self.board {
+            match &command {
+                Command::Install(set) if applied.verdict == Verdict::Changed => {
+                    log::info!(version = set.version.0, queues = set.queues.len(); "member: queues in force");
+                    board.install(set);
+                }
+                Command::Target(report) => board.on_report(now, report),
+                Command::Forget { id, born } => board.on_left(now, id, *born),
+                Command::Accept { id, .. } => {
+                    if let Some(kept) = self.ledger.jobs.get(id).filter(|kept| kept.ended.is_none()) {
+                        board.restore(now, *id, kept);
+                    }
+                }
+                _ => {}
+            }
+            if let Some(Waiting::Ends { target, numbers, notes }) = &waiting {
+                board.on_noted(now, *target, numbers, notes);
+            }
+            for (id, phase) in &applied.ended {
+                log::info!(job:% = id, phase:?; "member: stored job ended");
+                board.on_ended(now, *id);
+            }
+        }
+        if let Some(Waiting::Change(asker, command)) = waiting {
+            let reply = match (command, applied.verdict) {
+                (Command::Accept { .. }, _) => Reply::Accepted,
+                (Command::Cancel { .. }, Verdict::Unknown) => Reply::NoJob,
+                (Command::Cancel { .. }, _) => Reply::Canceled,
+                _ => Reply::Done,
+            };
+            self.answer(asker, reply);
+        }
+    }
+
+    fn refused(&mut self, tag: Tag, why: Refusal) {
+        let Some(waiting) = self.waiting.swap_remove(&tag) else { return };
+        match (waiting, why) {
+            (Waiting::Read(asker, _), Refusal::NotLeader) => {
+                self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
+            }
+            (Waiting::Read(asker, _), _) => self.answer(asker, refused("the leader is busy")),
+            (Waiting::Change(asker, _), Refusal::Unsure | Refusal::Failed) => {
+                // The next leader is asked the same by the host that has the client.
+                log::info!(host = asker.host.0, serial = asker.serial; "member: a change is unsure");
+            }
+            (Waiting::Change(asker, Command::Accept { .. }), _) => self.answer(asker, refused("the leader is busy")),
+            (waiting @ Waiting::Change(..), Refusal::Busy | Refusal::Transferring) => self.again.push(waiting),
+            (Waiting::Change(asker, _), _) => {
+                self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
+            }
+            (waiting @ Waiting::Ends { .. }, Refusal::Busy | Refusal::Transferring) => self.again.push(waiting),
+            (Waiting::Ends { .. } | Waiting::Nothing, _) => {}
+        }
+    }
+}
+
+impl Waiting {
+    const fn asker(&self) -> Option<Asker> {
+        match self {
+            Self::Read(asker, _) | Self::Change(asker, _) => Some(*asker),
+            Self::Ends { .. } | Self::Nothing => None,
+        }
+    }
+}
+
+fn refused(why: &str) -> Reply {
+    Reply::Refused { why: why.to_owned(), wait: COME_BACK }
+}
+
+fn unfurnished() -> Reply {
+    refused("no queues are known yet")
+}
+
--- /dev/null
+++ b/crates/control/src/message.rs
@@ -0,0 +1,178 @@
+//! Calls, their replies, and what hosts say to each other.
+
+use mangogw_jobs::{End, JobId, JobSpec, Phase, QueueSet, TargetReport};
+use mangogw_model::HostId;
+use mangogw_store::{Birth, Term};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What a client, a target or an operator asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Call {
+    /// Run a job. A job that is not stored is answered at its end.
+    Submit {
+        /// The host name of the request.
+        host: String,
+        /// The path of the request, without the id.
+        path: String,
+        /// The job.
+        id: JobId,
+        /// What it consists of.
+        spec: Arc<JobSpec>,
+        /// How long the client waits.
+        within: Option<Duration>,
+    },
+    /// Tell how far a job is.
+    Read {
+        /// The host name of the request.
+        host: String,
+        /// The path of the request, without the id.
+        path: String,
+        /// The job.
+        id: JobId,
+    },
+    /// Cancel a job.
+    Cancel {
+        /// The host name of the request.
+        host: String,
+        /// The path of the request, without the id.
+        path: String,
+        /// The job.
+        id: JobId,
+    },
+    /// Count the jobs of a queue that have started nothing.
+    Count {
+        /// The host name of the request.
+        host: String,
+        /// The path of the request.
+        path: String,
+    },
+    /// Put a set of queues in force.
+    Install(Arc<QueueSet>),
+    /// Give back the set of queues in force.
+    Fetch,
+    /// Take what a target says of itself.
+    Report(TargetReport),
+    /// Take that a target has ended.
+    Leave {
+        /// The target.
+        id: String,
+    },
+}
+
+impl Call {
+    /// True if the call changes nothing.
+    pub const fn is_read(&self) -> bool {
+        matches!(self, Self::Read { .. } | Self::Count { .. } | Self::Fetch)
+    }
+}
+
+/// The answer to a call.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// A job that is not stored has ended.
+    Ended(Phase),
+    /// The job is stored.
+    Accepted,
+    /// How far the job is.
+    State(Phase),
+    /// The job is cancelled, or had ended.
+    Canceled,
+    /// So many jobs wait.
+    Waiting(u64),
+    /// The set of queues in force, if there is one.
+    Set(Option<Arc<QueueSet>>),
+    /// It is done.
+    Done,
+    /// No queue fits the request.
+    NoQueue,
+    /// There is no such job.
+    NoJob,
+    /// Nothing was done and nothing will be.
+    Refused {
+        /// Why, for people.
+        why: String,
+        /// When to come back.
+        wait: Duration,
+    },
+    /// It may have been done.
+    Unclear,
+}
+
+impl From<End> for Reply {
+    fn from(end: End) -> Self {
+        match end {
+            End::Completed => Self::Ended(Phase::Completed),
+            End::Failed => Self::Ended(Phase::Failed),
+            End::Refused(refused) => Self::Refused { why: "no room in time".to_owned(), wait: refused.wait },
+        }
+    }
+}
+
+/// What one host says to another. Messages may be lost, but never come twice.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Between members of the control group.
+    Raft(mangogw_store::Message),
+    /// The sender has a data folder and wants to be a member.
+    Join {
+        /// The birth of its folder.
+        birth: Birth,
+    },
+    /// A call for the leader.
+    Call {
+        /// Names the call at its sender.
+        serial: u64,
+        /// The call.
+        call: Call,
+    },
+    /// The answer to a call.
+    Answer {
+        /// The call.
+        serial: u64,
+        /// The answer.
+        reply: Reply,
+    },
+    /// The receiver of a call does not lead, and has done nothing.
+    Astray {
+        /// The call.
+        serial: u64,
+    },
+    /// These calls have no answer yet.
+    Still(Vec<u64>),
+    /// These calls are not known: they, or their answers, were lost.
+    Unknown(Vec<u64>),
+    /// The client of a call has left.
+    Gone(u64),
+    /// Who leads?
+    Where,
+    /// Who leads, as far as the sender knows.
+    Leads {
+        /// The term.
+        term: Term,
+        /// The leader.
+        leader: Option<HostId>,
+        /// Hosts of the control group.
+        hosts: Vec<HostId>,
+    },
+}
+
+impl Message {
+    /// The message as bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        // Plain data always encodes.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// The message from bytes, if they are one.
+    ///
+    /// ```
+    /// use mangogw_control::Message;
+    /// assert_eq!(Message::decode(&Message::Where.encode()), Some(Message::Where));
+    /// assert_eq!(Message::decode(b"\xff"), None);
+    /// ```
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/control/src/station.rs
@@ -0,0 +1,339 @@
+//! The station: one host of the system.
+
+use crate::calls::{Caller, Calls};
+use crate::identity::address_of;
+use crate::member::{Asker, Member, MemberOutput};
+use crate::{Call, Message, Reply, Settings, host_at};
+use indexmap::IndexMap;
+use mangogw_jobs::{Order, Outcome};
+use mangogw_model::{HostId, Time};
+use mangogw_store::{Role, Stored, Write, WriteId};
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+/// A host whose timers did not run for so long was paused: they run before anything else is judged.
+const PAUSE: Duration = Duration::from_millis(250);
+/// A member without a leader asks to be taken in so often.
+const JOIN_PERIOD: Duration = Duration::from_millis(300);
+/// A member that has heard of no leader for so long asks to be taken in: it may have been voted out.
+const FORLORN: Duration = Duration::from_millis(1500);
+/// Hosts that have asked who leads within this time are told of a new leader at once.
+const LISTENERS: Duration = Duration::from_secs(2);
+
+/// Something the shell has to do.
+#[derive(Debug)]
+pub enum Effect {
+    /// Answer an open request.
+    Reply {
+        /// Whose.
+        caller: Caller,
+        /// The answer.
+        reply: Reply,
+    },
+    /// Send a message to another host; it may be lost.
+    Send {
+        /// Where to.
+        to: SocketAddr,
+        /// The message.
+        message: Message,
+    },
+    /// Write and sync, then call [`Station::on_synced`] or [`Station::on_failed`].
+    Write(Write),
+    /// Tell a target something, then call [`Station::on_outcome`].
+    Order(Order),
+    /// The process must end.
+    Halt {
+        /// Why, for the log.
+        why: &'static str,
+    },
+}
+
+/// One host of the system.
+#[derive(Debug)]
+pub struct Station {
+    settings: Settings,
+    calls: Calls,
+    member: Option<Member>,
+    listeners: IndexMap<HostId, Time>,
+    ticked: Time,
+    joined: Time,
+    /// When a leader was last known.
+    led: Time,
+    told: Option<(u64, Option<HostId>)>,
+    leaving: bool,
+    effects: Vec<Effect>,
+}
+
+impl Station {
+    /// A station; with `stored` it is, or wants to be, a member of the control group.
+    pub fn open(settings: Settings, stored: Option<Stored>, now: Time) -> Self {
+        let mut station = Self {
+            calls: Calls::new(settings.seed, hosts_at(&settings.seeds), now),
+            member: stored.map(|stored| Member::open(settings.clone(), stored, now)),
+            listeners: IndexMap::new(),
+            ticked: now,
+            joined: now,
+            led: now,
+            told: None,
+            leaving: false,
+            effects: Vec::new(),
+            settings,
+        };
+        station.settle(now);
+        station
+    }
+
+    /// Looks for the control group at other addresses too.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
+        let known = &mut self.calls.hosts;
+        known.extend(hosts_at(seeds));
+        known.sort_unstable();
+        known.dedup();
+    }
+
+    /// Takes a call of a client, a target or an operator.
+    pub fn on_call(&mut self, now: Time, caller: Caller, call: Call) {
+        self.catch_up(now);
+        let patience = self.settings.patience;
+        self.calls.call(now, caller, call, patience);
+        self.settle(now);
+    }
+
+    /// The client of a call has left.
+    pub fn on_gone(&mut self, now: Time, caller: Caller) {
+        self.calls.on_gone(caller);
+        self.settle(now);
+    }
+
+    /// Takes a message of another host.
+    pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
+        self.catch_up(now);
+        self.receive(now, from, message);
+        self.settle(now);
+    }
+
+    /// Takes what came of an order that was sent at `asked`.
+    pub fn on_outcome(&mut self, now: Time, order: &Order, asked: Time, outcome: Outcome) {
+        self.catch_up(now);
+        if let Some(member) = &mut self.member {
+            member.on_outcome(now, order, asked, outcome);
+        }
+        self.settle(now);
+    }
+
+    /// A write was synced.
+    pub fn on_synced(&mut self, now: Time, id: WriteId) {
+        if let Some(member) = &mut self.member {
+            member.on_synced(now, id);
+        }
+        self.settle(now);
+    }
+
+    /// A write failed: this host takes no part in the control group from here on.
+    pub fn on_failed(&mut self, now: Time) {
+        if let Some(member) = &mut self.member {
+            member.on_failed(now);
+        }
+        self.settle(now);
+    }
+
+    /// Lets time pass. Call it every 10 ms.
+    pub fn on_tick(&mut self, now: Time) {
+        self.ticked = now;
+        if let Some(member) = &mut self.member {
+            member.on_tick(now);
+            if self.leaving {
+                member.step_down(now);
+            }
+        }
+        self.calls.on_tick(now, self.member.is_some());
+        self.tick_join(now);
+        self.settle(now);
+    }
+
+    /// The process will stop: the lead is handed over; all else goes on.
+    pub fn on_leaving(&mut self, now: Time) {
+        self.leaving = true;
+        if let Some(member) = &mut self.member {
+            member.step_down(now);
+        }
+        self.settle(now);
+    }
+
+    /// True if a leader answers.
+    pub fn is_ready(&self, now: Time) -> bool {
+        match &self.member {
+            Some(member) => member.leads() || self.calls.leader().is_some(),
+            None => self.calls.is_led(now),
+        }
+    }
+
+    /// True if this host leads the control group.
+    pub fn leads(&self) -> bool {
+        self.member.as_ref().is_some_and(Member::leads)
+    }
+
+    /// What is to be done since the last call.
+    pub fn drain(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// What a host that was paused knows is judged by time first.
+    fn catch_up(&mut self, now: Time) {
+        if now - self.ticked >= PAUSE {
+            self.on_tick(now);
+        }
+    }
+
+    fn receive(&mut self, now: Time, from: HostId, message: Message) {
+        match (message, &mut self.member) {
+            (Message::Raft(message), Some(member)) => member.on_raft(now, from, message),
+            (Message::Join { birth }, Some(member)) => member.on_join(now, from, birth),
+            (Message::Call { serial, call }, Some(member)) => {
+                if member.on_call(now, Asker { host: from, serial }, call).is_err() {
+                    self.send(from, Message::Astray { serial });
+                    self.tell_leader(from);
+                }
+            }
+            (Message::Still(serials), Some(member)) if member.leads() => {
+                let unknown = member.unknown(from, &serials);
+                if !unknown.is_empty() {
+                    self.send(from, Message::Unknown(unknown));
+                }
+            }
+            (Message::Gone(serial), Some(member)) => member.on_gone(now, Asker { host: from, serial }),
+            (Message::Where, Some(_)) => {
+                self.listeners.insert(from, now);
+                self.tell_leader(from);
+            }
+            (Message::Answer { serial, reply }, _) => self.calls.on_answer(serial, reply),
+            (Message::Astray { serial }, _) => self.calls.on_astray(from, serial),
+            (Message::Unknown(serials), _) => self.calls.on_unknown(now, from, &serials),
+            (Message::Leads { term, leader, hosts }, None) => {
+                if !hosts.is_empty() {
+                    self.calls.hosts = hosts;
+                }
+                self.calls.on_leads(now, Some(from), term, leader);
+            }
+            (Message::Leads { hosts, .. }, Some(_)) => {
+                // A member goes by its own log, but finds the group through others.
+                if self.calls.leader().is_none() && !hosts.is_empty() {
+                    self.calls.hosts = hosts;
+                }
+            }
+            (message, None) => log::debug!(from = from.0, message:?; "station: not a member"),
+            (Message::Still(_), Some(_)) => {}
+        }
+    }
+
+    fn send(&mut self, to: HostId, message: Message) {
+        let to = address_of(to, self.settings.port);
+        self.effects.push(Effect::Send { to, message });
+    }
+
+    fn tell_leader(&mut self, to: HostId) {
+        let Some(member) = &self.member else { return };
+        let status = member.status();
+        let leader = status.leader.filter(|leader| *leader != status.host || status.role == Role::Leader);
+        let members = &status.members;
+        let hosts: Vec<HostId> = members.voters.keys().chain(members.learners.keys()).copied().collect();
+        self.send(to, Message::Leads { term: status.term, leader, hosts });
+    }
+
+    /// Asks to be taken into the group while it has no place in it.
+    fn tick_join(&mut self, now: Time) {
+        let Some(member) = &self.member else { return };
+        if member.raft.leader().is_some() {
+            self.led = now;
+        }
+        if now - self.joined < JOIN_PERIOD {
+            return;
+        }
+        let status = member.status();
+        let stranger = status.members.birth(status.host) != Some(status.birth);
+        let due = stranger || now - self.led >= FORLORN;
+        if !due || status.leader.is_some() && !stranger {
+            return;
+        }
+        self.joined = now;
+        let birth = status.birth;
+        let known = status.members.peers(status.host).chain(self.calls.hosts.iter().copied());
+        let mut hosts: Vec<HostId> = known.filter(|host| *host != status.host).collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        for host in hosts {
+            self.send(host, Message::Join { birth });
+            self.send(host, Message::Where);
+        }
+    }
+
+    /// Turns what the parts want into effects and into inputs of other parts, until none has more to say.
+    fn settle(&mut self, now: Time) {
+        loop {
+            let outputs = self.member.as_mut().map(|member| member.drain(now)).unwrap_or_default();
+            self.follow_leader(now);
+            let sends = std::mem::take(&mut self.calls.sends);
+            let replies = std::mem::take(&mut self.calls.replies);
+            if outputs.is_empty() && sends.is_empty() && replies.is_empty() {
+                return;
+            }
+            for output in outputs {
+                self.take(output);
+            }
+            for (to, message) in sends {
+                match to == self.settings.host {
+                    true => self.receive(now, to, message),
+                    false => self.send(to, message),
+                }
+            }
+            self.effects.extend(replies.into_iter().map(|(caller, reply)| Effect::Reply { caller, reply }));
+        }
+    }
+
+    /// A member knows the leader from its log, and tells those who asked when it changes.
+    fn follow_leader(&mut self, now: Time) {
+        let Some(member) = &self.member else { return };
+        let (term, leader) = (member.raft.term(), member.raft.leader());
+        self.calls.on_leads(now, None, term, leader);
+        let news = (term.0, leader);
+        if self.told == Some(news) || leader.is_none() {
+            return;
+        }
+        self.told = Some(news);
+        self.listeners.retain(|_, at| now - *at < LISTENERS);
+        let listeners: Vec<HostId> = self.listeners.keys().copied().collect();
+        listeners.into_iter().for_each(|host| self.tell_leader(host));
+    }
+
+    fn take(&mut self, output: MemberOutput) {
+        match output {
+            MemberOutput::Send(to, message) if to == self.settings.host => self.own(message),
+            MemberOutput::Answer(asker, reply) if asker.host == self.settings.host => {
+                self.calls.on_answer(asker.serial, reply);
+            }
+            MemberOutput::Send(to, message) => self.send(to, message),
+            MemberOutput::Answer(asker, reply) => {
+                self.send(asker.host, Message::Answer { serial: asker.serial, reply });
+            }
+            MemberOutput::Write(write) => self.effects.push(Effect::Write(write)),
+            MemberOutput::Order(order) => self.effects.push(Effect::Order(order)),
+            MemberOutput::Broken => self.effects.push(Effect::Halt { why: "the state can't be read" }),
+        }
+    }
+
+    /// A message of this host to itself.
+    fn own(&mut self, message: Message) {
+        match message {
+            Message::Astray { serial } => self.calls.on_astray(self.settings.host, serial),
+            other => log::debug!(message:? = other; "station: a message to itself"),
+        }
+    }
+}
+
+fn hosts_at(seeds: &[SocketAddr]) -> Vec<HostId> {
+    let host = |seed: &SocketAddr| match seed.ip() {
+        IpAddr::V4(ip) => Some(host_at(ip, 0)),
+        IpAddr::V6(_) => None,
+    };
+    seeds.iter().filter_map(host).collect()
+}
--- /dev/null
+++ b/crates/jobs/src/board.rs
@@ -0,0 +1,471 @@
+//! What the leader of the control group keeps in memory: the jobs at work, the targets, and who waits for what.
+
+mod look;
+mod outcome;
+mod start;
+mod table;
+mod tick;
+
+use crate::health::Health;
+use crate::queue::Routes;
+use crate::target::{Order, Run, RunState, Stray, Target, What};
+use crate::{
+    How, JobId, JobSpec, Kept, Ledger, Note, Phase, Queue, QueueSet, RunNumber, Settings, TargetKey, TargetReport,
+    TaskId, Timing,
+};
+use indexmap::{IndexMap, IndexSet};
+use mangogw_model::Time;
+use slotmap::SlotMap;
+use std::sync::Arc;
+use std::time::Duration;
+use table::{Job, JobKey, TaskState};
+
+/// How long the end of a job that is not stored is known, so that a job sent again gets the same answer. Clients send
+/// again within two seconds.
+const OUTCOMES: Duration = Duration::from_secs(6);
+/// When a client is told to come back after its job was refused: a second, the least that the header can say.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// What the board wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Tell a target something.
+    Order(Order),
+    /// Answer a client.
+    Answer {
+        /// Who asked.
+        asker: u64,
+        /// The answer.
+        end: End,
+    },
+    /// Forget a life of a target, in the log.
+    Forget {
+        /// The target.
+        id: String,
+        /// Its life.
+        born: u64,
+    },
+    /// Note ends in the log, then call [`Board::on_noted`].
+    Note {
+        /// The target that listed them.
+        target: TargetKey,
+        /// Their numbers.
+        numbers: Vec<u64>,
+        /// What they say.
+        notes: Vec<Note>,
+    },
+}
+
+/// The answer to a job that is not stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// No task was started, and none will be.
+    Refused(Refused),
+}
+
+/// Why a job was turned away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// When it may be sent again.
+    pub wait: Duration,
+}
+
+/// A job that is not stored.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Submission {
+    /// Its name.
+    pub id: JobId,
+    /// What it consists of.
+    pub spec: Arc<JobSpec>,
+    /// The client waits until then, if it said so.
+    pub patience: Option<Time>,
+    /// Who asks.
+    pub asker: u64,
+}
+
+/// The jobs at work, the targets, and who waits for what.
+#[derive(Debug)]
+pub struct Board {
+    settings: Settings,
+    /// The fencing token of this leadership.
+    token: u64,
+    starts: u64,
+    set: Option<Arc<QueueSet>>,
+    routes: Routes,
+    targets: SlotMap<TargetKey, Target>,
+    by_id: IndexMap<String, TargetKey>,
+    jobs: SlotMap<JobKey, Job>,
+    by_job: IndexMap<JobId, JobKey>,
+    askers: IndexMap<u64, JobKey>,
+    /// Jobs with tasks that wait for a target.
+    waiting: IndexSet<JobKey>,
+    /// Targets of earlier leaders that may run something that this one does not know of.
+    standing: IndexSet<TargetKey>,
+    /// Ends of tasks whose job was not known when they were listed.
+    loose: IndexMap<TaskId, (How, Time)>,
+    outcomes: IndexMap<JobId, (End, Time)>,
+    /// A target has seen a higher token: this leadership is over.
+    fenced: bool,
+    dirty: bool,
+    outputs: Vec<Output>,
+}
+
+impl Board {
+    /// A board under a new token, on the state that the group has agreed on. Nothing is started before every target
+    /// that an earlier leader may have used has listed its runs, or has surely lost them.
+    pub fn open(settings: Settings, token: u64, ledger: &Ledger, now: Time) -> Self {
+        let mut board = Self {
+            settings,
+            token,
+            starts: 0,
+            set: None,
+            routes: Routes::default(),
+            targets: SlotMap::with_key(),
+            by_id: IndexMap::new(),
+            jobs: SlotMap::with_key(),
+            by_job: IndexMap::new(),
+            askers: IndexMap::new(),
+            waiting: IndexSet::new(),
+            standing: IndexSet::new(),
+            loose: IndexMap::new(),
+            outcomes: IndexMap::new(),
+            fenced: false,
+            dirty: true,
+            outputs: Vec::new(),
+        };
+        if let Some(set) = &ledger.set {
+            board.install(set);
+        }
+        let expires = now + board.settings.lease + board.settings.lease / 20 + board.settings.stop;
+        for report in ledger.targets.values() {
+            let key = board.add_target(report.clone(), now, expires);
+            board.standing.insert(key);
+        }
+        for (id, kept) in ledger.jobs.iter().filter(|(_, kept)| kept.ended.is_none()) {
+            board.restore(now, *id, kept);
+        }
+        log::info!(token, targets = board.targets.len(), jobs = board.jobs.len(); "board: leading");
+        board
+    }
+
+    /// Goes by another set of queues from now on.
+    pub fn install(&mut self, set: &Arc<QueueSet>) {
+        self.routes = Routes::of(set);
+        self.set = Some(Arc::clone(set));
+        self.dirty = true;
+    }
+
+    /// The queue of a request.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
+        let set = self.set.as_ref()?;
+        set.queues.get(self.routes.find(host, path)?)
+    }
+
+    /// True once there is a set of queues.
+    pub const fn is_furnished(&self) -> bool {
+        self.set.is_some()
+    }
+
+    /// True if a target has seen the token of a later leader.
+    pub const fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// True if some target of an earlier leader is still unheard of.
+    pub fn is_taking_over(&self) -> bool {
+        !self.standing.is_empty()
+    }
+
+    /// Takes what a target says of itself, once the ledger has it.
+    pub fn on_report(&mut self, now: Time, report: &TargetReport) {
+        match self.by_id.get(&report.id).copied() {
+            Some(key) if self.targets[key].report.born == report.born => {
+                let target = &mut self.targets[key];
+                target.reported = now;
+                if target.report.sequence < report.sequence {
+                    target.report = report.clone();
+                }
+            }
+            Some(key) if self.targets[key].report.born > report.born => return,
+            Some(key) => {
+                self.lose_target(now, key, "a new life reported");
+                self.add_target(report.clone(), now, now);
+            }
+            None => {
+                self.add_target(report.clone(), now, now);
+            }
+        }
+        self.dirty = true;
+    }
+
+    /// A life of a target has ended.
+    pub fn on_left(&mut self, now: Time, id: &str, born: u64) {
+        if let Some(key) = self.by_id.get(id).copied().filter(|key| self.targets[*key].report.born <= born) {
+            self.lose_target(now, key, "it left");
+        }
+    }
+
+    /// Takes a job that is not stored.
+    pub fn admit(&mut self, now: Time, submission: Submission, queue: &Queue) {
+        let Submission { id, spec, patience, asker } = submission;
+        if let Some((end, _)) = self.outcomes.get(&id) {
+            self.outputs.push(Output::Answer { asker, end: *end });
+            return;
+        }
+        if let Some(key) = self.by_job.get(&id).copied() {
+            self.jobs[key].askers.push(asker);
+            self.askers.insert(asker, key);
+            return;
+        }
+        let chain = Duration::from_millis(spec.chain());
+        let timing = Timing::new(now, chain, queue.stretch, Duration::from_millis(queue.slack), patience);
+        let mut job = Job::new(id, spec, queue, now, timing, false);
+        job.askers.push(asker);
+        job.patience = patience;
+        let key = self.insert_job(now, job);
+        self.askers.insert(asker, key);
+        self.adopt_runs(now, key);
+    }
+
+    /// Takes up a job that the ledger has stored.
+    pub fn restore(&mut self, now: Time, id: JobId, kept: &Kept) {
+        if self.by_job.contains_key(&id) {
+            return;
+        }
+        let queue = self.set.as_ref().and_then(|set| set.queues.iter().find(|queue| queue.name == kept.queue));
+        let mut queue = queue.cloned().unwrap_or_default();
+        queue.attempts = kept.attempts;
+        let chain = Duration::from_millis(kept.spec.chain());
+        let timing = Timing::new(now, chain, queue.stretch, Duration::from_millis(queue.slack), None);
+        let mut job = Job::new(id, Arc::clone(&kept.spec), &queue, now, timing, true);
+        job.recall(kept);
+        let key = self.insert_job(now, job);
+        self.adopt_runs(now, key);
+    }
+
+    /// A stored job was cancelled, or has ended.
+    pub fn on_ended(&mut self, now: Time, id: JobId) {
+        if let Some(key) = self.by_job.get(&id).copied() {
+            self.drop_job(now, key);
+        }
+    }
+
+    /// Nobody waits for an answer any more.
+    pub fn on_gone(&mut self, now: Time, asker: u64) {
+        let Some(key) = self.askers.swap_remove(&asker) else { return };
+        let job = &mut self.jobs[key];
+        job.askers.retain(|other| *other != asker);
+        if job.askers.is_empty() && !job.stored {
+            log::info!(job:% = job.id, started = job.started; "board: dropped, its client left");
+            self.drop_job(now, key);
+        }
+    }
+
+    /// True if a stored job or one that is not is at work.
+    pub fn knows(&self, id: JobId) -> bool {
+        self.by_job.contains_key(&id)
+    }
+
+    /// How far a job is, if it is at work.
+    pub fn phase(&self, id: JobId) -> Option<Phase> {
+        let job = &self.jobs[*self.by_job.get(&id)?];
+        Some(if job.started { Phase::Running } else { Phase::Pending })
+    }
+
+    /// How many jobs of a queue have started nothing yet.
+    pub fn waiting(&self, queue: &str) -> usize {
+        self.jobs.values().filter(|job| !job.started && job.queue == queue).count()
+    }
+
+    /// What is to be done since the last call.
+    pub fn drain(&mut self, now: Time) -> Vec<Output> {
+        if self.dirty && !self.fenced {
+            self.dirty = false;
+            self.start_waiting(now);
+            self.look_where_due(now);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn add_target(&mut self, report: TargetReport, now: Time, expires: Time) -> TargetKey {
+        let id = report.id.clone();
+        let mut target = Target::new(report, now, expires);
+        target.health.assume(self.pace_of_kind(&target));
+        let key = self.targets.insert(target);
+        self.by_id.insert(id, key);
+        key
+    }
+
+    /// The mean pace of the targets of the same pool and kind that have one.
+    fn pace_of_kind(&self, target: &Target) -> f64 {
+        let kind = target.report.labels.first();
+        let alike = |other: &&Target| other.report.pool == target.report.pool && other.report.labels.first() == kind;
+        let paces: Vec<f64> = self.targets.values().filter(alike).map(|other| other.health.pace()).collect();
+        if paces.is_empty() { Health::default().pace() } else { paces.iter().sum::<f64>() / paces.len() as f64 }
+    }
+
+    fn insert_job(&mut self, now: Time, mut job: Job) -> JobKey {
+        job.begin(self.settings.wall, now);
+        let id = job.id;
+        let key = self.jobs.insert(job);
+        self.by_job.insert(id, key);
+        self.waiting.insert(key);
+        self.dirty = true;
+        key
+    }
+
+    /// Ends a job that is not stored, with an answer to everybody who waits for it.
+    fn answer(&mut self, now: Time, key: JobKey, end: End) {
+        let job = &self.jobs[key];
+        let took = (now - job.arrived).as_millis() as u64;
+        log::info!(job:% = job.id, queue = job.queue, end:?, took; "board: answered");
+        let (id, askers) = (job.id, job.askers.clone());
+        self.outputs.extend(askers.into_iter().map(|asker| Output::Answer { asker, end }));
+        if !matches!(end, End::Refused(_)) {
+            self.outcomes.insert(id, (end, now));
+        }
+        self.drop_job(now, key);
+    }
+
+    /// Forgets a job and stops what runs of it.
+    fn drop_job(&mut self, now: Time, key: JobKey) {
+        let Some(job) = self.jobs.remove(key) else { return };
+        self.by_job.swap_remove(&job.id);
+        self.waiting.swap_remove(&key);
+        self.askers.retain(|_, other| *other != key);
+        for (task, target) in job.placed() {
+            self.stop_run(now, target, task);
+        }
+        self.dirty = true;
+    }
+
+    /// Has a target stop a run; its room is held until the end is listed.
+    fn stop_run(&mut self, now: Time, key: TargetKey, task: TaskId) {
+        let Some(target) = self.targets.get_mut(key) else { return };
+        let Some(run) = target.runs.get_mut(&task) else { return };
+        if run.state == RunState::Stopping {
+            return;
+        }
+        run.state = RunState::Stopping;
+        run.sent = now;
+        run.began = None;
+        let what = What::Stop { task, run: run.number };
+        self.order(key, what);
+    }
+
+    fn order(&mut self, key: TargetKey, what: What) {
+        if self.fenced {
+            return;
+        }
+        let report = &self.targets[key].report;
+        let order = Order {
+            target: key,
+            id: report.id.clone(),
+            born: report.born,
+            address: report.address,
+            token: self.token,
+            what,
+        };
+        self.outputs.push(Output::Order(order));
+    }
+
+    /// A life of a target is over, and with it all that ran there.
+    fn lose_target(&mut self, now: Time, key: TargetKey, why: &str) {
+        let Some(target) = self.targets.remove(key) else { return };
+        let report = &target.report;
+        log::info!(target = report.id, born = report.born, runs = target.runs.len(), why; "board: target gone");
+        self.outputs.push(Output::Forget { id: report.id.clone(), born: report.born });
+        if self.by_id.get(&report.id) == Some(&key) {
+            self.by_id.swap_remove(&report.id);
+        }
+        self.standing.swap_remove(&key);
+        for task in target.runs.keys() {
+            self.free_task(now, key, *task);
+        }
+        self.dirty = true;
+    }
+
+    /// A run of the task is over without an end that counts: the task waits again.
+    fn free_task(&mut self, now: Time, target: TargetKey, id: TaskId) {
+        let Some(key) = self.by_job.get(&id.job).copied() else { return };
+        let job = &mut self.jobs[key];
+        let Some(task) = job.task_mut(id) else { return };
+        if task.state == TaskState::On(target) {
+            task.state = TaskState::Waiting;
+            job.put_back(id);
+            self.waiting.insert(key);
+            self.dirty = true;
+            log::debug!(task:% = id, now = now.as_micros(); "board: task waits again");
+        }
+    }
+
+    fn stray(&mut self, key: TargetKey, task: TaskId, run: RunNumber, now: Time) {
+        let target = &mut self.targets[key];
+        let stray = target.strays.entry(task).or_insert(Stray { run, found: now, stopped: None });
+        if stray.run < run {
+            *stray = Stray { run, found: now, stopped: None };
+        }
+    }
+
+    /// Takes over runs and ends of a job that were listed before the job was known here.
+    fn adopt_runs(&mut self, now: Time, key: JobKey) {
+        let id = self.jobs[key].id;
+        let found: Vec<_> = self
+            .targets
+            .iter()
+            .flat_map(|(at, target)| target.strays.iter().map(move |(task, stray)| (at, *task, stray.clone())))
+            .filter(|(_, task, stray)| task.job == id && stray.stopped.is_none())
+            .collect();
+        for (at, task, stray) in found {
+            if self.adopt(now, at, task, stray.run, 0) {
+                self.targets[at].strays.swap_remove(&task);
+            }
+        }
+        let ends: Vec<_> = self.loose.iter().filter(|(task, _)| task.job == id).map(|(t, end)| (*t, end.0)).collect();
+        for (task, how) in ends {
+            self.loose.swap_remove(&task);
+            if how == How::Done {
+                self.task_done(now, task);
+            }
+        }
+    }
+
+    /// Takes a run that a target lists for the run of a task that waits. False if the task is not known or does not
+    /// wait.
+    fn adopt(&mut self, now: Time, at: TargetKey, id: TaskId, number: RunNumber, percent: u32) -> bool {
+        let Some(key) = self.by_job.get(&id.job).copied() else { return false };
+        let job = &mut self.jobs[key];
+        let Some(step) = job.spec.steps.get(id.step as usize).cloned() else { return false };
+        if !job.take_waiting(id) {
+            return false;
+        }
+        job.started = true;
+        job.task_mut(id).expect("it waited").state = TaskState::On(at);
+        let expected = crate::place::run_time(&self.targets[at], &step, self.settings.far);
+        let run = Run {
+            number,
+            need: crate::place::need(&step),
+            state: RunState::Running,
+            sent: now,
+            began: None,
+            until: 0,
+            percent,
+            moved: now,
+            expected,
+        };
+        self.targets[at].insert(id, run);
+        log::info!(task:% = id, run = number.0, target = self.targets[at].report.id; "board: run adopted");
+        true
+    }
+}
+
+impl Board {
+    /// The fencing token of this leadership.
+    pub const fn token(&self) -> u64 {
+        self.token
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/board/look.rs
@@ -0,0 +1,79 @@
+//! When targets are looked at. A look renews the lease, notes ends and waits for the next one.
+
+use super::{Board, What};
+use crate::TargetKey;
+use crate::target::Target;
+use mangogw_model::Time;
+use std::time::Duration;
+
+/// How long a look at a busy target waits for an end: a fifth of the lease, so that a lost look is noticed while
+/// most of the lease is left.
+const WAIT: Duration = Duration::from_millis(200);
+/// Between looks at a target whose lists are not known.
+const AGAIN: Duration = Duration::from_millis(100);
+/// The time between looks at a target that does not answer doubles so often: up to 800 ms.
+const MAX_DOUBLING: u32 = 3;
+/// Ends of a target that is idle are noted within this time.
+const LAZY: Duration = Duration::from_millis(400);
+/// A look that waits for notes is put off at most so long, so that the lease is kept.
+const HOLD_BACK: Duration = Duration::from_millis(300);
+
+impl Board {
+    /// Looks at every target that is due.
+    pub(super) fn look_where_due(&mut self, now: Time) {
+        let due: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| target.looking.is_none() && now >= target.next_look && wants_look(target))
+            .map(|(key, _)| key)
+            .collect();
+        for key in due {
+            self.look(now, key);
+        }
+    }
+
+    fn look(&mut self, now: Time, key: TargetKey) {
+        let lease = self.settings.lease.as_millis() as u64;
+        let target = &mut self.targets[key];
+        let busy = !target.runs.is_empty();
+        let until = target.clock.filter(|_| busy).map(|clock| clock.latest(now) + lease);
+        if let Some(until) = until {
+            target.extend(until);
+        }
+        let unsure = target.runs.values().any(|run| run.state != super::RunState::Running && now - run.sent > WAIT / 2);
+        let wait = if target.synced && busy && !unsure && target.open.is_empty() { WAIT } else { Duration::ZERO };
+        target.looking = Some(now);
+        target.sought = target.seen();
+        let seen = target.sought;
+        self.order(key, What::Look { until, seen, wait });
+    }
+
+    /// Sets when the next look at a target goes out, after one was answered.
+    pub(super) fn plan_look(&mut self, now: Time, key: TargetKey) {
+        let target = &mut self.targets[key];
+        target.next_look = match target {
+            _ if !target.synced => now + AGAIN * (1 << target.misses.min(MAX_DOUBLING)),
+            _ if !target.open.is_empty() => now + HOLD_BACK,
+            _ if !target.strays.is_empty() => now + AGAIN / 2,
+            _ if !target.runs.is_empty() => now,
+            _ => now + LAZY,
+        };
+        self.dirty = true;
+    }
+
+    /// The lists of a target are in doubt: nothing is started there until it has listed them again.
+    pub(super) fn doubt(&mut self, now: Time, key: TargetKey, why: &str) {
+        let target = &mut self.targets[key];
+        if target.synced {
+            log::info!(target = target.report.id, why, runs = target.runs.len(); "board: target in doubt");
+        }
+        target.synced = false;
+        target.next_look = target.next_look.min(now + AGAIN / 2);
+        self.dirty = true;
+    }
+}
+
+/// True if a look would tell or note something.
+fn wants_look(target: &Target) -> bool {
+    !target.synced || !target.is_idle() || target.noted < target.seen()
+}
--- /dev/null
+++ b/crates/jobs/src/board/start.rs
@@ -0,0 +1,164 @@
+//! Starting what waits.
+
+use super::table::{JobKey, TaskState};
+use super::{Board, RunState, What};
+use crate::place::{is_open, keeps_spread, need, run_time, suits};
+use crate::policy::Rank;
+use crate::target::Run;
+use crate::{RunNumber, TargetKey, TaskId};
+use mangogw_model::Time;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Room that stays free and fits no task of the same size counts this much against a target, as a part of the run
+/// time: between equally fast targets the one that is filled best is taken.
+const WASTE: f64 = 0.05;
+
+impl Board {
+    /// Starts waiting tasks in the order of their ranks, as far as there is room.
+    pub(super) fn start_waiting(&mut self, now: Time) {
+        if !self.standing.is_empty() || self.waiting.is_empty() {
+            return;
+        }
+        let mut open: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, target)| is_open(target, now)).map(|(key, _)| key).collect();
+        for (_, key) in self.by_rank(now) {
+            if open.is_empty() {
+                return;
+            }
+            self.start_job(now, key, &mut open);
+        }
+    }
+
+    fn by_rank(&self, now: Time) -> Vec<(Rank, JobKey)> {
+        let rank = |key: &JobKey| {
+            let job = &self.jobs[*key];
+            (job.timing.rank(now, Duration::from_millis(job.work_left())), *key)
+        };
+        let mut order: Vec<_> = self.waiting.iter().map(rank).collect();
+        order.sort_unstable();
+        order
+    }
+
+    /// Starts the tasks of one job that wait, as far as there is room among the `open` targets.
+    fn start_job(&mut self, now: Time, key: JobKey, open: &mut Vec<TargetKey>) {
+        let job = &self.jobs[key];
+        let spec = Arc::clone(&job.spec);
+        let places: Vec<(u32, usize)> = job
+            .turns
+            .iter()
+            .flat_map(|(turn, state)| (0..state.steps.len()).map(move |step| (*turn, step)))
+            .filter(|(turn, step)| !job.turns[turn].steps[*step].waiting.is_empty() && job.is_open(*turn, *step))
+            .collect();
+        for (turn, step) in places {
+            let whole = spec.steps[step].gang;
+            let waiting = self.jobs[key].turns[&turn].steps[step].waiting.clone();
+            if whole && !self.has_room_for(key, turn, step, &waiting, open, now) {
+                continue;
+            }
+            let number = self.next_number();
+            for index in waiting.into_iter().rev() {
+                let task = TaskId { job: self.jobs[key].id, turn, step: step as u32, index };
+                let Some(target) = self.choose(key, task, open) else { break };
+                let number = if whole { number } else { self.next_number() };
+                self.start(now, key, task, target, number);
+                if !is_open(&self.targets[target], now) {
+                    open.retain(|other| *other != target);
+                }
+            }
+        }
+        let job = &self.jobs[key];
+        if job.turns.values().all(|turn| turn.steps.iter().all(|group| group.waiting.is_empty())) {
+            self.waiting.swap_remove(&key);
+        }
+    }
+
+    /// True if all waiting tasks of a gang fit at once.
+    fn has_room_for(
+        &self,
+        key: JobKey,
+        turn: u32,
+        step: usize,
+        waiting: &[u32],
+        open: &[TargetKey],
+        now: Time,
+    ) -> bool {
+        let job = &self.jobs[key];
+        let what = &job.spec.steps[step];
+        let size = need(what);
+        let task = |index| TaskId { job: job.id, turn, step: step as u32, index };
+        let fits = |target: &TargetKey| {
+            let target = &self.targets[*target];
+            let usable = target.report.pool == job.pool && suits(target, what) && is_open(target, now);
+            if !usable || !keeps_spread(target, what, task(0)) {
+                return 0;
+            }
+            let free = target.free();
+            let by_cpu = free.cpu.checked_div(size.cpu).unwrap_or(u64::MAX);
+            let by_memory = free.memory.checked_div(size.memory).unwrap_or(u64::MAX);
+            let by_gpu = free.accelerators.checked_div(size.accelerators).unwrap_or(u64::MAX);
+            let spread = if what.spread == 0 { u64::MAX } else { u64::from(what.spread) };
+            by_cpu.min(by_memory).min(by_gpu).min(spread).min(waiting.len() as u64)
+        };
+        open.iter().map(fits).sum::<u64>() >= waiting.len() as u64
+    }
+
+    fn next_number(&mut self) -> RunNumber {
+        self.starts += 1;
+        RunNumber::of(self.token, self.starts)
+    }
+
+    /// The target on which the task is done first.
+    fn choose(&self, key: JobKey, task: TaskId, open: &[TargetKey]) -> Option<TargetKey> {
+        let job = &self.jobs[key];
+        let step = &job.spec.steps[task.step as usize];
+        let size = need(step);
+        let avoid = job.turns[&task.turn].steps[task.step as usize].tasks[task.index as usize].avoid;
+        let cost = |at: &TargetKey| {
+            let target = &self.targets[*at];
+            let fits = target.report.pool == job.pool && suits(target, step) && target.free().fits(&size);
+            if !fits || !keeps_spread(target, step, task) || target.runs.contains_key(&task) {
+                return None;
+            }
+            let time = run_time(target, step, self.settings.far);
+            let rest = target.free().less(&size).cpu % size.cpu.max(1);
+            let waste = WASTE * rest as f64 / target.report.room.cpu.max(1) as f64;
+            let again = if avoid == Some(*at) { 2.0 } else { 1.0 };
+            Some((time * again * (1.0 + waste), *at))
+        };
+        open.iter().filter_map(cost).min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, at)| at)
+    }
+
+    fn start(&mut self, now: Time, key: JobKey, id: TaskId, at: TargetKey, number: RunNumber) {
+        let lease = self.settings.lease.as_millis() as u64;
+        let job = &mut self.jobs[key];
+        let step = &job.spec.steps[id.step as usize];
+        let target = &mut self.targets[at];
+        let Some(clock) = target.clock else { return };
+        let expected = run_time(target, step, self.settings.far);
+        let until = clock.latest(now) + lease;
+        target.extend(until);
+        target.health.try_run();
+        let run = Run {
+            number,
+            need: need(step),
+            state: RunState::Starting,
+            sent: now,
+            began: None,
+            until,
+            percent: 0,
+            moved: now,
+            expected,
+        };
+        target.insert(id, run);
+        target.next_look = target.next_look.min(now);
+        job.take_waiting(id);
+        job.started = true;
+        let payload = Arc::clone(&job.payload);
+        let task = job.task_mut(id).expect("it waited");
+        task.state = TaskState::On(at);
+        let checkpoint = task.checkpoint.clone();
+        self.order(at, What::Start { task: id, run: number, payload, until, checkpoint });
+        self.dirty = true;
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/board/tick.rs
@@ -0,0 +1,125 @@
+//! What depends on time alone.
+
+use super::table::JobKey;
+use super::{Board, COME_BACK, End, OUTCOMES, Refused};
+use crate::policy::Band;
+use crate::target::RunState;
+use crate::{TargetKey, TaskId};
+use mangogw_model::Time;
+use std::time::Duration;
+
+/// A run of an earlier leader that nobody has asked for after so long is stopped. Entry hosts hand open jobs to a new
+/// leader within 300 ms.
+pub(super) const STRAY_GRACE: Duration = Duration::from_millis(600);
+/// A target that has neither reported nor answered for so long is forgotten; it reports every 1.5 s.
+const FORGET: Duration = Duration::from_secs(5);
+/// A run stands still if its percentage has not risen for so many times its expected time,
+const STALL_RATIO: f64 = 3.0;
+/// and for at least so long.
+const STALL_LEAST: Duration = Duration::from_millis(600);
+
+impl Board {
+    /// Lets time pass. Call it every 10 ms.
+    pub fn on_tick(&mut self, now: Time) {
+        self.expire_targets(now);
+        self.forget_silent(now);
+        self.stop_stalled(now);
+        self.expire_jobs(now);
+        self.begin_turns(now);
+        self.loose.retain(|_, (_, at)| now - *at < OUTCOMES);
+        self.outcomes.retain(|_, (_, at)| now - *at < OUTCOMES);
+        self.dirty = true;
+    }
+
+    /// Runs on targets that can't be reached are over once their lease surely is.
+    fn expire_targets(&mut self, now: Time) {
+        let silent: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(key, target)| now >= target.expires && (!target.runs.is_empty() || self.standing.contains(key)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in silent {
+            self.standing.swap_remove(&key);
+            let target = &mut self.targets[key];
+            let tasks: Vec<TaskId> = target.runs.keys().copied().collect();
+            log::info!(target = target.report.id, runs = tasks.len(); "board: the lease of a silent target is over");
+            target.health.strike(now);
+            for task in tasks {
+                self.targets[key].remove(&task);
+                self.free_task(now, key, task);
+            }
+            self.doubt(now, key, "its lease is over");
+        }
+    }
+
+    /// Forgets targets that neither report nor answer, once nothing can run there any more.
+    fn forget_silent(&mut self, now: Time) {
+        let gone: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(_, target)| !target.synced && now >= target.expires && target.runs.is_empty())
+            .filter(|(_, target)| now - target.reported >= FORGET && target.answered.is_none_or(|at| now - at >= FORGET))
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            self.lose_target(now, key, "neither reports nor answers");
+        }
+    }
+
+    /// Moves runs that stand still to other targets.
+    fn stop_stalled(&mut self, now: Time) {
+        let mut stalled: Vec<(TargetKey, TaskId)> = Vec::new();
+        for (key, target) in self.targets.iter().filter(|(_, target)| target.synced) {
+            for (task, run) in target.runs.iter().filter(|(_, run)| run.state == RunState::Running) {
+                let patience = Duration::from_secs_f64(run.expected * STALL_RATIO / 1000.0).max(STALL_LEAST);
+                if now - run.moved >= patience && !self.is_endless(*task) {
+                    stalled.push((key, *task));
+                }
+            }
+        }
+        for (key, task) in stalled {
+            let target = &mut self.targets[key];
+            target.health.stall(now);
+            log::info!(task:%, target = target.report.id; "board: run stands still; stopping it");
+            self.stop_run(now, key, task);
+        }
+    }
+
+    fn is_endless(&self, task: TaskId) -> bool {
+        self.by_job.get(&task.job).is_some_and(|key| self.jobs[*key].spec.endless)
+    }
+
+    /// Turns away jobs that have not started and can be of no use any more, and ends those whose client has left.
+    fn expire_jobs(&mut self, now: Time) {
+        let over: Vec<(JobKey, bool)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.stored)
+            .filter_map(|(key, job)| {
+                let left = Duration::from_millis(job.work_left());
+                let lost = !job.started && job.timing.rank(now, left).band() == Band::Lost;
+                let late = job.patience.is_some_and(|patience| now >= patience);
+                (lost || late).then_some((key, job.started))
+            })
+            .collect();
+        for (key, started) in over {
+            if started {
+                log::info!(job:% = self.jobs[key].id; "board: dropped, its client waits no longer");
+                self.drop_job(now, key);
+            } else {
+                self.answer(now, key, End::Refused(Refused { wait: COME_BACK }));
+            }
+        }
+    }
+
+    /// Begins occurrences that are due.
+    fn begin_turns(&mut self, now: Time) {
+        let wall = self.settings.wall;
+        for (key, job) in &mut self.jobs {
+            if job.next_turn < job.spec.turns() && job.begin(wall, now) {
+                self.waiting.insert(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/clock.rs
@@ -0,0 +1,54 @@
+//! What is known of the clock of a target.
+
+use mangogw_model::Time;
+use std::time::Duration;
+
+/// A clock may be so many percent slow or fast; the bound of the platform is 2.
+const DRIFT: u64 = 2;
+
+/// Bounds on the clock of a target, in its own milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RemoteClock {
+    reading: u64,
+    asked: Time,
+    heard: Time,
+}
+
+impl RemoteClock {
+    /// The clock showed `reading` at some moment between `asked` and `heard`.
+    pub const fn new(reading: u64, asked: Time, heard: Time) -> Self {
+        Self { reading, asked, heard }
+    }
+
+    /// The clock shows at most this at `now`.
+    ///
+    /// ```
+    /// use mangogw_jobs::RemoteClock;
+    /// use mangogw_model::Time;
+    /// let clock = RemoteClock::new(500, Time::from_millis(10), Time::from_millis(12));
+    /// assert_eq!(clock.latest(Time::from_millis(110)), 602);
+    /// ```
+    pub fn latest(&self, now: Time) -> u64 {
+        let passed = (now - self.asked).as_millis() as u64;
+        self.reading + passed + passed * DRIFT / 100
+    }
+
+    /// When the clock surely shows more than `reading`.
+    ///
+    /// ```
+    /// use mangogw_jobs::RemoteClock;
+    /// use mangogw_model::Time;
+    /// let clock = RemoteClock::new(500, Time::from_millis(10), Time::from_millis(12));
+    /// assert!(clock.passes(1500) > Time::from_millis(1030));
+    /// ```
+    pub fn passes(&self, reading: u64) -> Time {
+        let ahead = reading.saturating_sub(self.reading) + 1;
+        self.heard + Duration::from_millis(ahead + ahead * DRIFT / (100 - DRIFT) + 1)
+    }
+
+    /// The clock that was heard of later.
+    #[must_use]
+    pub fn newer(self, other: Self) -> Self {
+        if other.heard >= self.heard { other } else { self }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/ids.rs
@@ -0,0 +1,94 @@
+//! Names of jobs, tasks and runs.
+
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+use std::fmt;
+use std::str::FromStr;
+
+/// Hexadecimal digits of a job id.
+const DIGITS: usize = 16;
+
+/// A job, named by its client with 16 hexadecimal digits.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct JobId(pub u64);
+
+/// One start of a task. It rises over all starts of one task, also across leaders.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RunNumber(pub u64);
+
+/// One task of a job.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence, 0 for a job that runs once.
+    pub turn: u32,
+    /// The step, from 0.
+    pub step: u32,
+    /// The position in the step, from 0.
+    pub index: u32,
+}
+
+/// A text that names no job or task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("a job id has 16 hexadecimal digits, a task id is JOB.TURN.STEP.INDEX"))]
+pub struct BadTask;
+
+impl RunNumber {
+    /// Bits that count the starts of one leadership.
+    const COUNTER: u32 = 28;
+
+    /// The number of the `count`th start under the fencing token `token`.
+    ///
+    /// ```
+    /// use mangogw_jobs::RunNumber;
+    /// assert!(RunNumber::of(2, 0) > RunNumber::of(1, 1_000_000));
+    /// ```
+    pub const fn of(token: u64, count: u64) -> Self {
+        Self((token << Self::COUNTER) + count + 1)
+    }
+
+    /// The fencing token that the run was started under.
+    pub const fn token(self) -> u64 {
+        self.0 >> Self::COUNTER
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = BadTask;
+
+    fn from_str(text: &str) -> Result<Self, BadTask> {
+        let fits = text.len() == DIGITS && text.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        match u64::from_str_radix(text, 16) {
+            Ok(number) if fits => Ok(Self(number)),
+            _ => Err(BadTask),
+        }
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}.{}", self.job, self.turn, self.step, self.index)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = BadTask;
+
+    fn from_str(text: &str) -> Result<Self, BadTask> {
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or(BadTask)?.parse()?;
+        let mut number = || parts.next().and_then(|part| part.parse().ok()).ok_or(BadTask);
+        let (turn, step, index) = (number()?, number()?, number()?);
+        match parts.next() {
+            None => Ok(Self { job, turn, step, index }),
+            Some(_) => Err(BadTask),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jobs/src/lib.rs
@@ -0,0 +1,37 @@
+//! Jobs made of tasks, run under leases on targets that are chosen by room.
+//!
+//! [`Ledger`] is the part that a control group replicates: queues, targets, stored jobs and what was noted of them.
+//! [`Board`] is the part that only the leader keeps: what runs where, what waits, and whose lease ends when. Both are
+//! free of I/O: time comes in as a [`mangogw_model::Time`], and what is to be done comes out as values.
+//!
+//! ```
+//! use mangogw_jobs::TaskId;
+//!
+//! let task: TaskId = "5c0e7a21d94b36f8.0.1.17".parse().unwrap();
+//! assert_eq!((task.step, task.index), (1, 17));
+//! ```
+
+mod board;
+mod clock;
+mod health;
+mod ids;
+mod job;
+mod ledger;
+mod place;
+mod policy;
+mod queue;
+mod room;
+mod settings;
+mod target;
+
+pub use board::{Board, End, Output, Refused, Submission};
+pub use clock::RemoteClock;
+pub use health::Health;
+pub use ids::{BadTask, JobId, RunNumber, TaskId};
+pub use job::{BadJob, JobSpec, Phase, Step};
+pub use ledger::{Applied, Command, Kept, Ledger, Note, Verdict};
+pub use policy::{Band, Rank, Timing};
+pub use queue::{Pool, Queue, QueueSet, TargetClass};
+pub use room::Room;
+pub use settings::Settings;
+pub use target::{Denial, Ended, How, Listing, Order, Outcome, Running, State, TargetKey, TargetReport, What};
--- /dev/null
+++ b/crates/jobs/src/place.rs
@@ -0,0 +1,41 @@
+//! Which target a task goes to.
+
+use crate::target::Target;
+use crate::{Room, State, Step, TaskId};
+use mangogw_model::Time;
+use std::time::Duration;
+
+/// A target that has not answered for so long while something was asked of it gets no new work.
+const SILENCE: Duration = Duration::from_millis(700);
+
+/// True if the target may be given a run at all.
+pub(crate) fn is_open(target: &Target, now: Time) -> bool {
+    target.synced
+        && target.report.state == State::Ready
+        && target.strays.is_empty()
+        && target.clock.is_some()
+        && target.health.may_run(now, target.runs.len())
+        && target.looking.is_none_or(|asked| now - asked < SILENCE)
+}
+
+/// True if the step may run on the target.
+pub(crate) fn suits(target: &Target, step: &Step) -> bool {
+    step.label.as_ref().is_none_or(|label| target.report.labels.contains(label))
+}
+
+/// True if one more task of the step keeps its bound of tasks on one target.
+pub(crate) fn keeps_spread(target: &Target, step: &Step, task: TaskId) -> bool {
+    let same = |other: &&TaskId| (other.job, other.turn, other.step) == (task.job, task.turn, task.step);
+    step.spread == 0 || (target.runs.keys().filter(same).count() as u32) < step.spread
+}
+
+/// What the target must have free for a task of the step.
+pub(crate) fn need(step: &Step) -> Room {
+    if step.fills { Room { cpu: 0, ..step.need } } else { step.need }
+}
+
+/// How long a task of the step is expected to run on the target, in milliseconds.
+pub(crate) fn run_time(target: &Target, step: &Step, far: f64) -> f64 {
+    let near = step.rack.as_ref().is_none_or(|rack| target.report.labels.contains(rack));
+    step.estimate as f64 * target.health.pace() * if near { 1.0 } else { far }
+}
--- /dev/null
+++ b/crates/jobs/src/policy.rs
@@ -0,0 +1,76 @@
+//! In which order work waits, and when it is turned away.
+//!
+//! The load pattern this answers: urgent jobs of three kinds, of which short wide ones have 100 ms to spare and long
+//! ones over half a second, while a burst brings a third more than there is room for. Jobs that can still be in time
+//! come first, those with the least time to spare before others; a job that can't be in time any more waits behind
+//! all that can, and one that can't be of use at all is refused, so that it takes no room from others.
+
+use mangogw_model::Time;
+use std::time::Duration;
+
+/// A late answer counts up to this many times the goal.
+const LATE: u32 = 3;
+
+/// When the answer to a job is good, late, or of no use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// In time until then.
+    pub goal: Time,
+    /// Late, but of use, until then.
+    pub late: Time,
+}
+
+/// How urgent a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Band {
+    /// It can be in time.
+    Timely,
+    /// It can be late but of use.
+    Late,
+    /// It can be of no use.
+    Lost,
+}
+
+/// The place of a job in the order; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    band: Band,
+    latest: Time,
+}
+
+impl Timing {
+    /// The timing of a job that came at `arrived` with a chain of work of `chain`, by the goal of its queue, and of
+    /// a client that waits until `patience`.
+    ///
+    /// ```
+    /// use mangogw_jobs::Timing;
+    /// use mangogw_model::Time;
+    /// use std::time::Duration;
+    /// let timing = Timing::new(Time::ZERO, Duration::from_millis(100), 1.6, Duration::from_millis(60), None);
+    /// assert_eq!(timing.goal, Time::from_millis(220));
+    /// assert_eq!(timing.late, Time::from_millis(660));
+    /// ```
+    pub fn new(arrived: Time, chain: Duration, stretch: f64, slack: Duration, patience: Option<Time>) -> Self {
+        let goal = chain.mul_f64(stretch.max(1.0)) + slack;
+        let end = patience.unwrap_or(Time::MAX);
+        Self { goal: (arrived + goal).min(end), late: (arrived + LATE * goal).min(end) }
+    }
+
+    /// The rank at `now` of a job that takes `left` more from its next start on.
+    pub fn rank(&self, now: Time, left: Duration) -> Rank {
+        let band = match now + left {
+            end if end <= self.goal => Band::Timely,
+            end if end <= self.late => Band::Late,
+            _ => Band::Lost,
+        };
+        let end = if band == Band::Timely { self.goal } else { self.late };
+        Rank { band, latest: Time::from_micros(end.as_micros().saturating_sub(left.as_micros() as u64)) }
+    }
+}
+
+impl Rank {
+    /// How urgent it is.
+    pub const fn band(&self) -> Band {
+        self.band
+    }
+}
--- a/crates/mangogwd/src/clock.rs
+++ b/crates/mangogwd/src/clock.rs
@@ -1,12 +1,13 @@
 //! The only place that reads clocks and draws seeds.
 
 use mangogw_model::Time;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use rustix::time::{ClockId, clock_gettime};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// A monotonic clock whose origin is its own start.
+/// A monotonic clock whose origin is its own start. It goes on while the machine is suspended, since leases do.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
-    origin: Instant,
+    origin: Duration,
 }
 
 impl Clock {
@@ -17,15 +18,21 @@
     /// assert!(clock.now() <= clock.now());
     /// ```
     pub fn start() -> Self {
-        Self { origin: Instant::now() }
+        Self { origin: boot_time() }
     }
 
     /// The time since the start.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        Time::ZERO + boot_time().saturating_sub(self.origin)
     }
 }
 
+/// The time since the machine was started, suspended or not.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Milliseconds since the Unix epoch.
 ///
 /// ```
--- a/crates/mangogwd/src/disk.rs
+++ b/crates/mangogwd/src/disk.rs
@@ -69,23 +69,32 @@
 /// # Errors
 /// [`BadFolder`], which says what is wrong and what to do.
 pub fn open(path: &Path, host: HostId, entrance: Entrance) -> Result<Opened, BadFolder> {
+    let (folder, stored) = open_or(path, || new(host, entrance))?;
+    if stored.host != host {
+        return ForeignSnafu { path, found: stored.host, asked: host }.fail();
+    }
+    let token = if entrance == Entrance::Found { Some(token(path)?) } else { None };
+    Ok(Opened { folder: Some(folder), stored, token })
+}
+
+/// Opens the folder at `path`; a new one begins with what `first` gives. The host that the folder belongs to is kept
+/// in it.
+///
+/// # Errors
+/// [`BadFolder`], which says what is wrong and what to do.
+pub fn open_or(path: &Path, first: impl FnOnce() -> std::io::Result<Stored>) -> Result<(Folder, Stored), BadFolder> {
     fs::create_dir_all(path).context(IoSnafu { path })?;
-    let (folder, stored) = match Folder::open(path) {
-        Ok(held) => held,
+    match Folder::open(path) {
+        Ok(held) => Ok(held),
         Err(StoreError::Empty) => {
-            let stored = new(host, entrance).context(IoSnafu { path })?;
+            let stored = first().context(IoSnafu { path })?;
             let disk = FolderDisk::open(path).context(StoreSnafu { path })?;
             let folder = Folder::create(disk, &stored).context(StoreSnafu { path })?;
-            log::info!(host = host.0, path = path.display().to_string(); "disk: new data folder");
-            (folder, stored)
+            log::info!(host = stored.host.0, path = path.display().to_string(); "disk: new data folder");
+            Ok((folder, stored))
         }
-        Err(source) => return Err(BadFolder::Store { path: path.to_owned(), source }),
-    };
-    if stored.host != host {
-        return ForeignSnafu { path, found: stored.host, asked: host }.fail();
+        Err(source) => Err(BadFolder::Store { path: path.to_owned(), source }),
     }
-    let token = if entrance == Entrance::Found { Some(token(path)?) } else { None };
-    Ok(Opened { folder: Some(folder), stored, token })
 }
 
 /// A group of one that lives in memory only.
@@ -138,7 +147,11 @@
     out.sync_all()
 }
 
-fn draw() -> std::io::Result<u64> {
+/// A number of random bits of the system, never 0.
+///
+/// # Errors
+/// What the system said.
+pub fn draw() -> std::io::Result<u64> {
     let mut bytes = [0; 8];
     fill(&mut bytes)?;
     // 0 stands for "none" in the store.
--- a/crates/mangogwd/src/lib.rs
+++ b/crates/mangogwd/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod pool;
 pub mod server;
 pub mod settings;
+pub mod shell;
--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -69,8 +69,8 @@
 }
 
 /// Why one exchange gave no answer.
-#[derive(Debug)]
-enum Miss {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Miss {
     /// No byte was written.
     Unsent,
     /// Bytes may have been written.
@@ -114,6 +114,33 @@
         }
     }
 
+    /// Sends a request and reads the whole answer, of at most `limit` bytes, within a time.
+    ///
+    /// # Errors
+    /// [`Miss`], which says whether a byte may have reached the target.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        within: Duration,
+        limit: u64,
+    ) -> Result<Response<Bytes>, Miss> {
+        let exchange = async {
+            let (response, line) = self.send(address, request).await?;
+            let (head, body) = response.into_parts();
+            let body = collect(body, limit).await.map_err(|_report| Miss::Unsure)?;
+            self.put_back(address, line);
+            Ok(Response::from_parts(head, body))
+        };
+        match timeout(within, exchange).await {
+            Ok(answer) => answer,
+            Err(_elapsed) => {
+                self.distrust(address);
+                Err(Miss::Unsure)
+            }
+        }
+    }
+
     async fn exchange(&self, start: &Start, left: Duration) -> Seen {
         let Ok(request) = request(start, left) else { return Seen::Other(Report::NotStarted) };
         match self.send(start.address, request).await {
--- /dev/null
+++ b/crates/mangogwd/src/shell.rs
@@ -0,0 +1,216 @@
+//! The shell around a station: sockets, disk and timers for a host that runs jobs on leased targets.
+
+use crate::clock::Clock;
+use crate::disk::{self, Synced};
+use crate::links::{Identity, Inbox, Links};
+use indexmap::IndexMap;
+use mangogw_control::{Call, Caller, Effect, Message, Reply, Station};
+use mangogw_jobs::{Order, Outcome};
+use mangogw_model::{HostId, Incarnation, Time};
+use mangogw_store::{Folder, Stored, Write};
+use std::future::Future;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::time::Duration;
+use tokio::runtime::Handle;
+use tokio::sync::{oneshot, watch};
+use tokio::task::JoinHandle;
+
+/// Between two ticks of the station.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Carries orders out to targets.
+pub trait Courier: Send + Sync + 'static {
+    /// Tells a target something and gives back what came of it.
+    fn carry(&self, order: &Order) -> impl Future<Output = Outcome> + Send;
+}
+
+/// A running station.
+#[derive(Debug)]
+pub struct Shell<C> {
+    clock: Clock,
+    station: Mutex<Station>,
+    callers: Mutex<IndexMap<Caller, oneshot::Sender<Reply>>>,
+    courier: C,
+    links: Links,
+    disk: OnceLock<Sender<Write>>,
+    serial: AtomicU64,
+    over: watch::Sender<bool>,
+    runtime: Handle,
+}
+
+impl<C: Courier> Shell<C> {
+    /// A shell that runs a station from now on. Its timer runs until the returned handle is aborted.
+    ///
+    /// # Errors
+    /// What the system said when the thread of the data folder was started.
+    pub fn spawn(
+        mut settings: mangogw_control::Settings,
+        cluster: &str,
+        folder: Option<(Folder, Stored)>,
+        courier: C,
+    ) -> std::io::Result<(Arc<Self>, JoinHandle<()>)> {
+        let clock = Clock::start();
+        settings.jobs.wall = crate::clock::unix_millis();
+        let life = Incarnation(settings.seed);
+        let identity = Identity { cluster: cluster.to_owned(), host: settings.host, life };
+        let (folder, stored) = folder.unzip();
+        let shell = Arc::new(Self {
+            clock,
+            station: Mutex::new(Station::open(settings, stored, clock.now())),
+            callers: Mutex::default(),
+            courier,
+            links: Links::new(identity),
+            disk: OnceLock::new(),
+            serial: AtomicU64::new(0),
+            over: watch::Sender::new(false),
+            runtime: Handle::current(),
+        });
+        if let Some(folder) = folder {
+            let weak = Arc::downgrade(&shell);
+            let writes = disk::spawn(folder, move |synced| hear(&weak, synced))?;
+            // The cell is empty: the shell was made a moment ago.
+            _ = shell.disk.set(writes);
+        }
+        let timer = tokio::spawn(Arc::clone(&shell).run_timer());
+        Ok((shell, timer))
+    }
+
+    /// The links to other hosts.
+    pub const fn links(&self) -> &Links {
+        &self.links
+    }
+
+    /// Turns true when this process must end.
+    pub fn over(&self) -> watch::Receiver<bool> {
+        self.over.subscribe()
+    }
+
+    /// True if the station takes calls.
+    pub fn is_ready(&self) -> bool {
+        self.station.lock().unwrap_or_else(PoisonError::into_inner).is_ready(self.clock.now())
+    }
+
+    /// Hands the lead over, if this host has it.
+    pub fn leave(self: &Arc<Self>) {
+        self.step(Station::on_leaving);
+    }
+
+    /// Goes by other seeds from now on.
+    pub fn set_seeds(self: &Arc<Self>, seeds: &[std::net::SocketAddr]) {
+        self.step(|station, _| station.set_seeds(seeds));
+    }
+
+    /// Makes a call and waits for its reply.
+    pub async fn call(self: &Arc<Self>, call: Call) -> Reply {
+        let caller = Caller(self.serial.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        self.callers.lock().unwrap_or_else(PoisonError::into_inner).insert(caller, sender);
+        let gone = Gone { shell: self, caller };
+        self.step(|station, now| station.on_call(now, caller, call));
+        let reply = receiver.await;
+        drop(gone);
+        reply.unwrap_or(Reply::Unclear)
+    }
+
+    /// Gives the station one input and carries out what it wants done. Writes are queued under the lock, since their
+    /// order counts.
+    fn step(self: &Arc<Self>, input: impl FnOnce(&mut Station, Time)) {
+        let effects = {
+            let mut station = self.station.lock().unwrap_or_else(PoisonError::into_inner);
+            input(&mut station, self.clock.now());
+            let mut effects = station.drain();
+            effects.retain_mut(|effect| !self.take_write(effect));
+            effects
+        };
+        for effect in effects {
+            self.perform(effect);
+        }
+    }
+
+    /// Queues a write for the disk; true if the effect was one.
+    fn take_write(&self, effect: &mut Effect) -> bool {
+        let Effect::Write(write) = effect else { return false };
+        let write = std::mem::replace(write, Write { id: write.id, ops: Vec::new() });
+        match self.disk.get() {
+            // The thread has ended only if a write failed, and then the station knows.
+            Some(disk) => drop(disk.send(write)),
+            None => log::error!("shell: a write without a data folder"),
+        }
+        true
+    }
+
+    fn perform(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::Reply { caller, reply } => {
+                let sender = self.callers.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(&caller);
+                if let Some(sender) = sender {
+                    // A caller that has gone needs no reply.
+                    drop(sender.send(reply));
+                }
+            }
+            Effect::Send { to, message } => self.links.send(to, message.encode()),
+            Effect::Order(order) => drop(self.runtime.spawn(Arc::clone(self).carry(order))),
+            Effect::Halt { why } => {
+                log::error!(why; "shell: this process ends");
+                self.over.send_replace(true);
+            }
+            Effect::Write(_) => {}
+        }
+    }
+
+    async fn carry(self: Arc<Self>, order: Order) {
+        let asked = self.clock.now();
+        let outcome = self.courier.carry(&order).await;
+        self.step(|station, now| station.on_outcome(now, &order, asked, outcome));
+    }
+
+    async fn run_timer(self: Arc<Self>) {
+        let mut timer = tokio::time::interval(TICK);
+        timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            timer.tick().await;
+            self.step(Station::on_tick);
+        }
+    }
+}
+
+/// Tells the station what became of its writes, if it still runs.
+fn hear<C: Courier>(shell: &Weak<Shell<C>>, synced: Synced) {
+    let Some(shell) = shell.upgrade() else { return };
+    match synced {
+        Synced::UpTo(id) => shell.step(|station, now| station.on_synced(now, id)),
+        Synced::Failed => shell.step(Station::on_failed),
+    }
+}
+
+/// Hands what comes over the links to a shell.
+#[derive(Debug)]
+pub struct Door<C>(pub Weak<Shell<C>>);
+
+impl<C: Courier> Inbox for Door<C> {
+    fn take(&self, from: HostId, _life: Incarnation, body: &[u8]) {
+        match (self.0.upgrade(), Message::decode(body)) {
+            (Some(shell), Some(message)) => shell.step(|station, now| station.on_message(now, from, message)),
+            (Some(_), None) => log::warn!(host = from.0, bytes = body.len(); "shell: unreadable message dropped"),
+            (None, _) => {}
+        }
+    }
+}
+
+/// Forgets a caller that went away before its reply.
+struct Gone<'a, C: Courier> {
+    shell: &'a Arc<Shell<C>>,
+    caller: Caller,
+}
+
+impl<C: Courier> Drop for Gone<'_, C> {
+    fn drop(&mut self) {
+        let waiting = self.shell.callers.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(&self.caller);
+        if waiting.is_some() {
+            let caller = self.caller;
+            self.shell.step(|station, now| station.on_gone(now, caller));
+        }
+    }
+}
--- a/crates/store/src/raft/status.rs
+++ b/crates/store/src/raft/status.rs
@@ -51,6 +51,27 @@
 }
 
 impl Raft {
+    /// What the member is in the group.
+    pub const fn role(&self) -> Role {
+        self.role
+    }
+
+    /// The term.
+    pub const fn term(&self) -> Term {
+        self.term
+    }
+
+    /// The leader, if one is known.
+    pub const fn leader(&self) -> Option<HostId> {
+        self.leader
+    }
+
+    /// The last entry that was handed out to be applied, once this member leads and has handed out all that was
+    /// committed before.
+    pub fn settled_at(&self) -> Option<Index> {
+        self.settled().then_some(self.applied)
+    }
+
     /// The state of this member.
     ///
     /// ```
