Calls: a refusal of a call that another host had before is unclear

Ruled out: the board refusing a started job (it refuses only jobs without a start, within one leadership).

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -105,6 +105,11 @@
     pub(crate) fn on_answer(&mut self, serial: u64, reply: Reply) {
         if let Some(open) = self.open.swap_remove(&serial) {
             self.by_caller.swap_remove(&open.caller);
+            // What one host refuses, another that had the call before may have carried out.
+            let reply = match reply {
+                Reply::Refused { .. } if open.doubts > 1 && !open.call.is_read() => Reply::Unclear,
+                reply => reply,
+            };
             self.replies.push((open.caller, reply));
         }
     }
