--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -38,6 +38,8 @@
 /// Calls on their way to the leader and back.
 #[derive(Debug)]
 pub(crate) struct Calls {
+    /// What this host says when it asks who leads.
+    hello: Message,
     serial: u64,
     open: IndexMap<u64, Open>,
     by_caller: IndexMap<Caller, u64>,
@@ -53,8 +55,9 @@
 }
 
 impl Calls {
-    pub(crate) fn new(seed: u64, hosts: Vec<HostId>, now: Time) -> Self {
+    pub(crate) fn new(seed: u64, hello: Message, hosts: Vec<HostId>, now: Time) -> Self {
         Self {
+            hello,
             serial: seed << 24,
             open: IndexMap::new(),
             by_caller: IndexMap::new(),
@@ -184,8 +187,9 @@
     }
 
     pub(crate) fn on_tick(&mut self, now: Time, member: bool) {
-        if !member {
-            self.seek(now);
+        match member {
+            true => self.greet(now),
+            false => self.seek(now),
         }
         self.expire(now);
         if now - self.checked >= ASK_AFTER {
@@ -194,6 +198,14 @@
         }
     }
 
+    /// A member tells the leader that it can carry orders.
+    fn greet(&mut self, now: Time) {
+        if self.asked.is_none_or(|asked| now - asked >= WHERE) {
+            self.asked = Some(now);
+            self.sends.extend(self.leader.map(|leader| (leader, self.hello.clone())));
+        }
+    }
+
     /// Asks who leads: the leader itself, and everybody once it is silent.
     fn seek(&mut self, now: Time) {
         if self.asked.is_some_and(|asked| now - asked < WHERE) {
@@ -202,8 +214,8 @@
         self.asked = Some(now);
         let fresh = self.heard.is_some_and(|heard| now - heard < SILENCE);
         match self.leader {
-            Some(leader) if fresh => self.sends.push((leader, Message::Where)),
-            _ => self.sends.extend(self.hosts.iter().map(|host| (*host, Message::Where))),
+            Some(leader) if fresh => self.sends.push((leader, self.hello.clone())),
+            _ => self.sends.extend(self.hosts.iter().map(|host| (*host, self.hello.clone()))),
         }
         if !fresh && self.leader.take().is_some() {
             log::info!("calls: the leader is silent");
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`mangogw_jobs::Ledger`], and while it leads, the [`mangogw_jobs::Board`]. All others hand calls to the leader.
 
 mod calls;
+mod couriers;
 mod grow;
 mod identity;
 mod member;
@@ -16,4 +17,4 @@
 pub use identity::{address_of, found, host_at, join};
 pub use message::{Call, Message, Reply};
 pub use settings::Settings;
-pub use station::{Effect, Station};
+pub use station::{Effect, Station, Ticket};
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -104,6 +104,11 @@
         self.board.is_some()
     }
 
+    /// How many targets the leader knows.
+    pub(crate) fn targets(&self) -> usize {
+        self.board.as_ref().map_or(0, Board::targets)
+    }
+
     pub(crate) fn drain(&mut self, now: Time) -> Vec<MemberOutput> {
         self.settle(now);
         std::mem::take(&mut self.out)
@@ -111,7 +116,6 @@
 
     pub(crate) fn on_raft(&mut self, now: Time, from: HostId, message: mangogw_store::Message) {
         self.raft.on_message(now, from, message);
-        self.settle(now);
     }
 
     pub(crate) fn on_join(&mut self, now: Time, host: HostId, birth: mangogw_store::Birth) {
@@ -122,19 +126,16 @@
 
     pub(crate) fn on_synced(&mut self, now: Time, id: WriteId) {
         self.raft.on_synced(now, id);
-        self.settle(now);
     }
 
     pub(crate) fn on_failed(&mut self, now: Time) {
         self.raft.on_failed(now);
-        self.settle(now);
     }
 
     pub(crate) fn on_outcome(&mut self, now: Time, order: &Order, asked: Time, outcome: Outcome) {
         if let Some(board) = self.board.as_mut().filter(|board| board.token() == order.token) {
             board.on_outcome(now, order, asked, outcome);
         }
-        self.settle(now);
     }
 
     pub(crate) fn on_tick(&mut self, now: Time) {
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,7 +1,7 @@
 //! Calls, their replies, and what hosts say to each other.
 
-use mangogw_jobs::{End, JobId, JobSpec, Phase, QueueSet, TargetReport};
-use mangogw_model::HostId;
+use mangogw_jobs::{End, JobId, JobSpec, Order, Outcome, Phase, QueueSet, TargetReport};
+use mangogw_model::{HostId, Zone};
 use mangogw_store::{Birth, Term};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -145,8 +145,17 @@
     Unknown(Vec<u64>),
     /// The client of a call has left.
     Gone(u64),
-    /// Who leads?
-    Where,
+    /// Who leads? The sender can also carry orders to targets.
+    Where {
+        /// Its zone.
+        zone: Zone,
+        /// Its share of processor, in thousandths of a core.
+        share: u32,
+    },
+    /// Orders to be carried out, each under a number of the leader.
+    Orders(Vec<(u64, Order)>),
+    /// What came of orders, by the leader's numbers.
+    Outcomes(Vec<(u64, Outcome)>),
     /// Who leads, as far as the sender knows.
     Leads {
         /// The term.
@@ -159,20 +168,21 @@
 }
 
 impl Message {
-    /// The message as bytes.
-    pub fn encode(&self) -> Vec<u8> {
+    /// Messages as the bytes of one frame.
+    pub fn encode(messages: &[Self]) -> Vec<u8> {
         // Plain data always encodes.
-        postcard::to_stdvec(self).unwrap_or_default()
+        postcard::to_stdvec(messages).unwrap_or_default()
     }
 
-    /// The message from bytes, if they are one.
+    /// The messages of a frame, if it is one.
     ///
     /// ```
     /// use mangogw_control::Message;
-    /// assert_eq!(Message::decode(&Message::Where.encode()), Some(Message::Where));
-    /// assert_eq!(Message::decode(b"\xff"), None);
+    /// let messages = vec![Message::Gone(3), Message::Still(vec![4])];
+    /// assert_eq!(Message::decode(&Message::encode(&messages)), Some(messages));
+    /// assert_eq!(Message::decode(b"\x01\xff"), None);
     /// ```
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
+    pub fn decode(bytes: &[u8]) -> Option<Vec<Self>> {
         postcard::from_bytes(bytes).ok()
     }
 }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -1,6 +1,6 @@
 //! Settings of a station.
 
-use mangogw_model::HostId;
+use mangogw_model::{HostId, Zone};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,6 +15,12 @@
     pub port: u16,
     /// Hosts of the control group to begin with; they may be out of date.
     pub seeds: Vec<SocketAddr>,
+    /// The zone of this host.
+    pub zone: Zone,
+    /// The processor of this host, in thousandths of a core.
+    pub share: u32,
+    /// Up to so many targets the leader tells them itself; beyond, other hosts carry its orders.
+    pub direct: usize,
     /// Voters that the group grows to, if there are so many hosts.
     pub voters: usize,
     /// Bounds for the dispatch of jobs. Its wall clock counts for the whole station.
--- a/crates/control/src/station.rs
+++ b/crates/control/src/station.rs
@@ -1,6 +1,7 @@
 //! The station: one host of the system.
 
 use crate::calls::{Caller, Calls};
+use crate::couriers::Couriers;
 use crate::identity::address_of;
 use crate::member::{Asker, Member, MemberOutput};
 use crate::{Call, Message, Reply, Settings, host_at};
@@ -30,17 +31,22 @@
         /// The answer.
         reply: Reply,
     },
-    /// Send a message to another host; it may be lost.
+    /// Send messages to another host in one frame; it may be lost.
     Send {
         /// Where to.
         to: SocketAddr,
-        /// The message.
-        message: Message,
+        /// The messages.
+        messages: Vec<Message>,
     },
     /// Write and sync, then call [`Station::on_synced`] or [`Station::on_failed`].
     Write(Write),
-    /// Tell a target something, then call [`Station::on_outcome`].
-    Order(Order),
+    /// Tell a target something, then call [`Station::on_outcome`] with the same ticket.
+    Order {
+        /// Names the order.
+        ticket: Ticket,
+        /// The order.
+        order: Order,
+    },
     /// The process must end.
     Halt {
         /// Why, for the log.
@@ -48,6 +54,13 @@
     },
 }
 
+/// Names an order that a host carries out: who gave it, and its number there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    host: HostId,
+    number: u64,
+}
+
 /// One host of the system.
 #[derive(Debug)]
 pub struct Station {
@@ -55,6 +68,9 @@
     calls: Calls,
     member: Option<Member>,
     listeners: IndexMap<HostId, Time>,
+    couriers: Couriers,
+    /// Messages that wait to be sent together.
+    outbox: IndexMap<HostId, Vec<Message>>,
     ticked: Time,
     joined: Time,
     /// When a leader was last known.
@@ -68,9 +84,11 @@
     /// A station; with `stored` it is, or wants to be, a member of the control group.
     pub fn open(settings: Settings, stored: Option<Stored>, now: Time) -> Self {
         let mut station = Self {
-            calls: Calls::new(settings.seed, hosts_at(&settings.seeds), now),
+            calls: Calls::new(settings.seed, hello(&settings), hosts_at(&settings.seeds), now),
             member: stored.map(|stored| Member::open(settings.clone(), stored, now)),
             listeners: IndexMap::new(),
+            couriers: Couriers::new(settings.seed),
+            outbox: IndexMap::new(),
             ticked: now,
             joined: now,
             led: now,
@@ -96,29 +114,29 @@
         self.catch_up(now);
         let patience = self.settings.patience;
         self.calls.call(now, caller, call, patience);
-        self.settle(now);
     }
 
     /// The client of a call has left.
-    pub fn on_gone(&mut self, now: Time, caller: Caller) {
+    pub fn on_gone(&mut self, caller: Caller) {
         self.calls.on_gone(caller);
-        self.settle(now);
     }
 
     /// Takes a message of another host.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         self.catch_up(now);
         self.receive(now, from, message);
-        self.settle(now);
     }
 
-    /// Takes what came of an order that was sent at `asked`.
-    pub fn on_outcome(&mut self, now: Time, order: &Order, asked: Time, outcome: Outcome) {
+    /// Takes what came of an order.
+    pub fn on_outcome(&mut self, now: Time, ticket: Ticket, outcome: Outcome) {
         self.catch_up(now);
-        if let Some(member) = &mut self.member {
-            member.on_outcome(now, order, asked, outcome);
+        match ticket.host == self.settings.host {
+            true => self.hear(now, ticket.number, outcome),
+            false => match self.outbox.entry(ticket.host).or_default().last_mut() {
+                Some(Message::Outcomes(outcomes)) => outcomes.push((ticket.number, outcome)),
+                _ => self.send(ticket.host, Message::Outcomes(vec![(ticket.number, outcome)])),
+            },
         }
-        self.settle(now);
     }
 
     /// A write was synced.
@@ -126,7 +144,6 @@
         if let Some(member) = &mut self.member {
             member.on_synced(now, id);
         }
-        self.settle(now);
     }
 
     /// A write failed: this host takes no part in the control group from here on.
@@ -134,7 +151,6 @@
         if let Some(member) = &mut self.member {
             member.on_failed(now);
         }
-        self.settle(now);
     }
 
     /// Lets time pass. Call it every 10 ms.
@@ -148,7 +164,9 @@
         }
         self.calls.on_tick(now, self.member.is_some());
         self.tick_join(now);
-        self.settle(now);
+        for number in self.couriers.on_tick(now) {
+            self.hear(now, number, Outcome::Unsure);
+        }
     }
 
     /// The process will stop: the lead is handed over; all else goes on.
@@ -157,7 +175,6 @@
         if let Some(member) = &mut self.member {
             member.step_down(now);
         }
-        self.settle(now);
     }
 
     /// True if a leader answers.
@@ -173,11 +190,24 @@
         self.member.as_ref().is_some_and(Member::leads)
     }
 
-    /// What is to be done since the last call.
-    pub fn drain(&mut self) -> Vec<Effect> {
+    /// Decides on the inputs since the last call, and gives back what is to be done. Inputs that come close together
+    /// are decided on together: their messages travel in one frame, and their entries are synced at once.
+    pub fn drain(&mut self, now: Time) -> Vec<Effect> {
+        self.settle(now);
+        let port = self.settings.port;
+        let frames = self.outbox.drain(..);
+        let sends = frames.map(|(to, messages)| Effect::Send { to: address_of(to, port), messages });
+        self.effects.extend(sends);
         std::mem::take(&mut self.effects)
     }
 
+    /// Hands the outcome of an own order to the board.
+    fn hear(&mut self, now: Time, number: u64, outcome: Outcome) {
+        if let (Some((order, asked)), Some(member)) = (self.couriers.take(number), &mut self.member) {
+            member.on_outcome(now, &order, asked, outcome);
+        }
+    }
+
     /// What a host that was paused knows is judged by time first.
     fn catch_up(&mut self, now: Time) {
         if now - self.ticked >= PAUSE {
@@ -202,10 +232,18 @@
                 }
             }
             (Message::Gone(serial), Some(member)) => member.on_gone(now, Asker { host: from, serial }),
-            (Message::Where, Some(_)) => {
+            (Message::Where { zone, share }, Some(_)) => {
+                self.couriers.greet(now, from, zone, share);
                 self.listeners.insert(from, now);
                 self.tell_leader(from);
             }
+            (Message::Orders(orders), _) => {
+                let order = |(number, order)| Effect::Order { ticket: Ticket { host: from, number }, order };
+                self.effects.extend(orders.into_iter().map(order));
+            }
+            (Message::Outcomes(outcomes), _) => {
+                outcomes.into_iter().for_each(|(number, outcome)| self.hear(now, number, outcome));
+            }
             (Message::Answer { serial, reply }, _) => self.calls.on_answer(serial, reply),
             (Message::Astray { serial }, _) => self.calls.on_astray(from, serial),
             (Message::Unknown(serials), _) => self.calls.on_unknown(now, from, &serials),
@@ -227,8 +265,7 @@
     }
 
     fn send(&mut self, to: HostId, message: Message) {
-        let to = address_of(to, self.settings.port);
-        self.effects.push(Effect::Send { to, message });
+        self.outbox.entry(to).or_default().push(message);
     }
 
     fn tell_leader(&mut self, to: HostId) {
@@ -263,7 +300,7 @@
         hosts.dedup();
         for host in hosts {
             self.send(host, Message::Join { birth });
-            self.send(host, Message::Where);
+            self.send(host, hello(&self.settings));
         }
     }
 
@@ -278,7 +315,7 @@
                 return;
             }
             for output in outputs {
-                self.take(output);
+                self.take(now, output);
             }
             for (to, message) in sends {
                 match to == self.settings.host {
@@ -305,7 +342,7 @@
         listeners.into_iter().for_each(|host| self.tell_leader(host));
     }
 
-    fn take(&mut self, output: MemberOutput) {
+    fn take(&mut self, now: Time, output: MemberOutput) {
         match output {
             MemberOutput::Send(to, message) if to == self.settings.host => self.own(message),
             MemberOutput::Answer(asker, reply) if asker.host == self.settings.host => {
@@ -316,11 +353,27 @@
                 self.send(asker.host, Message::Answer { serial: asker.serial, reply });
             }
             MemberOutput::Write(write) => self.effects.push(Effect::Write(write)),
-            MemberOutput::Order(order) => self.effects.push(Effect::Order(order)),
+            MemberOutput::Order(order) => self.dispatch(now, order),
             MemberOutput::Broken => self.effects.push(Effect::Halt { why: "the state can't be read" }),
         }
     }
 
+    /// Gives an order to the host that carries it.
+    fn dispatch(&mut self, now: Time, order: Order) {
+        let many = self.member.as_ref().is_some_and(|member| member.targets() > self.settings.direct);
+        let (number, courier) = self.couriers.give(now, &order, many);
+        match courier {
+            None => {
+                let ticket = Ticket { host: self.settings.host, number };
+                self.effects.push(Effect::Order { ticket, order });
+            }
+            Some(courier) => match self.outbox.entry(courier).or_default().last_mut() {
+                Some(Message::Orders(orders)) => orders.push((number, order)),
+                _ => self.send(courier, Message::Orders(vec![(number, order)])),
+            },
+        }
+    }
+
     /// A message of this host to itself.
     fn own(&mut self, message: Message) {
         match message {
@@ -330,6 +383,10 @@
     }
 }
 
+fn hello(settings: &Settings) -> Message {
+    Message::Where { zone: settings.zone.clone(), share: settings.share }
+}
+
 fn hosts_at(seeds: &[SocketAddr]) -> Vec<HostId> {
     let host = |seed: &SocketAddr| match seed.ip() {
         IpAddr::V4(ip) => Some(host_at(ip, 0)),
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -367,6 +367,7 @@
             id: report.id.clone(),
             born: report.born,
             address: report.address,
+            zone: report.zone.clone(),
             token: self.token,
             what,
         };
@@ -464,6 +465,11 @@
 }
 
 impl Board {
+    /// How many targets are known.
+    pub fn targets(&self) -> usize {
+        self.targets.len()
+    }
+
     /// The fencing token of this leadership.
     pub const fn token(&self) -> u64 {
         self.token
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -4,8 +4,8 @@
 use super::{Board, RunState, What};
 use crate::place::{is_open, keeps_spread, need, run_time, suits};
 use crate::policy::Rank;
-use crate::target::Run;
-use crate::{RunNumber, TargetKey, TaskId};
+use crate::target::{Run, Target};
+use crate::{Room, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,16 +20,32 @@
         if !self.standing.is_empty() || self.waiting.is_empty() {
             return;
         }
+        let least = self.least_need();
+        let usable = |target: &Target| is_open(target, now) && target.free().fits(&least);
         let mut open: Vec<TargetKey> =
-            self.targets.iter().filter(|(_, target)| is_open(target, now)).map(|(key, _)| key).collect();
+            self.targets.iter().filter(|(_, target)| usable(target)).map(|(key, _)| key).collect();
+        if open.is_empty() {
+            return;
+        }
         for (_, key) in self.by_rank(now) {
             if open.is_empty() {
                 return;
             }
-            self.start_job(now, key, &mut open);
+            self.start_job(now, key, &mut open, &least);
         }
     }
 
+    /// What every waiting task needs at least.
+    fn least_need(&self) -> Room {
+        let steps = self.waiting.iter().flat_map(|key| &self.jobs[*key].spec.steps).map(need);
+        let least = |a: Room, b: Room| Room {
+            cpu: a.cpu.min(b.cpu),
+            memory: a.memory.min(b.memory),
+            accelerators: a.accelerators.min(b.accelerators),
+        };
+        steps.reduce(least).unwrap_or_default()
+    }
+
     fn by_rank(&self, now: Time) -> Vec<(Rank, JobKey)> {
         let rank = |key: &JobKey| {
             let job = &self.jobs[*key];
@@ -41,7 +57,7 @@
     }
 
     /// Starts the tasks of one job that wait, as far as there is room among the `open` targets.
-    fn start_job(&mut self, now: Time, key: JobKey, open: &mut Vec<TargetKey>) {
+    fn start_job(&mut self, now: Time, key: JobKey, open: &mut Vec<TargetKey>, least: &Room) {
         let job = &self.jobs[key];
         let spec = Arc::clone(&job.spec);
         let places: Vec<(u32, usize)> = job
@@ -62,7 +78,7 @@
                 let Some(target) = self.choose(key, task, open) else { break };
                 let number = if whole { number } else { self.next_number() };
                 self.start(now, key, task, target, number);
-                if !is_open(&self.targets[target], now) {
+                if !is_open(&self.targets[target], now) || !self.targets[target].free().fits(least) {
                     open.retain(|other| *other != target);
                 }
             }
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -56,9 +56,10 @@
 }
 
 /// Something to tell a target. It is answered by [`crate::Board::on_outcome`] with the same key and kind.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
-    /// The target, handed back with the outcome.
+    /// The target, handed back with the outcome; it means something to the board only.
+    #[serde(skip)]
     pub target: TargetKey,
     /// Its id.
     pub id: String,
@@ -66,6 +67,8 @@
     pub born: u64,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
     /// The fencing token.
     pub token: u64,
     /// What it is told.
@@ -73,7 +76,7 @@
 }
 
 /// What a target is told.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
     /// Start a run.
     Start {
@@ -107,7 +110,7 @@
 }
 
 /// What came of an order.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The target has done what it was told.
     Done {
@@ -130,7 +133,7 @@
 }
 
 /// Why a target refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Denial {
     /// It has seen a higher fencing token.
     Fenced,
@@ -149,7 +152,7 @@
 }
 
 /// What a target lists.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// The life that lists, where it says so.
     pub born: Option<u64>,
@@ -162,7 +165,7 @@
 }
 
 /// A run that goes on.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// The task.
     pub task: TaskId,
@@ -175,7 +178,7 @@
 }
 
 /// A run that has ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Counts the ends of a life, from 1.
     pub number: u64,
@@ -190,7 +193,7 @@
 }
 
 /// How a run ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum How {
     /// It did its work.
     Done,
--- a/crates/mangogwd/src/shell.rs
+++ b/crates/mangogwd/src/shell.rs
@@ -4,17 +4,16 @@
 use crate::disk::{self, Synced};
 use crate::links::{Identity, Inbox, Links};
 use indexmap::IndexMap;
-use mangogw_control::{Call, Caller, Effect, Message, Reply, Station};
+use mangogw_control::{Call, Caller, Effect, Message, Reply, Station, Ticket};
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Incarnation, Time};
 use mangogw_store::{Folder, Stored, Write};
-use std::future::Future;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
 use std::time::Duration;
 use tokio::runtime::Handle;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::JoinHandle;
 
 /// Between two ticks of the station.
@@ -36,6 +35,7 @@
     links: Links,
     disk: OnceLock<Sender<Write>>,
     serial: AtomicU64,
+    inputs: Notify,
     over: watch::Sender<bool>,
     runtime: Handle,
 }
@@ -50,7 +50,7 @@
         cluster: &str,
         folder: Option<(Folder, Stored)>,
         courier: C,
-    ) -> std::io::Result<(Arc<Self>, JoinHandle<()>)> {
+    ) -> std::io::Result<(Arc<Self>, JoinHandle<((), ())>)> {
         let clock = Clock::start();
         settings.jobs.wall = crate::clock::unix_millis();
         let life = Incarnation(settings.seed);
@@ -64,6 +64,7 @@
             links: Links::new(identity),
             disk: OnceLock::new(),
             serial: AtomicU64::new(0),
+            inputs: Notify::new(),
             over: watch::Sender::new(false),
             runtime: Handle::current(),
         });
@@ -73,7 +74,8 @@
             // The cell is empty: the shell was made a moment ago.
             _ = shell.disk.set(writes);
         }
-        let timer = tokio::spawn(Arc::clone(&shell).run_timer());
+        let node = Arc::clone(&shell);
+        let timer = tokio::spawn(async move { tokio::join!(Arc::clone(&node).run_timer(), node.run_effects()) });
         Ok((shell, timer))
     }
 
@@ -114,21 +116,34 @@
         reply.unwrap_or(Reply::Unclear)
     }
 
-    /// Gives the station one input and carries out what it wants done. Writes are queued under the lock, since their
-    /// order counts.
+    /// Gives the station one input. What comes of it is done once all inputs that are ready have been given.
     fn step(self: &Arc<Self>, input: impl FnOnce(&mut Station, Time)) {
-        let effects = {
-            let mut station = self.station.lock().unwrap_or_else(PoisonError::into_inner);
-            input(&mut station, self.clock.now());
-            let mut effects = station.drain();
-            effects.retain_mut(|effect| !self.take_write(effect));
-            effects
-        };
-        for effect in effects {
-            self.perform(effect);
+        let mut station = self.station.lock().unwrap_or_else(PoisonError::into_inner);
+        input(&mut station, self.clock.now());
+        drop(station);
+        self.inputs.notify_one();
+    }
+
+    /// Carries out what the station wants done, after each burst of inputs.
+    async fn run_effects(self: Arc<Self>) {
+        loop {
+            self.inputs.notified().await;
+            // Lets every task that is ready give its input first.
+            tokio::task::yield_now().await;
+            for effect in self.drain() {
+                self.perform(effect);
+            }
         }
     }
 
+    /// Takes the effects out of the station. Writes are queued under the lock, since their order counts.
+    fn drain(&self) -> Vec<Effect> {
+        let mut station = self.station.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut effects = station.drain(self.clock.now());
+        effects.retain_mut(|effect| !self.take_write(effect));
+        effects
+    }
+
     /// Queues a write for the disk; true if the effect was one.
     fn take_write(&self, effect: &mut Effect) -> bool {
         let Effect::Write(write) = effect else { return false };
@@ -150,8 +165,8 @@
                     drop(sender.send(reply));
                 }
             }
-            Effect::Send { to, message } => self.links.send(to, message.encode()),
-            Effect::Order(order) => drop(self.runtime.spawn(Arc::clone(self).carry(order))),
+            Effect::Send { to, messages } => self.links.send(to, Message::encode(&messages)),
+            Effect::Order { ticket, order } => drop(self.runtime.spawn(Arc::clone(self).carry(ticket, order))),
             Effect::Halt { why } => {
                 log::error!(why; "shell: this process ends");
                 self.over.send_replace(true);
@@ -160,10 +175,9 @@
         }
     }
 
-    async fn carry(self: Arc<Self>, order: Order) {
-        let asked = self.clock.now();
+    async fn carry(self: Arc<Self>, ticket: Ticket, order: Order) {
         let outcome = self.courier.carry(&order).await;
-        self.step(|station, now| station.on_outcome(now, &order, asked, outcome));
+        self.step(|station, now| station.on_outcome(now, ticket, outcome));
     }
 
     async fn run_timer(self: Arc<Self>) {
@@ -192,7 +206,9 @@
 impl<C: Courier> Inbox for Door<C> {
     fn take(&self, from: HostId, _life: Incarnation, body: &[u8]) {
         match (self.0.upgrade(), Message::decode(body)) {
-            (Some(shell), Some(message)) => shell.step(|station, now| station.on_message(now, from, message)),
+            (Some(shell), Some(messages)) => shell.step(|station, now| {
+                messages.into_iter().for_each(|message| station.on_message(now, from, message));
+            }),
             (Some(_), None) => log::warn!(host = from.0, bytes = body.len(); "shell: unreadable message dropped"),
             (None, _) => {}
         }
@@ -210,7 +226,7 @@
         let waiting = self.shell.callers.lock().unwrap_or_else(PoisonError::into_inner).swap_remove(&self.caller);
         if waiting.is_some() {
             let caller = self.caller;
-            self.shell.step(|station, now| station.on_gone(now, caller));
+            self.shell.step(|station, _| station.on_gone(caller));
         }
     }
 }
