--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -401,6 +401,19 @@
             self.waiting.insert(key);
             self.dirty = true;
             log::debug!(task:% = id, now = now.as_micros(); "board: task waits again");
+            self.break_gang(now, key, id);
+        }
+    }
+
+    /// Stops the other members of a gang: they work only together, and start again together.
+    fn break_gang(&mut self, now: Time, key: JobKey, id: TaskId) {
+        let job = &self.jobs[key];
+        if !job.spec.steps.get(id.step as usize).is_some_and(|step| step.gang) {
+            return;
+        }
+        let same = |(other, _): &(TaskId, TargetKey)| (other.turn, other.step) == (id.turn, id.step);
+        for (member, target) in job.placed().into_iter().filter(same) {
+            self.stop_run(now, target, member);
         }
     }
 
@@ -457,6 +470,7 @@
             percent,
             moved: now,
             expected,
+            patience: crate::place::patience(&step, expected, self.settings.gang),
         };
         self.targets[at].insert(id, run);
         log::info!(task:% = id, run = number.0, target = self.targets[at].report.id; "board: run adopted");
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -281,6 +281,7 @@
                         task.state = TaskState::Waiting;
                         job.put_back(note.task);
                         self.waiting.insert(key);
+                        self.break_gang(now, key, note.task);
                     }
                 }
             }
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -2,7 +2,7 @@
 
 use super::table::{JobKey, TaskState};
 use super::{Board, RunState, What};
-use crate::place::{is_open, keeps_spread, need, run_time, suits};
+use crate::place::{is_open, keeps_spread, need, patience, run_time, suits};
 use crate::policy::Rank;
 use crate::target::{Run, Target};
 use crate::{Room, RunNumber, TargetKey, TaskId};
@@ -14,6 +14,9 @@
 /// time: between equally fast targets the one that is filled best is taken.
 const WASTE: f64 = 0.05;
 
+/// So many jobs are looked at in one go: more than can start between two inputs, as 48 targets have room for 110 tasks.
+const HEAD: usize = 128;
+
 impl Board {
     /// Starts waiting tasks in the order of their ranks, as far as there is room.
     pub(super) fn start_waiting(&mut self, now: Time) {
@@ -52,6 +55,11 @@
             (job.timing.rank(now, Duration::from_millis(job.work_left())), *key)
         };
         let mut order: Vec<_> = self.waiting.iter().map(rank).collect();
+        // With a long backlog only the head of the order can be of use.
+        if order.len() > HEAD {
+            order.select_nth_unstable(HEAD);
+            order.truncate(HEAD);
+        }
         order.sort_unstable();
         order
     }
@@ -69,7 +77,9 @@
         for (turn, step) in places {
             let whole = spec.steps[step].gang;
             let waiting = self.jobs[key].turns[&turn].steps[step].waiting.clone();
-            if whole && !self.has_room_for(key, turn, step, &waiting, open, now) {
+            // Members of a gang start together or not at all.
+            let missing = whole && waiting.len() < spec.steps[step].count as usize;
+            if missing || whole && !self.has_room_for(key, turn, step, &waiting, open, now) {
                 continue;
             }
             let number = self.next_number();
@@ -174,6 +184,7 @@
             percent: 0,
             moved: now,
             expected,
+            patience: patience(step, expected, self.settings.gang),
         };
         target.insert(id, run);
         target.next_look = target.next_look.min(now);
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -13,14 +13,6 @@
 pub(super) const STRAY_GRACE: Duration = Duration::from_millis(600);
 /// A target that has neither reported nor answered for so long is forgotten; it reports every 1.5 s.
 const FORGET: Duration = Duration::from_secs(5);
-/// A run stands still if its percentage has not risen for half of its expected time. One that works, however slowly,
-/// shows a hundred steps.
-const STALL_PART: f64 = 0.5;
-/// But a run is given at least so long: three looks,
-const STALL_LEAST: Duration = Duration::from_millis(600);
-/// and at most so long: what is expected may be far off.
-const STALL_MOST: Duration = Duration::from_secs(2);
-
 impl Board {
     /// Lets time pass. Call it every 10 ms.
     pub fn on_tick(&mut self, now: Time) {
@@ -77,9 +69,7 @@
         let mut stalled: Vec<(TargetKey, TaskId)> = Vec::new();
         for (key, target) in self.targets.iter().filter(|(_, target)| target.synced) {
             for (task, run) in target.runs.iter().filter(|(_, run)| run.state == RunState::Running) {
-                let patience = Duration::from_secs_f64(run.expected * STALL_PART / 1000.0);
-                let patience = patience.clamp(STALL_LEAST, STALL_MOST);
-                if now - run.moved >= patience && !self.is_endless(*task) {
+                if now - run.moved >= run.patience && !self.is_endless(*task) {
                     stalled.push((key, *task));
                 }
             }
--- a/crates/jobs/src/place.rs
+++ b/crates/jobs/src/place.rs
@@ -8,6 +8,14 @@
 /// A target that has not answered for so long while something was asked of it gets no new work.
 const SILENCE: Duration = Duration::from_millis(700);
 
+/// A run stands still if its percentage has not risen for half of its expected time. One that works, however slowly,
+/// shows a hundred steps.
+const STALL_PART: f64 = 0.5;
+/// But a run is given at least so long: three looks,
+const STALL_LEAST: Duration = Duration::from_millis(600);
+/// and at most so long: what is expected may be far off.
+const STALL_MOST: Duration = Duration::from_secs(2);
+
 /// True if the target may be given a run at all.
 pub(crate) fn is_open(target: &Target, now: Time) -> bool {
     target.synced
@@ -39,3 +47,10 @@
     let near = step.rack.as_ref().is_none_or(|rack| target.report.labels.contains(rack));
     step.estimate as f64 * target.health.pace() * if near { 1.0 } else { far }
 }
+
+/// How long a run of the step that is expected to take `millis` may stand still; the tasks of a gang first wait up to
+/// `gang` for each other.
+pub(crate) fn patience(step: &Step, millis: f64, gang: Duration) -> Duration {
+    let half = Duration::from_secs_f64(millis * STALL_PART / 1000.0).clamp(STALL_LEAST, STALL_MOST);
+    if step.gang { half + gang } else { half }
+}
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -223,8 +223,10 @@
     pub(crate) percent: u32,
     /// When the percentage last rose.
     pub(crate) moved: Time,
-    /// What the run should take on a target of common speed, in milliseconds.
+    /// What the run should take there, in milliseconds.
     pub(crate) expected: f64,
+    /// It stands still if its percentage has not risen for so long.
+    pub(crate) patience: Duration,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -204,6 +204,34 @@
     assert_eq!(ends, [(2, End::Refused(Refused { wait: Duration::from_secs(1) }))]);
 }
 
+/// Found on a trial site with gangs: members that ended were started again one by one, and never met.
+#[test]
+fn members_of_a_gang_start_together_again() {
+    let mut desk = Desk::open(&["w1", "w2"]);
+    let need = Room { cpu: 9000, memory: 1, accelerators: 0 };
+    let step = Step { count: 2, need, estimate: 100, gang: true, ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
+    desk.board.admit(desk.now, Submission { id: JobId(1), spec, patience: None, asker: 1 }, &desk.queue);
+    let orders = desk.orders();
+    let starts: Vec<_> = orders.iter().filter(|order| matches!(order.what, What::Start { .. })).collect();
+    let runs: Vec<_> = starts.iter().map(|order| run_of(order)).collect();
+    assert!(runs.len() == 2 && runs[0].1 == runs[1].1, "one run for all members: {runs:?}");
+    let look = |id: &str| {
+        let is_it = |order: &&Order| matches!(order.what, What::Look { .. }) && order.id == id;
+        orders.iter().find(is_it).expect("a busy target is looked at").clone()
+    };
+    let ended = |at: usize, how| Ended { number: 1, task: runs[at].0, run: runs[at].1, how, checkpoint: String::new() };
+    let (first, second) = (look(&starts[0].id), look(&starts[1].id));
+    desk.listed(&first, Listing { ended: vec![ended(0, How::Broken)], ..listing(600) });
+    let next = desk.orders();
+    let stops: Vec<_> = next.iter().filter(|order| matches!(order.what, What::Stop { .. })).map(run_of).collect();
+    assert_eq!(stops, [runs[1]], "the other member is stopped, and the first does not start alone");
+    assert!(!next.iter().any(|order| matches!(order.what, What::Start { .. })));
+    desk.listed(&second, Listing { ended: vec![ended(1, How::Stopped)], ..listing(600) });
+    let again: Vec<_> = desk.starts().iter().map(run_of).collect();
+    assert!(again.len() == 2 && again[0].1 == again[1].1 && again[0].1 > runs[0].1, "{again:?}");
+}
+
 #[test]
 fn a_later_token_ends_the_orders_of_this_one() {
     let mut desk = Desk::open(&["w1"]);
