--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -114,3 +114,15 @@
     let faults = Faults { fail: 0.2, drains: true, kills: true, ..Faults::default() };
     seeds(70, 4).for_each(|seed| check(seed, faults, 100, 0.5));
 }
+
+/// The fault soak: two minutes of every fault, with stored jobs and others, and couriers. `SOAK_S=1800` makes it longer.
+#[test]
+fn a_long_soak_of_all_faults_breaks_no_rule() {
+    trace();
+    let seconds = std::env::var("SOAK_S").ok().and_then(|text| text.parse().ok()).unwrap_or(120);
+    let mut world = World::new(90, ALL, 8, 4, 0.5);
+    world.run(Duration::from_secs(seconds));
+    assert!(world.oracle.faults.is_empty(), "{:#?}", world.oracle.faults);
+    assert!(world.oracle.starts > seconds * 5, "{} starts; {:?}", world.oracle.starts, world.ended);
+    println!("soak of {seconds} s: {} starts, {:?}", world.oracle.starts, world.ended);
+}
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -106,6 +106,7 @@
                 continue;
             }
             let number = self.next_number();
+            let mut begun = Vec::new();
             for index in waiting.into_iter().rev() {
                 let task = TaskId { job: self.jobs[key].id, turn, step: step as u32, index };
                 // A run of an earlier submission of the same job may still be stopping.
@@ -115,10 +116,12 @@
                 let Some(target) = self.choose(key, task, open) else { break };
                 let number = if whole { number } else { self.next_number() };
                 self.start(now, key, task, target, number);
+                begun.push(target);
                 if !is_open(&self.targets[target], now) || !self.targets[target].free().fits(least) {
                     open.retain(|other| *other != target);
                 }
             }
+            self.log_starts(now, key, step, &begun);
         }
         let job = &self.jobs[key];
         if job.turns.values().all(|turn| turn.steps.iter().all(|group| group.waiting.is_empty())) {
@@ -126,6 +129,16 @@
         }
     }
 
+    fn log_starts(&self, now: Time, key: JobKey, step: usize, begun: &[TargetKey]) {
+        if begun.is_empty() {
+            return;
+        }
+        let job = &self.jobs[key];
+        let targets: Vec<&str> = begun.iter().map(|target| self.targets[*target].report.id.as_str()).collect();
+        let (waited, wide) = ((now - job.arrived).as_millis() as u64, job.spec.steps[step].count);
+        log::info!(job:% = job.id, step, started = begun.len(), wide, waited, targets:?; "board: started");
+    }
+
     /// True if all waiting tasks of a gang fit at once.
     fn has_room_for(
         &self,
--- a/crates/mangogwd/src/logs.rs
+++ b/crates/mangogwd/src/logs.rs
@@ -3,6 +3,13 @@
 use log::kv::{Error, Key, Value, VisitSource};
 use serde::{Deserialize, Serialize};
 use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{SyncSender, sync_channel};
+use std::thread;
+
+/// Lines that wait for the reader: some seconds of a busy leader.
+const LINES: usize = 4096;
 
 /// The shape of log lines.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,7 +26,68 @@
 ///
 /// A second call has no effect.
 pub fn open(level: &str, format: Format) {
+    start(env_logger::Builder::new(), level, format);
+}
+
+/// Starts logging to `out` at `level` through a bounded queue: a reader that stops reading costs lines, which are
+/// counted and said, and never holds up the process.
+///
+/// # Errors
+/// What the system said when the thread that writes was started.
+pub fn open_queued(level: &str, format: Format, out: impl Write + Send + 'static) -> io::Result<()> {
     let mut builder = env_logger::Builder::new();
+    builder.target(env_logger::Target::Pipe(Box::new(Queue::spawn(out)?)));
+    start(builder, level, format);
+    Ok(())
+}
+
+/// Lines on their way to a reader that may stop reading.
+#[derive(Debug)]
+pub struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl Queue {
+    /// A queue whose lines are written to `out` by a thread of its own.
+    ///
+    /// # Errors
+    /// What the system said when the thread was started.
+    pub fn spawn(mut out: impl Write + Send + 'static) -> io::Result<Self> {
+        let (lines, waiting) = sync_channel::<Vec<u8>>(LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let lost = Arc::clone(&dropped);
+        thread::Builder::new().name("logs".to_owned()).spawn(move || {
+            while let Ok(mut batch) = waiting.recv() {
+                batch.extend(waiting.try_iter().take(LINES).flatten());
+                let count = lost.swap(0, Ordering::Relaxed);
+                if count > 0 {
+                    batch.extend_from_slice(format!("{{\"message\":\"logs: {count} lines dropped\"}}\n").as_bytes());
+                }
+                // There is nowhere left to say that the reader has gone.
+                if out.write_all(&batch).and_then(|()| out.flush()).is_err() {
+                    return;
+                }
+            }
+        })?;
+        Ok(Self { lines, dropped })
+    }
+}
+
+impl Write for Queue {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        if self.lines.try_send(buf.to_vec()).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn start(mut builder: env_logger::Builder, level: &str, format: Format) {
     builder.parse_filters(level);
     builder.format(move |out, record| match format {
         Format::Text => text(out, record),
