--- a/crates/control/tests/group/world.rs
+++ b/crates/control/tests/group/world.rs
@@ -18,6 +18,8 @@
 pub const HOSTS: usize = 6;
 const PORT: u16 = 7720;
 const CALL: Duration = Duration::from_millis(300);
+/// Longer than any run.
+const KEEP: Duration = Duration::from_hours(24);
 const RESEND: Duration = Duration::from_millis(1300);
 
 /// What may go wrong in a run.
@@ -205,7 +207,12 @@
             share: 250,
             direct,
             voters: 3,
-            jobs: mangogw_jobs::Settings { lease: Duration::from_millis(LEASE_MS), ..Default::default() },
+            jobs: mangogw_jobs::Settings {
+                lease: Duration::from_millis(LEASE_MS),
+                // Jobs are asked for at the end of the run; that they are forgotten later is tested at the ledger.
+                keep: KEEP,
+                ..Default::default()
+            },
             patience: Duration::from_millis(900),
         };
         node.station = Some(Station::open(settings, node.disk.clone(), now));
