--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -31,7 +31,7 @@
 pub use job::{BadJob, JobSpec, Phase, Step};
 pub use ledger::{Applied, Command, Kept, Ledger, Note, Verdict};
 pub use policy::{Band, Rank, Timing};
-pub use queue::{Pool, Queue, QueueSet, TargetClass};
+pub use queue::{Pool, Queue, QueueSet};
 pub use room::Room;
 pub use settings::Settings;
 pub use target::{Denial, Ended, How, Listing, Order, Outcome, Running, State, TargetKey, TargetReport, What};
--- a/crates/jobs/src/queue.rs
+++ b/crates/jobs/src/queue.rs
@@ -39,10 +39,6 @@
     pub spare: bool,
 }
 
-/// What kind of target a pool is made of, as far as the system sees it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct TargetClass(pub String);
-
 /// Every queue and pool, under one version.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct QueueSet {
@@ -57,7 +53,7 @@
 }
 
 impl QueueSet {
-    /// The queue of a request: the longest prefix of `path` under `host`.
+    /// The queue of a request: the longest prefix of `path` under `host`. A board keeps the index that this makes anew.
     ///
     /// ```
     /// use mangogw_jobs::{Queue, QueueSet};
@@ -67,8 +63,7 @@
     /// assert!(set.find("b", "/x/y/z").is_none());
     /// ```
     pub fn find(&self, host: &str, path: &str) -> Option<&Queue> {
-        let fits = |queue: &&Queue| queue.host == host && path.starts_with(&queue.prefix);
-        self.queues.iter().filter(fits).max_by_key(|queue| queue.prefix.len())
+        Routes::of(self).find(host, path).and_then(|at| self.queues.get(at))
     }
 }
 
