--- a/crates/jobs/tests/replay.rs
+++ b/crates/jobs/tests/replay.rs
@@ -35,8 +35,6 @@
 struct Share {
     timely: usize,
     late: usize,
-    /// Shown where a bound is missed.
-    #[expect(dead_code, reason = "printed by Debug")]
     refused: usize,
 }
 
