Starts look up leftover runs in a list of each pass, not through all targets

Cause: before each start the board asked every target whether it still holds a run of the task: two hashed look-ups at 350 targets, 14 us a start, and as much for each waiting task of the 128 jobs at the head of a backlog, in every pass.

Now one list of the runs that are being stopped, unsure or unasked for is made for each pass; it is empty most of the time.

--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -36,14 +36,28 @@
         if open.is_empty() {
             return;
         }
+        let leftover = self.leftover();
         for (_, key) in self.by_rank(now) {
             if open.is_empty() {
                 return;
             }
-            self.start_job(now, key, &mut open, &least);
+            self.start_job(now, key, &mut open, &least, &leftover);
         }
     }
 
+    /// Tasks with a run somewhere that their job may not go by: one that nobody asked for, or that is being stopped.
+    fn leftover(&self) -> Vec<TaskId> {
+        let passing =
+            |(task, run): (&TaskId, &Run)| matches!(run.state, RunState::Stopping | RunState::Unsure).then_some(*task);
+        let of_target = |target: &'_ Target| {
+            let runs: Vec<TaskId> = target.runs.iter().filter_map(passing).collect();
+            runs.into_iter().chain(target.strays.keys().copied().collect::<Vec<_>>())
+        };
+        let mut tasks: Vec<TaskId> = self.targets.values().flat_map(of_target).collect();
+        tasks.sort_unstable();
+        tasks
+    }
+
     /// What every waiting task needs at least.
     fn least_need(&self) -> Room {
         let steps = self.waiting.iter().flat_map(|key| &self.jobs[*key].spec.steps).map(need);
@@ -71,7 +85,7 @@
     }
 
     /// Starts the tasks of one job that wait, as far as there is room among the `open` targets.
-    fn start_job(&mut self, now: Time, key: JobKey, open: &mut Vec<TargetKey>, least: &Room) {
+    fn start_job(&mut self, now: Time, key: JobKey, open: &mut Vec<TargetKey>, least: &Room, leftover: &[TaskId]) {
         let job = &self.jobs[key];
         let spec = Arc::clone(&job.spec);
         let places: Vec<(u32, usize)> = job
@@ -93,7 +107,7 @@
             for index in waiting.into_iter().rev() {
                 let task = TaskId { job: self.jobs[key].id, turn, step: step as u32, index };
                 // A run of an earlier submission of the same job may still be stopping.
-                if self.may_run_somewhere(&task) {
+                if leftover.binary_search(&task).is_ok() {
                     continue;
                 }
                 let Some(target) = self.choose(key, task, open) else { break };
@@ -153,10 +167,6 @@
         open.iter().map(fits).sum::<u64>() >= waiting.len() as u64
     }
 
-    fn may_run_somewhere(&self, task: &TaskId) -> bool {
-        self.targets.values().any(|target| target.runs.contains_key(task) || target.strays.contains_key(task))
-    }
-
     fn next_number(&mut self) -> RunNumber {
         self.starts += 1;
         RunNumber::of(self.token, self.starts)
@@ -171,7 +181,7 @@
         let cost = |at: &TargetKey| {
             let target = &self.targets[*at];
             let fits = target.report.pool == job.pool && suits(target, step) && target.free().fits(&size);
-            if !fits || !keeps_spread(target, step, task) || target.runs.contains_key(&task) {
+            if !fits || !keeps_spread(target, step, task) {
                 return None;
             }
             let time = run_time(target, step, self.settings.far);
