A new leader starts at once what no leader had; hosts that are silent lose their calls

Cause: a new leader started nothing before it had heard every target that an earlier one may have used, or waited out a lease.

Ruled out: a shorter lease (running work would not survive a change of leader, 0.5 to 0.9 s); waiting less (the bound is the slowest clock's lease).

Now a call says whether any host that may have led had it before. One that none had can't run anywhere, so it starts on targets that were heard. That is true of a job that its client sends again by another host only if what ran for the first is over by then: a leader now drops the calls of a host that said nothing for 800 ms; clients send again after 1,300. A host that was paused forgives the silence.

Test: a_job_that_no_leader_had_does_not_wait_for_targets_that_are_unheard_of, red before.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -183,9 +183,10 @@
             }
             call => call.clone(),
         };
+        let fresh = open.doubts == 0;
         open.sent = Some((leader, now));
         open.doubts += 1;
-        self.sends.push((leader, Message::Call { serial, call }));
+        self.sends.push((leader, Message::Call { serial, fresh, call }));
     }
 
     pub(crate) fn on_tick(&mut self, now: Time, member: bool) {
--- a/crates/control/src/couriers.rs
+++ b/crates/control/src/couriers.rs
@@ -9,8 +9,11 @@
 use mangogw_model::{HostId, Time, Zone};
 use std::time::Duration;
 
-/// A courier that has not greeted for so long gets no orders; it greets every 150 ms.
+/// A host that has said nothing for so long gets no orders; it greets every 150 ms.
 const SILENCE: Duration = Duration::from_millis(500);
+/// A host that has said nothing for so long is lost, and its clients with it: they send again after 1,300 ms, and what
+/// runs for them is over by then.
+const LOST: Duration = Duration::from_millis(800);
 /// An order that has no outcome after so long, beside what it was asked to wait, is unsure. A courier itself gives up
 /// after 300 ms.
 const PATIENCE: Duration = Duration::from_millis(450);
@@ -20,6 +23,8 @@
     zone: Zone,
     share: u32,
     heard: Time,
+    /// It has said nothing for a while.
+    silent: bool,
 }
 
 #[derive(Debug)]
@@ -54,12 +59,32 @@
 
     /// A host says that it can carry orders.
     pub(crate) fn greet(&mut self, now: Time, host: HostId, zone: Zone, share: u32) {
-        let new = self.hosts.insert(host, Courier { zone, share, heard: now }).is_none();
-        if new {
+        let known = self.hosts.insert(host, Courier { zone, share, heard: now, silent: false });
+        if known.is_none_or(|known| known.silent) {
             self.chosen.clear();
         }
     }
 
+    /// A host has said something.
+    pub(crate) fn touch(&mut self, now: Time, host: HostId) {
+        if let Some(courier) = self.hosts.get_mut(&host) {
+            courier.heard = now;
+        }
+    }
+
+    /// This host was paused, and has heard nobody meanwhile.
+    pub(crate) fn forgive(&mut self, now: Time) {
+        self.hosts.values_mut().for_each(|courier| courier.heard = now);
+    }
+
+    /// Hosts that are lost, from now on forgotten.
+    pub(crate) fn take_lost(&mut self, now: Time) -> Vec<HostId> {
+        let lost = self.hosts.iter().filter(|(_, courier)| now - courier.heard >= LOST).map(|(host, _)| *host);
+        let lost: Vec<HostId> = lost.collect();
+        self.hosts.retain(|host, _| !lost.contains(host));
+        lost
+    }
+
     /// Gives an order a number, and a courier if there are `many` targets.
     pub(crate) fn give(&mut self, now: Time, order: &Order, many: bool) -> (u64, Option<HostId>) {
         let courier = if many { self.choose(order) } else { None };
@@ -84,12 +109,16 @@
             return Vec::new();
         }
         self.looked = now;
-        let count = self.hosts.len();
-        self.hosts.retain(|_, courier| now - courier.heard < SILENCE);
-        if self.hosts.len() != count {
-            self.chosen.clear();
+        for courier in self.hosts.values_mut() {
+            let silent = now - courier.heard >= SILENCE;
+            if silent != courier.silent {
+                courier.silent = silent;
+                self.chosen.clear();
+            }
         }
-        let gone = |given: &Given| given.courier.is_some_and(|courier| !self.hosts.contains_key(&courier));
+        let gone = |given: &Given| {
+            given.courier.is_some_and(|courier| self.hosts.get(&courier).is_none_or(|courier| courier.silent))
+        };
         let late = |given: &Given| now >= given.until || gone(given);
         self.given.iter().filter(|(_, given)| late(given)).map(|(number, _)| *number).collect()
     }
@@ -100,8 +129,8 @@
         if let Some(chosen) = self.chosen.get(&order.id) {
             return *chosen;
         }
-        let local = self.hosts.values().any(|courier| courier.zone == order.zone);
-        let fits = |courier: &Courier| !local || courier.zone == order.zone;
+        let local = self.hosts.values().any(|courier| !courier.silent && courier.zone == order.zone);
+        let fits = |courier: &Courier| !courier.silent && (!local || courier.zone == order.zone);
         let score = |host: HostId, share: u32| {
             // Weighted rendezvous hashing: the least of -ln(u) / weight wins, u uniform in (0, 1).
             let unit = (mix(host.0, &order.id) >> 11) as f64 / (1_u64 << 53) as f64;
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -66,8 +66,8 @@
     /// Open calls by their number on the board.
     tickets: IndexMap<u64, Asker>,
     by_asker: IndexMap<Asker, u64>,
-    /// Calls that came before the board was open.
-    early: Vec<(Asker, Call)>,
+    /// Calls that came before the board was open, and whether no other host had them before.
+    early: Vec<(Asker, Call, bool)>,
     /// Changes that the log would not take yet.
     again: Vec<Waiting>,
     /// Reads that wait for the end of a job, and until when.
@@ -210,10 +210,10 @@
     }
 
     /// Takes a call, if this member leads or is about to. False if it does not.
-    pub(crate) fn on_call(&mut self, now: Time, asker: Asker, call: Call) -> bool {
+    pub(crate) fn on_call(&mut self, now: Time, asker: Asker, call: Call, fresh: bool) -> bool {
         match (&self.board, self.raft.role()) {
-            (Some(_), _) => self.lead_call(now, asker, call),
-            (None, Role::Leader) => self.early.push((asker, call)),
+            (Some(_), _) => self.lead_call(now, asker, call, fresh),
+            (None, Role::Leader) => self.early.push((asker, call, fresh)),
             _ => return false,
         }
         self.settle(now);
@@ -222,7 +222,7 @@
 
     /// The client of a call has left.
     pub(crate) fn on_gone(&mut self, now: Time, asker: Asker) {
-        self.early.retain(|(other, _)| *other != asker);
+        self.early.retain(|(other, ..)| *other != asker);
         if let (Some(ticket), Some(board)) = (self.by_asker.swap_remove(&asker), &mut self.board) {
             self.tickets.swap_remove(&ticket);
             board.on_gone(now, ticket);
@@ -230,18 +230,31 @@
         self.settle(now);
     }
 
+    /// A host is lost: nobody waits for what it asked.
+    pub(crate) fn on_host_lost(&mut self, now: Time, host: HostId) {
+        let askers: Vec<Asker> = self.by_asker.keys().copied().filter(|asker| asker.host == host).collect();
+        if self.leads() {
+            log::info!(host = host.0, calls = askers.len(); "member: host lost");
+        }
+        self.early.retain(|(asker, ..)| asker.host != host);
+        self.watching.retain(|(asker, ..)| asker.host != host);
+        for asker in askers {
+            self.on_gone(now, asker);
+        }
+    }
+
     /// Which of these calls are not at work here.
     pub(crate) fn unknown(&self, host: HostId, serials: &[u64]) -> Vec<u64> {
         let waits = |asker: Asker| {
             self.by_asker.contains_key(&asker)
-                || self.early.iter().any(|(other, _)| *other == asker)
+                || self.early.iter().any(|(other, ..)| *other == asker)
                 || self.watching.iter().any(|(other, ..)| *other == asker)
                 || self.waiting.values().chain(&self.again).any(|waiting| waiting.asker() == Some(asker))
         };
         serials.iter().copied().filter(|serial| !waits(Asker { host, serial: *serial })).collect()
     }
 
-    fn lead_call(&mut self, now: Time, asker: Asker, call: Call) {
+    fn lead_call(&mut self, now: Time, asker: Asker, call: Call, fresh: bool) {
         let at = self.wall(now);
         let Some(board) = &mut self.board else { return };
         match call {
@@ -251,7 +264,7 @@
                 Some(queue) if spec.transient => {
                     let ticket = self.ticket(asker);
                     let patience = within.map(|within| now + within);
-                    let submission = Submission { id, spec, patience, asker: ticket };
+                    let submission = Submission { id, spec, patience, asker: ticket, fresh };
                     if let Some(board) = &mut self.board {
                         board.admit(now, submission, &queue);
                     }
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -92,7 +92,7 @@
             }
         }
         if role != Role::Leader {
-            for (asker, _) in std::mem::take(&mut self.early) {
+            for (asker, ..) in std::mem::take(&mut self.early) {
                 self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
             }
         }
@@ -106,8 +106,8 @@
         let term = self.raft.term().0;
         self.board = Some(Board::open(self.settings.jobs.clone(), term, &self.ledger, now));
         self.growth = Growth::new(self.settings.voters, now);
-        for (asker, call) in std::mem::take(&mut self.early) {
-            self.lead_call(now, asker, call);
+        for (asker, call, fresh) in std::mem::take(&mut self.early) {
+            self.lead_call(now, asker, call, fresh);
         }
     }
 
@@ -139,7 +139,7 @@
                 Command::Forget { id, born } => board.on_left(now, id, *born),
                 Command::Accept { id, .. } => {
                     if let Some(kept) = self.ledger.jobs.get(id).filter(|kept| kept.ended.is_none()) {
-                        board.restore(now, *id, kept);
+                        board.restore(now, *id, kept, applied.verdict == Verdict::Changed);
                     }
                 }
                 _ => {}
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -124,6 +124,8 @@
     Call {
         /// Names the call at its sender.
         serial: u64,
+        /// No host that may have led was sent it before.
+        fresh: bool,
         /// The call.
         call: Call,
     },
--- a/crates/control/src/station.rs
+++ b/crates/control/src/station.rs
@@ -124,6 +124,7 @@
     /// Takes a message of another host.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         self.catch_up(now);
+        self.couriers.touch(now, from);
         self.receive(now, from, message);
     }
 
@@ -155,6 +156,9 @@
 
     /// Lets time pass. Call it every 10 ms.
     pub fn on_tick(&mut self, now: Time) {
+        if now - self.ticked >= PAUSE {
+            self.couriers.forgive(now);
+        }
         self.ticked = now;
         if let Some(member) = &mut self.member {
             member.on_tick(now);
@@ -167,6 +171,11 @@
         for number in self.couriers.on_tick(now) {
             self.hear(now, number, Outcome::Unsure);
         }
+        for host in self.couriers.take_lost(now) {
+            if let Some(member) = &mut self.member {
+                member.on_host_lost(now, host);
+            }
+        }
     }
 
     /// The process will stop: the lead is handed over; all else goes on.
@@ -219,8 +228,8 @@
         match (message, &mut self.member) {
             (Message::Raft(message), Some(member)) => member.on_raft(now, from, message),
             (Message::Join { birth }, Some(member)) => member.on_join(now, from, birth),
-            (Message::Call { serial, call }, Some(member)) => {
-                if !member.on_call(now, Asker { host: from, serial }, call) {
+            (Message::Call { serial, fresh, call }, Some(member)) => {
+                if !member.on_call(now, Asker { host: from, serial }, call, fresh) {
                     self.send(from, Message::Astray { serial });
                     self.tell_leader(from);
                 }
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -89,6 +89,8 @@
     pub patience: Option<Time>,
     /// Who asks.
     pub asker: u64,
+    /// No leader had it before, so that nothing of it can run.
+    pub fresh: bool,
 }
 
 /// The jobs at work, the targets, and who waits for what.
@@ -121,8 +123,8 @@
 }
 
 impl Board {
-    /// A board under a new token, on the state that the group has agreed on. Nothing is started before every target
-    /// that an earlier leader may have used has listed its runs, or has surely lost them.
+    /// A board under a new token, on the state that the group has agreed on. No job that an earlier leader may have had
+    /// is started before every target that it may have used has listed its runs, or has surely lost them.
     pub fn open(settings: Settings, token: u64, ledger: &Ledger, now: Time) -> Self {
         let mut board = Self {
             settings,
@@ -153,7 +155,7 @@
             board.standing.insert(key);
         }
         for (id, kept) in ledger.jobs.iter().filter(|(_, kept)| kept.ended.is_none()) {
-            board.restore(now, *id, kept);
+            board.restore(now, *id, kept, false);
         }
         log::info!(token, targets = board.targets.len(), jobs = board.jobs.len(); "board: leading");
         board
@@ -218,7 +220,7 @@
 
     /// Takes a job that is not stored.
     pub fn admit(&mut self, now: Time, submission: Submission, queue: &Queue) {
-        let Submission { id, spec, patience, asker } = submission;
+        let Submission { id, spec, patience, asker, fresh } = submission;
         if let Some((end, _)) = self.outcomes.get(&id) {
             self.outputs.push(Output::Answer { asker, end: *end });
             return;
@@ -233,13 +235,14 @@
         let mut job = Job::new(id, spec, queue, now, timing, false);
         job.askers.push(asker);
         job.patience = patience;
+        job.fresh = fresh;
         let key = self.insert_job(now, job);
         self.askers.insert(asker, key);
         self.adopt_runs(now, key);
     }
 
-    /// Takes up a job that the ledger has stored.
-    pub fn restore(&mut self, now: Time, id: JobId, kept: &Kept) {
+    /// Takes up a job that the ledger has stored; a `fresh` one was stored under this leadership.
+    pub fn restore(&mut self, now: Time, id: JobId, kept: &Kept, fresh: bool) {
         if self.by_job.contains_key(&id) {
             return;
         }
@@ -250,6 +253,7 @@
         let timing = Timing::new(now, chain, queue.stretch, Duration::from_millis(queue.slack), None);
         let mut job = Job::new(id, Arc::clone(&kept.spec), &queue, now, timing, true);
         job.recall(kept);
+        job.fresh = fresh;
         let key = self.insert_job(now, job);
         self.adopt_runs(now, key);
     }
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -24,9 +24,10 @@
 const AT_ONCE: Duration = Duration::from_millis(20);
 
 impl Board {
-    /// Starts waiting tasks in the order of their ranks, as far as there is room.
+    /// Starts waiting tasks in the order of their ranks, as far as there is room. While a target of earlier leaders is
+    /// unheard of, only jobs that none of them had are started: the others may run there.
     pub(super) fn start_waiting(&mut self, now: Time) {
-        if !self.standing.is_empty() || self.waiting.is_empty() {
+        if self.waiting.is_empty() {
             return;
         }
         let least = self.least_need();
@@ -74,7 +75,9 @@
             let job = &self.jobs[*key];
             (job.timing.rank(now, Duration::from_millis(job.work_left())), *key)
         };
-        let mut order: Vec<_> = self.waiting.iter().map(rank).collect();
+        let settled = self.standing.is_empty();
+        let may_start = |key: &&JobKey| settled || self.jobs[**key].fresh;
+        let mut order: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
         // With a long backlog only the head of the order can be of use.
         if order.len() > HEAD {
             order.select_nth_unstable(HEAD);
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -25,6 +25,8 @@
     pub(crate) timing: Timing,
     pub(crate) patience: Option<Time>,
     pub(crate) stored: bool,
+    /// No earlier leader had it, so that nothing of it runs anywhere.
+    pub(crate) fresh: bool,
     pub(crate) started: bool,
     /// When its first task was started here.
     pub(crate) first_start: Option<Time>,
@@ -91,6 +93,7 @@
             timing,
             patience: None,
             stored,
+            fresh: false,
             started: false,
             first_start: None,
             askers: SmallVec::new(),
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -73,10 +73,19 @@
     }
 
     fn submit(&mut self, id: u64, count: u32, cpu: u64, patience: u64) {
+        self.admit(id, count, cpu, patience, true);
+    }
+
+    /// An earlier leader may have had the job.
+    fn submit_again(&mut self, id: u64, count: u32, cpu: u64, patience: u64) {
+        self.admit(id, count, cpu, patience, false);
+    }
+
+    fn admit(&mut self, id: u64, count: u32, cpu: u64, patience: u64, fresh: bool) {
         let step = Step { count, need: Room { cpu, memory: 1, accelerators: 0 }, estimate: 100, ..Step::default() };
         let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
         let patience = Some(self.now + Duration::from_millis(patience));
-        let submission = Submission { id: JobId(id), spec, patience, asker: id };
+        let submission = Submission { id: JobId(id), spec, patience, asker: id, fresh };
         self.board.admit(self.now, submission, &self.queue);
     }
 }
@@ -108,6 +117,26 @@
     assert_eq!(desk.starts().len(), 1);
 }
 
+/// Found on hanjiri-mangogw-grown scale-2: with a zone cut off, a new leader started nothing for a lease.
+#[test]
+fn a_job_that_no_leader_had_does_not_wait_for_targets_that_are_unheard_of() {
+    let mut desk = Desk::open(&[]);
+    let targets = ["w1", "w2"].map(|id| (id.to_owned(), report(id))).into_iter().collect();
+    let queues = QueueSet { queues: vec![desk.queue.clone()], ..QueueSet::default() };
+    let ledger = Ledger { set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    desk.board = Board::open(Settings::default(), 4, &ledger, desk.now);
+    desk.submit(1, 1, 6000, 5000);
+    desk.submit_again(2, 1, 6000, 5000);
+    let looks = desk.orders();
+    let look = |id: &str| looks.iter().find(|order| order.id == id).expect("it is looked at").clone();
+    desk.listed(&look("w1"), listing(500));
+    assert_eq!(desk.starts().iter().map(|order| run_of(order).0.job).collect::<Vec<_>>(), [JobId(1)]);
+    desk.wait(50);
+    assert!(desk.starts().is_empty(), "w2 may run the other");
+    desk.listed(&look("w2"), listing(500));
+    assert_eq!(desk.starts().iter().map(|order| run_of(order).0.job).collect::<Vec<_>>(), [JobId(2)]);
+}
+
 /// Found by the group's fuzz, seed 1135: a job was dropped, its run still stopping, and the job was sent again.
 #[test]
 fn a_job_sent_again_waits_for_its_stopping_run() {
@@ -211,7 +240,7 @@
     let need = Room { cpu: 9000, memory: 1, accelerators: 0 };
     let step = Step { count: 2, need, estimate: 100, gang: true, ..Step::default() };
     let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
-    desk.board.admit(desk.now, Submission { id: JobId(1), spec, patience: None, asker: 1 }, &desk.queue);
+    desk.board.admit(desk.now, Submission { id: JobId(1), spec, patience: None, asker: 1, fresh: true }, &desk.queue);
     let orders = desk.orders();
     let starts: Vec<_> = orders.iter().filter(|order| matches!(order.what, What::Start { .. })).collect();
     let runs: Vec<_> = starts.iter().map(|order| run_of(order)).collect();
--- a/crates/jobs/tests/driver/mod.rs
+++ b/crates/jobs/tests/driver/mod.rs
@@ -200,7 +200,7 @@
         let goal = Duration::from_millis((work * 1.6) as u64 + 60);
         self.came.insert(id, Came { at: self.now, goal, work });
         let patience = Some(self.now + PATIENCE);
-        let submission = Submission { id: JobId(id), spec, patience, asker: id };
+        let submission = Submission { id: JobId(id), spec, patience, asker: id, fresh: true };
         self.board(|board, now| board.admit(now, submission, &queue()));
     }
 
