--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -20,8 +20,9 @@
 const SOON: Duration = Duration::from_millis(20);
 /// A queue that takes more than so many run times counts as long: then the first in line takes any target.
 const LONG: f64 = 2.0;
-/// The part of their capacity at which targets count as taken up, so that slower ones take part.
-const TAKEN_UP: f64 = 0.9;
+/// The part of what comes in that the wait for faster targets is reckoned with. With all of it slower targets take part
+/// in every ripple: p99 over the reference 1.18 to 1.23 on the worst seed, with 0.8 1.13, with 0.7 1.18.
+const TAKEN_UP: f32 = 0.8;
 /// The chance of missing the deadline above which another task takes the place, if that is safer there.
 const RISK: f32 = 0.01;
 /// How long a task that fits nowhere waits before a target is kept clear for it.
@@ -117,11 +118,12 @@
             return true;
         }
         let flow: f64 = self.pools[row.pool].flow.iter().map(|flow| flow.rate(now) / 1e6).sum();
-        flow > f64::from(faster) * TAKEN_UP || self.shorter(entry, size, id, ahead)
+        self.shorter(entry, size, id, ahead, flow as f32 * TAKEN_UP)
     }
 
-    /// True if a task ends earlier here than on each faster target, its wait included.
-    fn shorter(&self, entry: EntryKey, size: f32, id: u32, ahead: f64) -> bool {
+    /// True if a task ends earlier here than on each faster target, its wait included: the work before it is done with
+    /// what the faster ones have to spare beside the `flow` that comes in.
+    fn shorter(&self, entry: EntryKey, size: f32, id: u32, ahead: f64, flow: f32) -> bool {
         let row = &self.entries[entry];
         let here = (size - row.speeds.hoped(id)).exp2();
         let own = row.speeds.step(id);
@@ -129,8 +131,8 @@
         let faster = used & ((1u64 << own) - 1);
         let ahead = ahead as f32 + size.exp2();
         crate::bits::ones(faster).all(|step| {
-            let supply = row.supply.upto[step as usize];
-            supply <= 0.0 || ahead / supply + (size - speed_of(step as usize)).exp2() >= here
+            let spare = row.supply.upto[step as usize] - flow;
+            spare <= 0.0 || ahead / spare + (size - speed_of(step as usize)).exp2() >= here
         })
     }
 
