Founding and joining are decided in control/identity.rs, not in platform/

The folder that only translates picked founders and joiners, and filtered the seeds' addresses as the station did too. `enter` does both now, with an example that runs; `hosts_at` moved beside it.

--- a/crates/control/src/identity.rs
+++ b/crates/control/src/identity.rs
@@ -2,7 +2,7 @@
 
 use mangogw_model::HostId;
 use mangogw_store::{Birth, GroupId, Members, Stored};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// Bits of the number behind the address.
 const NONCE_BITS: u32 = 16;
@@ -30,6 +30,36 @@
     Ipv4Addr::from_bits((host.0 >> NONCE_BITS) as u32)
 }
 
+/// The state of a new data folder. At the first start of the whole system the seeds found the group; every other host
+/// waits to be taken in. `drawn` is random.
+///
+/// ```
+/// use mangogw_control::enter;
+/// let (ip, seeds) = ("10.0.0.2".parse().unwrap(), ["10.0.0.1:80".parse().unwrap(), "10.0.0.2:80".parse().unwrap()]);
+/// assert_eq!(enter(ip, &seeds, true, 7).members().voters.len(), 2);
+/// assert!(enter(ip, &seeds, false, 7).members().voters.is_empty());
+/// ```
+pub fn enter(ip: Ipv4Addr, seeds: &[SocketAddr], first: bool, drawn: u64) -> Stored {
+    let founders: Vec<Ipv4Addr> = ips_of(seeds).collect();
+    match first && founders.contains(&ip) {
+        true => found(ip, &founders),
+        false => join(ip, drawn),
+    }
+}
+
+/// The hosts at the addresses of seeds.
+pub(crate) fn hosts_at(seeds: &[SocketAddr]) -> Vec<HostId> {
+    ips_of(seeds).map(|ip| host_at(ip, 0)).collect()
+}
+
+/// Hosts have addresses of version 4 only; another one names none.
+fn ips_of(seeds: &[SocketAddr]) -> impl Iterator<Item = Ipv4Addr> {
+    seeds.iter().filter_map(|seed| match seed.ip() {
+        IpAddr::V4(ip) => Some(ip),
+        IpAddr::V6(_) => None,
+    })
+}
+
 /// The state of a founder: all founders write the same members, so that nobody has to decide.
 ///
 /// ```
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -15,7 +15,7 @@
 mod station;
 
 pub use calls::Caller;
-pub use identity::{address_of, found, host_at, join};
+pub use identity::{address_of, enter, found, host_at, join};
 pub use message::{Call, Greeting, Message, Reply};
 pub use settings::Settings;
 pub use station::{Effect, Station, Ticket};
--- a/crates/control/src/station.rs
+++ b/crates/control/src/station.rs
@@ -2,15 +2,15 @@
 
 use crate::calls::{Caller, Calls, News};
 use crate::couriers::{Couriers, LOST};
-use crate::identity::{address_of, ip_of};
+use crate::identity::{address_of, hosts_at, ip_of};
 use crate::island::{Watch, island_token};
 use crate::member::{Asker, Member, MemberOutput};
-use crate::{Call, Greeting, Message, Reply, Settings, host_at};
+use crate::{Call, Greeting, Message, Reply, Settings};
 use indexmap::IndexMap;
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Time};
 use mangogw_store::{Role, Stored, Write, WriteId};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A host whose timers did not run for so long was paused: they run before anything else is judged.
@@ -439,11 +439,3 @@
         }
     }
 }
-
-fn hosts_at(seeds: &[SocketAddr]) -> Vec<HostId> {
-    let host = |seed: &SocketAddr| match seed.ip() {
-        IpAddr::V4(ip) => Some(host_at(ip, 0)),
-        IpAddr::V6(_) => None,
-    };
-    seeds.iter().filter_map(host).collect()
-}
