--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -120,6 +120,11 @@
         })
     }
 
+    /// How many calls have no answer yet.
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
     /// True if a leader has lately said that it leads.
     pub(crate) fn is_led(&self, now: Time) -> bool {
         self.leader.is_some() && self.heard.is_some_and(|heard| now - heard < 2 * SILENCE)
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,9 +13,11 @@
 mod message;
 mod settings;
 mod station;
+mod view;
 
 pub use calls::Caller;
 pub use identity::{address_of, enter, found, host_at, join};
 pub use message::{Call, Greeting, Message, Reply};
 pub use settings::Settings;
 pub use station::{Effect, Station, Ticket};
+pub use view::View;
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -4,10 +4,10 @@
 mod entries;
 
 use crate::grow::Growth;
-use crate::{Call, Message, Reply, Settings};
+use crate::{Call, Message, Reply, Settings, View};
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
-use mangogw_jobs::{Board, Command, JobId, Kept, Ledger, Note, Outcome, Phase, Submission, TargetKey};
+use mangogw_jobs::{Board, Command, Counts, JobId, Kept, Ledger, Note, Outcome, Phase, Submission, TargetKey};
 use mangogw_model::{HostId, Time, Zone};
 use mangogw_store::{Index, Raft, Role, Status, Stored, Tag, Write, WriteId};
 use std::time::Duration;
@@ -60,6 +60,8 @@
     pub(crate) raft: Raft,
     pub(crate) ledger: Ledger,
     pub(crate) board: Option<Board>,
+    /// What earlier boards have done.
+    counts: Counts,
     /// The board is that of an island.
     alone: bool,
     /// The last islands that this member has overruled, by zone.
@@ -91,6 +93,7 @@
             raft: Raft::open(raft_settings, stored, now),
             ledger: Ledger::default(),
             board: None,
+            counts: Counts::default(),
             alone: false,
             overruled: IndexMap::new(),
             applied: Index(0),
@@ -120,6 +123,35 @@
         self.board.is_some() && !self.alone
     }
 
+    /// What this member shows of itself, beside `calls`.
+    pub(crate) fn view(&self, calls: View) -> View {
+        let (jobs, waiting) = self.board.as_ref().map_or((0, 0), Board::jobs);
+        View {
+            leads: self.leads(),
+            alone: self.alone,
+            term: self.raft.term().0,
+            version: self.ledger.version().0,
+            voters: self.raft.status().members.voters.len(),
+            stored: self.ledger.jobs.len(),
+            targets: self.targets(),
+            heard: self.board.as_ref().map_or(0, Board::heard),
+            jobs,
+            waiting,
+            counts: self.board.as_ref().map_or(self.counts, |board| self.counts + board.counts()),
+            ..calls
+        }
+    }
+
+    /// Ends what this member leads, a group or an island.
+    fn close_board(&mut self) {
+        if let Some(board) = self.board.take() {
+            self.counts = self.counts + board.counts();
+        }
+        self.alone = false;
+        self.tickets.clear();
+        self.by_asker.clear();
+    }
+
     /// How many targets the leader knows.
     pub(crate) fn targets(&self) -> usize {
         self.board.as_ref().map_or(0, Board::targets)
--- a/crates/control/src/member/alone.rs
+++ b/crates/control/src/member/alone.rs
@@ -29,10 +29,7 @@
     /// with the answer to their next greeting; they don't take their calls back, since these may have begun.
     pub(crate) fn close_island(&mut self) {
         log::info!(calls = self.by_asker.len(); "member: the island is closed");
-        self.board = None;
-        self.alone = false;
-        self.tickets.clear();
-        self.by_asker.clear();
+        self.close_board();
     }
 
     /// Takes what a target says of itself on an island. The group hears it from the target itself, later.
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -93,9 +93,7 @@
             _ => {}
         }
         if role != Role::Leader || token.is_some_and(|token| token != token_of(term)) {
-            self.board = None;
-            self.tickets.clear();
-            self.by_asker.clear();
+            self.close_board();
             self.again.clear();
             for (asker, ..) in std::mem::take(&mut self.watching) {
                 self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
--- a/crates/control/src/station.rs
+++ b/crates/control/src/station.rs
@@ -5,7 +5,7 @@
 use crate::identity::{address_of, hosts_at, ip_of};
 use crate::island::{Watch, island_token};
 use crate::member::{Asker, Member, MemberOutput};
-use crate::{Call, Greeting, Message, Reply, Settings};
+use crate::{Call, Greeting, Message, Reply, Settings, View};
 use indexmap::IndexMap;
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Time};
@@ -206,6 +206,12 @@
         self.member.as_ref().is_some_and(Member::leads)
     }
 
+    /// What this host shows of itself.
+    pub fn view(&self, now: Time) -> View {
+        let calls = View { ready: self.is_ready(now), calls: self.calls.len(), ..View::default() };
+        self.member.as_ref().map_or(calls, |member| member.view(calls))
+    }
+
     /// Decides on the inputs since the last call, and gives back what is to be done. Inputs that come close together
     /// are decided on together: their messages travel in one frame, and their entries are synced at once.
     pub fn drain(&mut self, now: Time) -> Vec<Effect> {
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -10,8 +10,8 @@
 use crate::queue::Routes;
 use crate::target::{Order, Run, RunState, Stray, Target, What};
 use crate::{
-    How, JobId, JobSpec, Kept, Ledger, Note, Phase, Queue, QueueSet, RunNumber, Settings, TargetKey, TargetReport,
-    TaskId, Timing,
+    Counts, How, JobId, JobSpec, Kept, Ledger, Note, Phase, Queue, QueueSet, RunNumber, Settings, TargetKey,
+    TargetReport, TaskId, Timing,
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
@@ -126,6 +126,7 @@
     /// A target has seen a higher token: this leadership is over.
     fenced: bool,
     dirty: bool,
+    counts: Counts,
     /// When targets and waiting jobs were last looked through.
     passed: Time,
     outputs: Vec<Output>,
@@ -153,6 +154,7 @@
             isolated: false,
             fenced: false,
             dirty: true,
+            counts: Counts::default(),
             passed: Time::ZERO,
             outputs: Vec::new(),
         };
@@ -319,6 +321,7 @@
         job.askers.retain(|other| *other != asker);
         if job.askers.is_empty() && !job.stored {
             log::info!(job:% = job.id, started = job.started; "board: dropped, its client left");
+            self.counts.dropped += 1;
             self.drop_job(now, key);
         }
     }
@@ -388,6 +391,12 @@
         log::info!(job:% = job.id, queue = job.queue, end:?, took, waited; "board: answered");
         let (id, askers) = (job.id, job.askers.clone());
         self.outputs.extend(askers.into_iter().map(|asker| Output::Answer { asker, end }));
+        let count = match end {
+            End::Completed => &mut self.counts.completed,
+            End::Failed => &mut self.counts.failed,
+            End::Refused(_) => &mut self.counts.refused,
+        };
+        *count += 1;
         if !matches!(end, End::Refused(_)) {
             self.outcomes.insert(id, (end, now));
         }
@@ -551,4 +560,19 @@
     pub const fn token(&self) -> u64 {
         self.token
     }
+
+    /// What was done so far.
+    pub const fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// How many jobs are at work, and how many of them have tasks that wait for a target.
+    pub fn jobs(&self) -> (usize, usize) {
+        (self.jobs.len(), self.waiting.len())
+    }
+
+    /// How many targets have listed what they run, of those that are known.
+    pub fn heard(&self) -> usize {
+        self.targets.values().filter(|target| target.synced).count()
+    }
 }
--- a/crates/jobs/src/board/look.rs
+++ b/crates/jobs/src/board/look.rs
@@ -49,6 +49,7 @@
         let calm = target.synced && target.misses == 0 && !unsure && target.open.is_empty();
         let wait = if calm && busy { longest } else { Duration::ZERO };
         target.looking = Some(now);
+        self.counts.looks += 1;
         target.sought = target.seen();
         let seen = target.sought;
         self.order(key, What::Look { until, seen, wait });
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -56,6 +56,7 @@
     fn on_missed(&mut self, now: Time, key: TargetKey, outcome: &Outcome) {
         let target = &mut self.targets[key];
         target.misses += 1;
+        self.counts.missed += 1;
         if *outcome != Outcome::Unsure || target.misses >= MISSES {
             self.doubt(now, key, &format!("look {outcome:?}"));
         }
@@ -79,11 +80,13 @@
                     held.state = RunState::Unsure;
                 }
                 target.next_look = now;
+                self.counts.unsure += 1;
                 log::info!(task:%, run = run.0, target = id; "board: start unsure");
             }
             Outcome::Denied { why, .. } => {
                 log::info!(task:%, run = run.0, target = id, why:?; "board: start refused");
                 target.remove(&task);
+                self.counts.denied += 1;
                 match why {
                     Denial::Unwell | Denial::Room | Denial::Unreached | Denial::Unreadable => target.health.strike(now),
                     Denial::Old | Denial::Late | Denial::Fenced => {}
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -207,6 +207,7 @@
         let until = clock.earliest(now) + lease;
         target.extend(until);
         target.health.try_run();
+        self.counts.starts += 1;
         let run = Run {
             number,
             need: need(step),
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -114,6 +114,7 @@
         for (key, started) in over {
             if started {
                 log::info!(job:% = self.jobs[key].id; "board: dropped, its client waits no longer");
+                self.counts.dropped += 1;
                 self.drop_job(now, key);
             } else {
                 self.answer(now, key, End::Refused(Refused { wait: COME_BACK }));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod board;
 mod clock;
+mod counts;
 mod health;
 mod ids;
 mod job;
@@ -26,6 +27,7 @@
 
 pub use board::{Board, End, Output, Refused, Submission};
 pub use clock::RemoteClock;
+pub use counts::Counts;
 pub use health::Health;
 pub use ids::{BadTask, JobId, RunNumber, TaskId};
 pub use job::{BadJob, JobSpec, Phase, Step};
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -1,6 +1,8 @@
 //! Metrics in Prometheus' text format. `docs/operate/metrics.md` says what each one means.
 
+use crate::links::Counts;
 use crate::node::Node;
+use mangogw_control::View;
 use metrics::{counter, gauge};
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
@@ -33,6 +35,52 @@
     handle.render()
 }
 
+/// Every metric of this process, with the gauges of a station as they are now.
+pub fn render_station(view: &View, links: &Counts) -> String {
+    let Some(handle) = handle() else { return String::new() };
+    let gauges = [
+        ("mangogw_ready", u64::from(view.ready)),
+        ("mangogw_leader", u64::from(view.leads)),
+        ("mangogw_island", u64::from(view.alone)),
+        ("mangogw_term", view.term),
+        ("mangogw_queues_version", view.version),
+        ("mangogw_voters", view.voters as u64),
+        ("mangogw_stored_jobs", view.stored as u64),
+        ("mangogw_open_calls", view.calls as u64),
+        ("mangogw_targets", view.targets as u64),
+        ("mangogw_targets_heard", view.heard as u64),
+        ("mangogw_jobs", view.jobs as u64),
+        ("mangogw_jobs_waiting", view.waiting as u64),
+    ];
+    for (name, value) in gauges {
+        gauge!(name).set(value as f64);
+    }
+    let totals = [
+        ("mangogw_starts_total", view.counts.starts),
+        ("mangogw_starts_unsure_total", view.counts.unsure),
+        ("mangogw_starts_denied_total", view.counts.denied),
+        ("mangogw_looks_total", view.counts.looks),
+        ("mangogw_looks_missed_total", view.counts.missed),
+        ("mangogw_jobs_completed_total", view.counts.completed),
+        ("mangogw_jobs_failed_total", view.counts.failed),
+        ("mangogw_jobs_refused_total", view.counts.refused),
+        ("mangogw_jobs_dropped_total", view.counts.dropped),
+    ];
+    for (name, value) in totals {
+        counter!(name).absolute(value);
+    }
+    count_links(links, &[]);
+    handle.render()
+}
+
+fn count_links(counts: &Counts, labels: &[(&'static str, String)]) {
+    let total = |name: &'static str, value: u64| counter!(name, labels).absolute(value);
+    total("mangogw_link_frames_total", counts.sent.load(Ordering::Relaxed));
+    total("mangogw_link_bytes_total", counts.bytes.load(Ordering::Relaxed));
+    total("mangogw_link_frames_dropped_total", counts.dropped.load(Ordering::Relaxed));
+    total("mangogw_link_frames_refused_total", counts.refused.load(Ordering::Relaxed));
+}
+
 fn observe(node: &Node) {
     let status = node.with(mangogw_host::Host::status_view);
     let host = status.host.to_string();
@@ -49,11 +97,7 @@
     set("mangogw_leader", f64::from(u8::from(status.role.as_deref() == Some("leader"))));
     let total = |name: &'static str, value: u64| counter!(name, "host" => host.clone()).absolute(value);
     total("mangogw_wasted_messages_total", status.wasted);
-    let counts = node.links().counts();
-    total("mangogw_link_frames_total", counts.sent.load(Ordering::Relaxed));
-    total("mangogw_link_bytes_total", counts.bytes.load(Ordering::Relaxed));
-    total("mangogw_link_frames_dropped_total", counts.dropped.load(Ordering::Relaxed));
-    total("mangogw_link_frames_refused_total", counts.refused.load(Ordering::Relaxed));
+    count_links(node.links().counts(), &[("host", host.clone())]);
     for view in node.with(mangogw_host::Host::target_views) {
         let labels = [("target", view.name.to_string()), ("state", view.state.to_owned())];
         gauge!("mangogw_target_running", &labels).set(f64::from(view.running));
--- a/crates/mangogwd/src/shell.rs
+++ b/crates/mangogwd/src/shell.rs
@@ -4,7 +4,7 @@
 use crate::disk::{self, Synced};
 use crate::links::{Identity, Inbox, Links};
 use indexmap::IndexMap;
-use mangogw_control::{Call, Caller, Effect, Message, Reply, Station, Ticket};
+use mangogw_control::{Call, Caller, Effect, Message, Reply, Station, Ticket, View};
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Incarnation, Time};
 use mangogw_store::{Folder, Stored, Write};
@@ -96,6 +96,11 @@
         self.station.lock().unwrap_or_else(PoisonError::into_inner).is_ready(self.clock.now())
     }
 
+    /// What the station shows of itself.
+    pub fn view(&self) -> View {
+        self.station.lock().unwrap_or_else(PoisonError::into_inner).view(self.clock.now())
+    }
+
     /// Hands the lead over, if this host has it.
     pub fn leave(self: &Arc<Self>) {
         self.step(Station::on_leaving);
