--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -135,6 +135,21 @@
     assert!(world.oracle.faults.is_empty(), "{:#?}", world.oracle.faults);
 }
 
+/// Clients send again after 1.3 s, and may meet a leader that does not know of the first run.
+#[test]
+fn what_runs_for_a_host_that_died_is_over_within_a_second() {
+    trace();
+    let mut world = World::new(3, Faults::default(), 36, 100, 0.0);
+    world.entry = Some(CONTROL);
+    world.pass(Duration::from_secs(6));
+    while world.oracle.running() < 4 {
+        world.pass(Duration::from_millis(10));
+    }
+    world.kill(CONTROL, true, 5000);
+    world.pass(Duration::from_millis(1000));
+    assert_eq!(world.oracle.running(), 0);
+}
+
 /// Jobs that end, and jobs that are sent, within some seconds.
 fn served(world: &mut World, seconds: u64) -> (u64, u64) {
     let before = (world.ended["ended"], world.jobs.len() as u64);
--- a/crates/control/tests/group/oracle.rs
+++ b/crates/control/tests/group/oracle.rs
@@ -76,6 +76,11 @@
         }
     }
 
+    /// How many runs are at work.
+    pub fn running(&self) -> usize {
+        self.tasks.values().map(|log| log.live.len()).sum()
+    }
+
     /// A life of a worker is over, with all that ran there.
     pub fn died(&mut self, worker: (usize, u64)) {
         self.tasks.values_mut().for_each(|log| log.live.retain(|at, _| *at != worker));
--- a/crates/control/tests/group/world/faults.rs
+++ b/crates/control/tests/group/world/faults.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 impl World {
-    pub(super) fn kill(&mut self, host: usize, power: bool, down: u64) {
+    pub fn kill(&mut self, host: usize, power: bool, down: u64) {
         let node = &mut self.nodes[host];
         if !power {
             // The system writes on what the process had handed over.
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -193,6 +193,30 @@
     }
 }
 
+/// What the group's jobs came to on a target is the group's to note: an island leaves it on the target.
+#[test]
+fn an_island_notes_no_end_of_a_job_that_it_does_not_know() {
+    let mut desk = Desk::open(&[]);
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let queues = QueueSet { queues: vec![desk.queue.clone()], ..QueueSet::default() };
+    let ledger = Ledger { set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    desk.board = Board::isolate(Settings::default(), 1025, &ledger, &Zone::from("a"), desk.now);
+    let look = desk.orders().remove(0);
+    let ended = |number, job, how| {
+        let (task, run) = (TaskId { job: JobId(job), ..TaskId::default() }, RunNumber::of(1024, number));
+        Ended { number, task, run, how, checkpoint: String::new() }
+    };
+    let ends = vec![ended(1, 7, How::Lapsed), ended(2, 8, How::Done), ended(3, 9, How::Lapsed)];
+    desk.listed(&look, Listing { ended: ends, ..listing(600) });
+    desk.submit(1, 1, 6000, 5000);
+    let orders = desk.orders();
+    assert!(orders.iter().any(|order| matches!(order.what, What::Start { .. })), "it serves: {orders:?}");
+    desk.wait(60);
+    let looks: Vec<_> = orders.into_iter().chain(desk.orders()).map(|order| order.what).collect();
+    let seen = |what: &What| matches!(what, What::Look { seen, .. } if *seen > 1);
+    assert!(looks.iter().any(|what| matches!(what, What::Look { .. })) && !looks.iter().any(seen), "{looks:?}");
+}
+
 /// Found on lantern-walk-grown scale-2: where one answer in twenty is lost, half of the targets were in doubt at a time.
 #[test]
 fn one_look_without_an_answer_does_not_close_a_target() {
