--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -146,7 +146,7 @@
         world.pass(Duration::from_millis(10));
     }
     world.kill(CONTROL, true, 5000);
-    world.pass(Duration::from_millis(1000));
+    world.pass(Duration::from_secs(1));
     assert_eq!(world.oracle.running(), 0);
 }
 
