Silence and the wait for an island follow from lease, stop and the time until clients send again

Cause: found in the read-through. A silent host was lost after 0.8 s and an island opened after 2 s, constants that hold for a lease of 1 s and clients that send again after 1.3 s. A deployment with a lease of 2 s would have opened islands beside runs that still work, and one whose clients are quicker would have met them twice.

Ruled out: larger constants (each costs every zone that is cut off).

Now `Settings::lost` is six tenths of the time until clients send again, 0.8 s at most, and `Settings::alone` adds a lease by the slowest clock, a stop and 0.1 s: 0.78 and 1.98 s on the deployments of today. Calls that wait for a board have a type in place of a tuple.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,6 +1,6 @@
 //! Calls on their way to the leader and back.
 
-use crate::island::{ALONE, term_of};
+use crate::island::term_of;
 use crate::{Call, Greeting, Message, Reply};
 use indexmap::IndexMap;
 use mangogw_model::{HostId, Time, Version, Zone};
@@ -66,6 +66,8 @@
     version: Version,
     /// The highest token of an island that this host has used or led.
     pub(crate) island: u64,
+    /// For how long no leader is heard before an island is used.
+    apart: Duration,
     /// The leader is that of an island.
     alone: bool,
     /// A leader whose term the island that this host has used is not over in: it has to be told.
@@ -94,6 +96,7 @@
             grouped: now,
             version: Version(0),
             island: 0,
+            apart: settings.alone(),
             alone: false,
             overruled: None,
             asked: None,
@@ -236,7 +239,7 @@
     /// Uses the island of the zone, if no leader was heard for long.
     fn use_island(&mut self, now: Time, news: News) {
         match self.leader {
-            None if now - self.grouped >= ALONE => {
+            None if now - self.grouped >= self.apart => {
                 log::info!(leader = news.leader.map(|host| host.0), token = news.island; "calls: on an island");
                 (self.leader, self.alone, self.heard) = (news.leader, true, Some(now));
                 self.island = self.island.max(news.island);
--- a/crates/control/src/couriers.rs
+++ b/crates/control/src/couriers.rs
@@ -12,9 +12,6 @@
 
 /// A host that has said nothing for so long gets no orders; it greets every 150 ms.
 const SILENCE: Duration = Duration::from_millis(500);
-/// A host that has said or heard nothing for so long is lost, and its clients with it: they send again after 1,300 ms, and what
-/// runs for them is over by then.
-pub(crate) const LOST: Duration = Duration::from_millis(800);
 /// An order that has no outcome after so long, beside what it was asked to wait, is unsure. A courier itself gives up
 /// after 300 ms.
 const PATIENCE: Duration = Duration::from_millis(450);
@@ -80,10 +77,10 @@
         self.hosts.values_mut().for_each(|courier| courier.heard = now);
     }
 
-    /// Hosts that are lost, from now on forgotten.
-    pub(crate) fn take_lost(&mut self, now: Time) -> Vec<HostId> {
-        let lost = self.hosts.iter().filter(|(_, courier)| now - courier.heard >= LOST).map(|(host, _)| *host);
-        let lost: Vec<HostId> = lost.collect();
+    /// Hosts that have said nothing for `silence`, from now on forgotten.
+    pub(crate) fn take_lost(&mut self, now: Time, silence: Duration) -> Vec<HostId> {
+        let lost = self.hosts.iter().filter(|(_, courier)| now - courier.heard >= silence);
+        let lost: Vec<HostId> = lost.map(|(host, _)| *host).collect();
         self.hosts.retain(|host, _| !lost.contains(host));
         lost
     }
--- a/crates/control/src/island.rs
+++ b/crates/control/src/island.rs
@@ -3,19 +3,16 @@
 //! One control host of the zone then leads an *island*: a board of the targets of that zone, for jobs that are not
 //! stored, under a token between that of the last leader and that of the next. Nothing of the group is changed there.
 //!
-//! An island starts nothing that may run elsewhere: the hosts of its zone have heard no leader for [`ALONE`], and a
-//! leader stops what runs for a host it has not heard for 800 ms. A leader that hears of an island takes the targets
+//! An island starts nothing that may run elsewhere: the hosts of its zone have heard no leader for
+//! [`crate::Settings::alone`], and a leader stops what runs for a host that is lost. A leader that hears of an island takes the targets
 //! of the zone over again, under a higher token, before it serves the hosts that used it.
 
-use crate::message::Greeting;
+use crate::{Greeting, Settings};
 use indexmap::IndexMap;
 use mangogw_model::{HostId, Time, Version, Zone};
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-/// A host that has heard no leader for so long uses an island. A leader drops its calls after 0.8 s of silence; what runs
-/// for them is stopped, or has lost its lease of 1 s by then.
-pub(crate) const ALONE: Duration = Duration::from_secs(2);
 /// A leader is known for at least so long after its last word: the shortest election timeout.
 const AFTERGLOW: Duration = Duration::from_millis(400);
 /// A host that has not greeted for so long does not count.
@@ -53,6 +50,8 @@
 pub(crate) struct Watch {
     host: HostId,
     zone: Zone,
+    /// For how long hosts hear no leader before they use an island.
+    alone: Duration,
     /// When a leader was last known; none in this life.
     led: Option<Time>,
     /// When the last island of this host ended.
@@ -61,8 +60,9 @@
 }
 
 impl Watch {
-    pub(crate) fn new(host: HostId, zone: Zone) -> Self {
-        Self { host, zone, led: None, closed: None, lone: IndexMap::new() }
+    pub(crate) fn new(settings: &Settings) -> Self {
+        let (host, zone, alone) = (settings.host, settings.zone.clone(), settings.alone());
+        Self { host, zone, alone, led: None, closed: None, lone: IndexMap::new() }
     }
 
     /// A leader is known.
@@ -86,7 +86,7 @@
 
     /// True if this host should lead an island, with its queues of `version`.
     pub(crate) fn may_open(&self, now: Time, version: Version) -> bool {
-        let long = self.led.is_some_and(|led| now - led + AFTERGLOW >= ALONE);
+        let long = self.led.is_some_and(|led| now - led + AFTERGLOW >= self.alone);
         let again = self.closed.is_some_and(|closed| self.led.is_none_or(|led| led <= closed));
         let mut near = self.lone.iter().filter(|(_, lone)| now - lone.heard < SILENCE);
         let first = near.clone().all(|(host, lone)| !lone.control || *host > self.host);
@@ -97,6 +97,6 @@
 
     /// True if a host hears no leader for so long that nothing of it can be at work elsewhere.
     pub(crate) fn serves(&self, now: Time, host: HostId) -> bool {
-        self.lone.get(&host).is_some_and(|lone| now - lone.since >= ALONE)
+        self.lone.get(&host).is_some_and(|lone| now - lone.since >= self.alone)
     }
 }
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -29,6 +29,15 @@
     pub(crate) serial: u64,
 }
 
+/// A call that came before the board was open.
+#[derive(Debug)]
+struct Early {
+    asker: Asker,
+    call: Call,
+    /// No host that may have led had it before.
+    fresh: bool,
+}
+
 /// What waits for the log.
 #[derive(Debug)]
 enum Waiting {
@@ -73,8 +82,8 @@
     /// Open calls by their number on the board.
     tickets: IndexMap<u64, Asker>,
     by_asker: IndexMap<Asker, u64>,
-    /// Calls that came before the board was open, and whether no other host had them before.
-    early: Vec<(Asker, Call, bool)>,
+    /// Calls that came before the board was open.
+    early: Vec<Early>,
     /// Changes that the log would not take yet.
     again: Vec<Waiting>,
     /// Reads that wait for the end of a job, and until when.
@@ -256,7 +265,7 @@
     pub(crate) fn on_call(&mut self, now: Time, asker: Asker, call: Call, fresh: bool) -> bool {
         match (&self.board, self.raft.role()) {
             (Some(_), _) => self.lead_call(now, asker, call, fresh),
-            (None, Role::Leader) => self.early.push((asker, call, fresh)),
+            (None, Role::Leader) => self.early.push(Early { asker, call, fresh }),
             _ => return false,
         }
         self.settle(now);
@@ -265,7 +274,7 @@
 
     /// The client of a call has left.
     pub(crate) fn on_gone(&mut self, now: Time, asker: Asker) {
-        self.early.retain(|(other, ..)| *other != asker);
+        self.early.retain(|early| early.asker != asker);
         if let (Some(ticket), Some(board)) = (self.by_asker.swap_remove(&asker), &mut self.board) {
             self.tickets.swap_remove(&ticket);
             board.on_gone(now, ticket);
@@ -279,7 +288,7 @@
         if !askers.is_empty() {
             log::info!(host = host.0, calls = askers.len(); "member: host lost, its calls are dropped");
         }
-        self.early.retain(|(asker, ..)| asker.host != host);
+        self.early.retain(|early| early.asker.host != host);
         self.watching.retain(|(asker, ..)| asker.host != host);
         for asker in askers {
             self.on_gone(now, asker);
@@ -290,7 +299,7 @@
     pub(crate) fn unknown(&self, host: HostId, serials: &[u64]) -> Vec<u64> {
         let waits = |asker: Asker| {
             self.by_asker.contains_key(&asker)
-                || self.early.iter().any(|(other, ..)| *other == asker)
+                || self.early.iter().any(|early| early.asker == asker)
                 || self.watching.iter().any(|(other, ..)| *other == asker)
                 || self.waiting.values().chain(&self.again).any(|waiting| waiting.asker() == Some(asker))
         };
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -1,6 +1,6 @@
 //! What the log hands out: entries to apply, reads that may be answered, refusals, and changes of role.
 
-use super::{Member, MemberOutput, READ_WAIT, Waiting, refused};
+use super::{Early, Member, MemberOutput, READ_WAIT, Waiting, refused};
 use crate::grow::Growth;
 use crate::island::token_of;
 use crate::{Call, Message, Reply};
@@ -99,7 +99,7 @@
             }
         }
         if role != Role::Leader {
-            for (asker, ..) in std::mem::take(&mut self.early) {
+            for Early { asker, .. } in std::mem::take(&mut self.early) {
                 self.out.push(MemberOutput::Send(asker.host, Message::Astray { serial: asker.serial }));
             }
         }
@@ -117,7 +117,7 @@
         self.board = Some(Board::open(self.settings.jobs.clone(), token, &self.ledger, now));
         self.retake_all(now);
         self.growth = Growth::new(self.settings.voters, now);
-        for (asker, call, fresh) in std::mem::take(&mut self.early) {
+        for Early { asker, call, fresh } in std::mem::take(&mut self.early) {
             self.lead_call(now, asker, call, fresh);
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -27,4 +27,28 @@
     pub jobs: mangogw_jobs::Settings,
     /// The longest time between a call and its answer that its sender waits for, where it does not say.
     pub patience: Duration,
+    /// Clients without an answer send again after so long.
+    pub resend: Duration,
+}
+
+/// A host that has said or heard nothing for so long is lost at the latest: five greetings.
+const LOST: Duration = Duration::from_millis(800);
+/// The part of the time until clients send again in which a silent host is lost. The rest is for stopping what runs.
+const LOST_PART: f64 = 0.6;
+/// Between the last lease of what the group runs and the first start of an island.
+const APART: Duration = Duration::from_millis(100);
+
+impl Settings {
+    /// A host that has said or heard nothing for so long is lost, and its clients with it: what runs for them is
+    /// stopped before they send again.
+    pub fn lost(&self) -> Duration {
+        LOST.min(self.resend.mul_f64(LOST_PART))
+    }
+
+    /// A host that has heard no leader for so long uses an island. A leader drops its calls once it is lost; what runs
+    /// for them is stopped, or has lost its lease by the slowest clock, before this time is over.
+    pub fn alone(&self) -> Duration {
+        let lease = self.jobs.lease + self.jobs.lease / 20;
+        self.lost() + lease + self.jobs.stop + APART
+    }
 }
--- a/crates/control/src/station.rs
+++ b/crates/control/src/station.rs
@@ -1,7 +1,7 @@
 //! The station: one host of the system.
 
 use crate::calls::{Caller, Calls, News};
-use crate::couriers::{Couriers, LOST};
+use crate::couriers::Couriers;
 use crate::identity::{address_of, hosts_at, ip_of};
 use crate::island::{Watch, island_token};
 use crate::member::{Asker, Member, MemberOutput};
@@ -88,7 +88,7 @@
         let mut station = Self {
             calls: Calls::new(&settings, hosts_at(&settings.seeds), now),
             member: stored.map(|stored| Member::open(settings.clone(), stored, now)),
-            watch: Watch::new(settings.host, settings.zone.clone()),
+            watch: Watch::new(&settings),
             listeners: IndexMap::new(),
             couriers: Couriers::new(settings.seed),
             outbox: IndexMap::new(),
@@ -178,7 +178,7 @@
         for number in self.couriers.on_tick(now) {
             self.hear(now, number, Outcome::Unsure);
         }
-        for host in self.couriers.take_lost(now) {
+        for host in self.couriers.take_lost(now, self.settings.lost()) {
             if let Some(member) = &mut self.member {
                 member.on_host_lost(now, host);
             }
@@ -297,7 +297,7 @@
             let control = member.status().members.birth(from).is_some();
             self.watch.hear(now, from, greeting, control);
         }
-        if greeting.lost >= LOST && member.island().is_none() {
+        if greeting.lost >= self.settings.lost() && member.island().is_none() {
             member.on_host_lost(now, from);
         }
         if member.overrules(now, &greeting.zone, greeting.island) {
--- a/crates/control/tests/group/world.rs
+++ b/crates/control/tests/group/world.rs
@@ -227,6 +227,7 @@
                 ..Default::default()
             },
             patience: Duration::from_millis(900),
+            resend: RESEND,
         };
         node.station = Some(Station::open(settings, node.disk.clone(), now));
         self.settle(host);
