One formula for the end of a lease; leftover runs gathered in one loop

Found in the last read: a lease by the slowest clock and a stop were added up in three places (Board::open, Board::retake, Settings::alone). `mangogw_jobs::Settings::outlived` is the one now, with an example. The list of leftover runs was gathered through two collections for each target; a loop does.

--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -48,7 +48,6 @@
     /// A host that has heard no leader for so long uses an island. A leader drops its calls once it is lost; what runs
     /// for them is stopped, or has lost its lease by the slowest clock, before this time is over.
     pub fn alone(&self) -> Duration {
-        let lease = self.jobs.lease + self.jobs.lease / 20;
-        self.lost() + lease + self.jobs.stop + APART
+        self.lost() + self.jobs.outlived() + APART
     }
 }
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -150,7 +150,7 @@
         if let Some(set) = &ledger.set {
             board.install(set);
         }
-        let expires = now + board.settings.lease + board.settings.lease / 20 + board.settings.stop;
+        let expires = now + board.settings.outlived();
         for report in ledger.targets.values() {
             let key = board.add_target(report.clone(), now, expires);
             match ledger.absent.contains(&report.id) {
@@ -179,7 +179,7 @@
 
     /// Takes over the targets of a zone again: others have given them orders meanwhile.
     pub fn retake(&mut self, now: Time, zone: &Zone) {
-        let expires = now + self.settings.lease + self.settings.lease / 20 + self.settings.stop;
+        let expires = now + self.settings.outlived();
         for (key, target) in self.targets.iter_mut().filter(|(_, target)| target.report.zone == *zone) {
             target.synced = false;
             target.absent = None;
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -50,11 +50,11 @@
     fn leftover(&self) -> Vec<TaskId> {
         let passing =
             |(task, run): (&TaskId, &Run)| matches!(run.state, RunState::Stopping | RunState::Unsure).then_some(*task);
-        let of_target = |target: &'_ Target| {
-            let runs: Vec<TaskId> = target.runs.iter().filter_map(passing).collect();
-            runs.into_iter().chain(target.strays.keys().copied().collect::<Vec<_>>())
-        };
-        let mut tasks: Vec<TaskId> = self.targets.values().flat_map(of_target).collect();
+        let mut tasks = Vec::new();
+        for target in self.targets.values() {
+            tasks.extend(target.runs.iter().filter_map(passing));
+            tasks.extend(target.strays.keys());
+        }
         tasks.sort_unstable();
         tasks
     }
--- a/crates/jobs/src/settings.rs
+++ b/crates/jobs/src/settings.rs
@@ -19,6 +19,18 @@
     pub wall: u64,
 }
 
+impl Settings {
+    /// What runs under a lease that is renewed no more is over after so long, by the slowest clock.
+    ///
+    /// ```
+    /// use mangogw_jobs::Settings;
+    /// assert_eq!(Settings::default().outlived().as_millis(), 1100);
+    /// ```
+    pub fn outlived(&self) -> Duration {
+        self.lease + self.lease / 20 + self.stop
+    }
+}
+
 impl Default for Settings {
     /// The bounds of the deployments of today.
     fn default() -> Self {
