Numbers at the ends of their ranges end no process

Ruled out: deep nesting (unknown fields are skipped without recursion, known ones end at the decoder's limit), duplicate fields, fractions and numbers over 64 bits (already rejected), overflow of sums of resources (a target is never given more than it has). Change: deadlines, clock bounds, due times and Time saturate. An occurrence begins only while those before it have fewer than 6,600 unfinished tasks. A panic over a call, a message or an outcome is logged and drops that input only; one over the log, a timer or the effects ends the process, which restarts from its disk (before, the task of the timers died and the process lived on without them).

--- a/crates/jobs/src/board/renewal.rs
+++ b/crates/jobs/src/board/renewal.rs
@@ -42,7 +42,7 @@
         let max_wait = if self.targets.len() > THROTTLE_THRESHOLD { RENEWAL_WAIT_LARGE } else { RENEWAL_WAIT };
         let target = &mut self.targets[key];
         let busy = !target.runs.is_empty();
-        let until = target.clock.filter(|_| busy).map(|clock| clock.min_reading(now) + lease);
+        let until = target.clock.filter(|_| busy).map(|clock| clock.min_reading(now).saturating_add(lease));
         if let Some(until) = until {
             target.extend_lease(until);
         }
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -1,5 +1,6 @@
 //! Active jobs and the state of their tasks.
 
+use crate::job::MAX_TASKS;
 use crate::{Deadlines, JobId, JobSpec, Queue, StoredJob, TargetKey, TaskId};
 use indexmap::IndexMap;
 use mangogw_model::Time;
@@ -131,10 +132,14 @@
     }
 
     /// Begins the occurrences that are due, and returns true if there was one. `wall_offset` is the Unix time, in
-    /// milliseconds, at the zero of `now`.
+    /// milliseconds, at the zero of `now`. An occurrence waits while those before it have [`MAX_TASKS`] unfinished
+    /// tasks or more, which bounds the memory of a job whose occurrences are all due.
     pub(crate) fn begin_occurrences(&mut self, wall_offset: u64, now: Time) -> bool {
         let mut begun = false;
-        while self.next_occurrence < self.spec.occurrences() && self.due(self.next_occurrence, wall_offset) <= now {
+        while self.next_occurrence < self.spec.occurrences()
+            && self.due(self.next_occurrence, wall_offset) <= now
+            && self.unfinished_tasks() < MAX_TASKS
+        {
             let spec = Arc::clone(&self.spec);
             self.occurrences.entry(self.next_occurrence).or_insert_with(|| Occurrence::new(&spec));
             self.next_occurrence += 1;
@@ -143,6 +148,11 @@
         begun
     }
 
+    fn unfinished_tasks(&self) -> u64 {
+        let groups = self.occurrences.values().flat_map(|occurrence| &occurrence.steps);
+        groups.map(|group| u64::from(group.remaining)).sum()
+    }
+
     fn due(&self, occurrence: u32, wall_offset: u64) -> Time {
         Time::ZERO + Duration::from_millis(self.spec.due(occurrence).saturating_sub(wall_offset))
     }
@@ -208,7 +218,7 @@
                         .max()
                         .copied()
                         .unwrap_or(0);
-                    ends.push(start + if group.remaining == 0 { 0 } else { step.estimate });
+                    ends.push(start.saturating_add(if group.remaining == 0 { 0 } else { step.estimate }));
                 }
                 ends.into_iter().max().unwrap_or(0)
             }
--- a/crates/jobs/src/clock.rs
+++ b/crates/jobs/src/clock.rs
@@ -31,7 +31,7 @@
     /// ```
     pub fn min_reading(&self, now: Time) -> u64 {
         let passed = (now - self.received).as_millis() as u64;
-        self.reading + passed - passed.div_ceil(100 / MAX_DRIFT_PERCENT)
+        self.reading.saturating_add(passed - passed.div_ceil(100 / MAX_DRIFT_PERCENT))
     }
 
     /// Returns the instant from which on the clock surely shows more than `reading` milliseconds.
@@ -43,8 +43,9 @@
     /// assert!(clock.surely_past(1500) > Time::from_millis(1030));
     /// ```
     pub fn surely_past(&self, reading: u64) -> Time {
-        let ahead = reading.saturating_sub(self.reading) + 1;
-        self.received + Duration::from_millis(ahead + ahead * MAX_DRIFT_PERCENT / (100 - MAX_DRIFT_PERCENT) + 1)
+        let ahead = reading.saturating_sub(self.reading).saturating_add(1);
+        let drift = ahead.saturating_mul(MAX_DRIFT_PERCENT) / (100 - MAX_DRIFT_PERCENT);
+        self.received + Duration::from_millis(ahead.saturating_add(drift).saturating_add(1))
     }
 
     /// Returns the one of the two that was received later.
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,7 +7,7 @@
 /// Maximum length of a payload.
 const MAX_PAYLOAD_BYTES: usize = 4000;
 /// Maximum number of tasks of a job: ten times the largest that is expected (660).
-const MAX_TASKS: u64 = 6600;
+pub(crate) const MAX_TASKS: u64 = 6600;
 
 /// Group of equal tasks of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,7 +141,7 @@
                 .max()
                 .copied()
                 .unwrap_or(0);
-            ends.push(start + step.estimate);
+            ends.push(start.saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -153,6 +153,9 @@
 
     /// Returns the due time of an occurrence, in Unix milliseconds; 0 if it is due at once.
     pub const fn due(&self, occurrence: u32) -> u64 {
-        if self.times == 0 { 0 } else { self.first_due + occurrence as u64 * self.interval }
+        match self.times {
+            0 => 0,
+            _ => self.first_due.saturating_add((occurrence as u64).saturating_mul(self.interval)),
+        }
     }
 }
--- a/crates/jobs/src/policy.rs
+++ b/crates/jobs/src/policy.rs
@@ -56,21 +56,23 @@
     /// assert_eq!(deadlines.late_until, Time::from_millis(660));
     /// ```
     pub fn new(arrived: Time, critical_path: Duration, stretch: f64, slack: Duration, deadline: Option<Time>) -> Self {
-        let goal = critical_path.mul_f64(stretch.max(1.0)) + slack;
+        let path = critical_path.as_secs_f64() * stretch.max(1.0);
+        let goal = Duration::try_from_secs_f64(path).unwrap_or(Duration::MAX).saturating_add(slack);
+        let late = goal.saturating_mul(LATE_GOAL_MULTIPLE);
         let end = deadline.unwrap_or(Time::MAX);
-        Self { goal: (arrived + goal).min(end), late_until: (arrived + LATE_GOAL_MULTIPLE * goal).min(end) }
+        Self { goal: (arrived + goal).min(end), late_until: (arrived + late).min(end) }
     }
 
     /// Returns the rank at `now` of a job that needs `left` from its next start to its end.
     pub fn rank(&self, now: Time, left: Duration) -> Rank {
-        let left = left.mul_f64(ESTIMATE_MARGIN);
+        let left = Duration::try_from_secs_f64(left.as_secs_f64() * ESTIMATE_MARGIN).unwrap_or(Duration::MAX);
         let class = match now + left {
             end if end <= self.goal => PriorityClass::Timely,
             end if end <= self.late_until => PriorityClass::Late,
             _ => PriorityClass::Expired,
         };
         let end = if class == PriorityClass::Timely { self.goal } else { self.late_until };
-        Rank { class, latest_start: Time::from_micros(end.as_micros().saturating_sub(left.as_micros() as u64)) }
+        Rank { class, latest_start: Time::ZERO + (end - Time::ZERO).saturating_sub(left) }
     }
 }
 
--- a/crates/mangogwd/src/lib.rs
+++ b/crates/mangogwd/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod api;
 pub mod clock;
+pub mod contain;
 pub mod disk;
 pub mod flags;
 pub mod links;
--- a/crates/mangogwd/src/shell.rs
+++ b/crates/mangogwd/src/shell.rs
@@ -2,6 +2,7 @@
 //! callers.
 
 use crate::clock::Clock;
+use crate::contain::contain;
 use crate::disk::{self, WriteStatus};
 use crate::links::{Identity, Inbox, Links};
 use indexmap::IndexMap;
@@ -128,14 +129,45 @@
     }
 
     /// Passes one input to the control host. Its effects are performed after all inputs that are ready have been
-    /// passed.
+    /// passed. A panic over the input drops it.
     fn step(self: &Arc<Self>, input: impl FnOnce(&mut ControlHost, Time)) {
         let mut host = self.host.lock().unwrap_or_else(PoisonError::into_inner);
-        input(&mut host, self.clock.now());
+        let now = self.clock.now();
+        contain("input", || input(&mut host, now));
         drop(host);
         self.inputs.notify_one();
     }
 
+    /// Passes an input on which the replicated log depends. After a panic over it this process must end, since the
+    /// state in memory may differ from what this host has promised to others.
+    fn step_or_halt(self: &Arc<Self>, input: impl FnOnce(&mut ControlHost, Time)) {
+        let mut host = self.host.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        let done = contain("log", || input(&mut host, now));
+        drop(host);
+        self.halt_unless(done.is_some());
+        self.inputs.notify_one();
+    }
+
+    /// Passes the messages of one frame to the control host; a panic over one drops that message only.
+    fn receive(self: &Arc<Self>, from: HostId, messages: Vec<Message>) {
+        let mut host = self.host.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = self.clock.now();
+        for message in messages {
+            let of_log = matches!(message, Message::Raft(_));
+            let handled = contain("message", || host.on_message(now, from, message));
+            self.halt_unless(handled.is_some() || !of_log);
+        }
+        drop(host);
+        self.inputs.notify_one();
+    }
+
+    fn halt_unless(&self, sound: bool) {
+        if !sound {
+            self.halted.send_replace(true);
+        }
+    }
+
     /// Performs the effects of the control host after each burst of inputs.
     async fn run_effects(self: Arc<Self>) {
         loop {
@@ -151,7 +183,10 @@
     /// Takes the effects out of the control host. Writes are queued under the lock, which keeps their order.
     fn drain(&self) -> Vec<Effect> {
         let mut host = self.host.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut effects = host.drain(self.clock.now());
+        let now = self.clock.now();
+        let drained = contain("effects", || host.drain(now));
+        self.halt_unless(drained.is_some());
+        let mut effects = drained.unwrap_or_default();
         effects.retain_mut(|effect| !self.take_write(effect));
         effects
     }
@@ -197,7 +232,7 @@
         timer.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             timer.tick().await;
-            self.step(ControlHost::on_tick);
+            self.step_or_halt(ControlHost::on_tick);
         }
     }
 }
@@ -206,8 +241,8 @@
 fn report_write<C: TargetClient>(shell: &Weak<Shell<C>>, status: WriteStatus) {
     let Some(shell) = shell.upgrade() else { return };
     match status {
-        WriteStatus::UpTo(id) => shell.step(|host, now| host.on_synced(now, id)),
-        WriteStatus::Failed => shell.step(ControlHost::on_failed),
+        WriteStatus::UpTo(id) => shell.step_or_halt(|host, now| host.on_synced(now, id)),
+        WriteStatus::Failed => shell.step_or_halt(ControlHost::on_failed),
     }
 }
 
@@ -218,11 +253,7 @@
 impl<C: TargetClient> Inbox for MessageReceiver<C> {
     fn receive(&self, from: HostId, _incarnation: Incarnation, body: &[u8]) {
         match (self.0.upgrade(), Message::decode(body)) {
-            (Some(shell), Some(messages)) => shell.step(|host, now| {
-                for message in messages {
-                    host.on_message(now, from, message);
-                }
-            }),
+            (Some(shell), Some(messages)) => shell.receive(from, messages),
             (Some(_), None) => log::warn!(host = from.0, bytes = body.len(); "shell: dropped an unreadable message"),
             (None, _) => {}
         }
--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -35,13 +35,13 @@
         Self(micros)
     }
 
-    /// Returns the time `millis` milliseconds after the origin.
+    /// Returns the time `millis` milliseconds after the origin, at most [`Time::MAX`].
     ///
     /// ```
     /// assert_eq!(mangogw_model::Time::from_millis(7).as_micros(), 7_000);
     /// ```
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Returns the microseconds since the origin.
@@ -58,7 +58,7 @@
     type Output = Self;
 
     fn add(self, rhs: Duration) -> Self {
-        Self(self.0.saturating_add(rhs.as_micros() as u64))
+        Self(self.0.saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)))
     }
 }
 
