Jobs are held without a leader only while they can be in time

Cause: an entry host without a leader held every call for 600 ms and refused it then. Load pattern: requests that arrive while a zone is cut off, or during a long election. Ruled out: refusing at once without a leader, since an election is usually over some 100 ms after an entry host has noticed the silence. Change: a transient job that nothing can have executed is refused once it has waited for half of its run time and 60 ms, at the latest after 600 ms as before. Stored jobs and all other calls are held as before. Tests of control pass.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -14,6 +14,10 @@
 /// Time without a leader after which calls that no leader can have executed are refused. An election takes 0.3 to
 /// 0.6 s.
 const UNSENT_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+/// Part of its run time that a job can wait and still be in time, and a constant part. The host of a client does not
+/// know the goal of the queue.
+const USEFUL_WAIT_RATIO: f64 = 0.5;
+const MIN_USEFUL_WAIT: Duration = Duration::from_millis(60);
 /// Time without a leader after which all other calls end as unclear. By then their runs are stopped or taken over, and
 /// clients send them again.
 const SENT_CALL_TIMEOUT: Duration = Duration::from_millis(1100);
@@ -40,6 +44,26 @@
     uncertain_sends: u32,
 }
 
+impl OpenCall {
+    /// Returns true if nothing can have executed the call.
+    const fn is_clean(&self) -> bool {
+        self.uncertain_sends == 0 || self.call.is_read()
+    }
+
+    /// Returns the time for which the call is worth holding while there is no leader to send it to.
+    fn useful_wait(&self) -> Duration {
+        match &self.call {
+            Call::Submit { spec, .. } if spec.transient => {
+                let path = Duration::from_millis(spec.critical_path()).as_secs_f64();
+                Duration::try_from_secs_f64(path * USEFUL_WAIT_RATIO)
+                    .unwrap_or(Duration::MAX)
+                    .saturating_add(MIN_USEFUL_WAIT)
+            }
+            _ => Duration::MAX,
+        }
+    }
+}
+
 /// The leader, as reported by another host or by this host's own log.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LeaderUpdate {
@@ -336,15 +360,18 @@
         self.leaderless_since = if self.leader.is_some() { None } else { self.leaderless_since.or(Some(now)) };
         let leaderless = self.leaderless_since.map_or(Duration::ZERO, |since| now - since);
         let is_over = |open: &OpenCall| {
-            let clean = open.uncertain_sends == 0 || open.call.is_read();
-            let timeout = if clean { UNSENT_CALL_TIMEOUT } else { SENT_CALL_TIMEOUT };
-            now >= open.deadline || leaderless >= timeout
+            let held = open.received.max(self.leaderless_since.unwrap_or(now));
+            let (timeout, useful_wait) = match open.is_clean() {
+                true => (UNSENT_CALL_TIMEOUT, open.useful_wait()),
+                false => (SENT_CALL_TIMEOUT, Duration::MAX),
+            };
+            now >= open.deadline || leaderless >= timeout || now - held >= useful_wait
         };
         let ended: Vec<u64> = self.open.iter().filter(|(_, open)| is_over(open)).map(|(serial, _)| *serial).collect();
         for serial in ended {
             let Some(open) = self.open.swap_remove(&serial) else { continue };
             self.by_caller.swap_remove(&open.caller);
-            let clean = open.uncertain_sends == 0 || open.call.is_read();
+            let clean = open.is_clean();
             let reply = match clean {
                 true => Reply::Refused { why: "no leader can be reached".to_owned(), wait: RETRY_AFTER },
                 false => Reply::Unclear,
