Runs on a silent target are given up when its lease is over, and kept while it may answer

Each unanswered renewal asked for a longer lease, and the board counted it as granted. A suspected target was asked again only after 200 to 800 ms. One that was silent for 0.5 s lost its runs, since the next renewal came after its lease. Load pattern: a quarter of the executors cut off for some seconds, crashed without a trace, or silent for less than a lease. Ruled out: giving up at the first missed renewals (only an answer may be lost; the task would run twice), a shorter lease. Change: only a renewal after an answered one extends the lease. A suspected target with runs is asked every 100 ms; one without as before. Measured: a_silent_target_keeps_its_runs_until_the_lease_is_surely_over fails on the commit before (silence of 500 ms: not asked again; with the second change alone, silence of 2 s: nothing started elsewhere) and passes: nothing starts before one lease, everything after it. Two more tests for reports pass on both: a run whose start had no answer counts once, a target that has left gets nothing after a delayed report. Tests of jobs and control (with the fuzz of the group) pass.

--- a/crates/jobs/src/board/renewal.rs
+++ b/crates/jobs/src/board/renewal.rs
@@ -13,7 +13,7 @@
 const RENEWAL_WAIT_LARGE: Duration = Duration::from_millis(200);
 /// Time between renewals of an unconfirmed target.
 const RENEWAL_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-/// Number of times that the interval doubles for an unconfirmed target that does not answer: up to 800 ms.
+/// Number of times that the interval doubles for an unconfirmed target without runs that does not answer: up to 800 ms.
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Number of times that a renewal is repeated at once if an earlier leader may have used the target: jobs wait for its
 /// list of runs.
@@ -42,7 +42,9 @@
         let max_wait = if self.targets.len() > THROTTLE_THRESHOLD { RENEWAL_WAIT_LARGE } else { RENEWAL_WAIT };
         let target = &mut self.targets[key];
         let busy = !target.runs.is_empty();
-        let until = target.clock.filter(|_| busy).map(|clock| clock.min_reading(now).saturating_add(lease));
+        // A silent target must not count as renewed for ever, or its runs would never be given up.
+        let extends = busy && target.missed_renewals == 0;
+        let until = target.clock.filter(|_| extends).map(|clock| clock.min_reading(now).saturating_add(lease));
         if let Some(until) = until {
             target.extend_lease(until);
         }
@@ -63,6 +65,8 @@
         let target = &mut self.targets[key];
         target.next_renewal = match target {
             _ if awaited && target.missed_renewals <= MAX_IMMEDIATE_RETRIES => now,
+            // Its runs go on if it answers before their lease is over, however long it was silent.
+            _ if !target.confirmed && !target.runs.is_empty() => now + RENEWAL_RETRY_INTERVAL,
             _ if !target.confirmed => {
                 now + RENEWAL_RETRY_INTERVAL * (1 << target.missed_renewals.min(MAX_BACKOFF_DOUBLINGS))
             }
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -468,3 +468,88 @@
     harness.advance(500);
     assert!(harness.board.is_fenced() && harness.orders().is_empty());
 }
+
+/// Guards against work that is given up or started again because a target was only silent for a while: nothing moves
+/// before the lease is surely over, and a target that answers in time keeps its run.
+#[test]
+fn a_silent_target_keeps_its_runs_until_the_lease_is_surely_over() {
+    for silence in [500, 900, 2000] {
+        let mut harness = Harness::open(&["w1", "w2"]);
+        harness.submit(1, 1, 6000, 60_000);
+        let orders = harness.orders();
+        let start = orders.iter().find(|order| matches!(order.kind, OrderKind::Start { .. })).unwrap().clone();
+        harness.board.on_outcome(harness.now, &start, harness.now, Outcome::Done { clock: 500 });
+        let (task, run) = run_of(&start);
+        let is_renewal = |order: &&Order| matches!(order.kind, OrderKind::Renew { .. }) && order.id == start.id;
+        let mut renewal = orders.iter().find(is_renewal).cloned();
+        let (mut starts, mut stops) = (Vec::new(), 0);
+        for _ in 0..silence / 10 {
+            harness.advance(10);
+            if let Some(unanswered) = renewal.take() {
+                harness.board.on_outcome(harness.now, &unanswered, harness.now, Outcome::Unsure);
+            }
+            for order in harness.orders() {
+                match order.kind {
+                    OrderKind::Start { .. } => starts.push((harness.now, order.id)),
+                    OrderKind::Stop { .. } => stops += 1,
+                    OrderKind::Renew { .. } if order.id == start.id => renewal = Some(order),
+                    OrderKind::Renew { .. } => harness.answer_listing(&order, listing(500)),
+                }
+            }
+        }
+        let over = Time::from_millis(1000) + Settings::default().lease;
+        assert!(starts.iter().all(|(at, id)| *at >= over && *id != start.id), "{silence}: {starts:?}");
+        assert_eq!((starts.len(), stops), (usize::from(silence > 1100), 0), "{silence}");
+        if silence < 1000 {
+            let running = vec![ActiveRun { task, run, percent: 40, ..ActiveRun::default() }];
+            let renewal = renewal.unwrap_or_else(|| {
+                harness.advance(100);
+                harness.orders().into_iter().find(|order| order.id == start.id).expect("it is asked again")
+            });
+            harness.answer_listing(&renewal, Listing { running, ..listing(500 + silence) });
+            harness.advance(10);
+            assert!(harness.starts().is_empty(), "{silence}: the run goes on where it is");
+        }
+    }
+}
+
+/// Guards against work that is run again, or called not run, because the answer to its start was lost.
+#[test]
+fn a_run_whose_start_had_no_answer_counts_once() {
+    let mut harness = Harness::open(&["w1", "w2"]);
+    harness.submit(1, 1, 6000, 60_000);
+    let orders = harness.orders();
+    let order_of = |is_it: fn(&OrderKind) -> bool| orders.iter().find(|order| is_it(&order.kind)).unwrap().clone();
+    let start = order_of(|kind| matches!(kind, OrderKind::Start { .. }));
+    let (task, run) = run_of(&start);
+    let renewal = orders.iter().find(|order| order.id == start.id && order.kind != start.kind).unwrap().clone();
+    harness.advance(100);
+    harness.board.on_outcome(harness.now, &start, harness.now, Outcome::Unsure);
+    assert!(harness.starts().is_empty());
+    let ended = vec![EndedRun { number: 1, task, run, run_end: RunEnd::Done, checkpoint: String::new() }];
+    harness.answer_listing(&renewal, Listing { ended, ..listing(600) });
+    let outputs = harness.board.drain(harness.now);
+    let answers: Vec<_> = outputs.iter().filter(|output| matches!(output, Output::Answer { .. })).collect();
+    assert_eq!(answers, [&Output::Answer { reply_to: 1, end: JobEnd::Completed }]);
+    assert!(!outputs.iter().any(|output| matches!(output, Output::Order(Order { kind: OrderKind::Start { .. }, .. }))));
+    harness.submit(1, 1, 6000, 60_000);
+    let again = harness.board.drain(harness.now);
+    assert_eq!(again, [Output::Answer { reply_to: 1, end: JobEnd::Completed }], "sent again, it gets the same answer");
+}
+
+/// Guards against a target that has left and is in use again, because one of its reports was delayed on its way.
+#[test]
+fn a_target_that_has_left_gets_nothing_after_a_delayed_report() {
+    let mut harness = Harness::open(&["w1"]);
+    harness.board.on_target_left(harness.now, "w1", 1);
+    harness.board.on_report(harness.now, &report("w1"));
+    harness.submit(1, 1, 6000, 5000);
+    for _ in 0..300 {
+        harness.advance(10);
+        for order in harness.orders() {
+            assert!(matches!(order.kind, OrderKind::Renew { .. }), "{order:?}");
+            let denied = Outcome::Denied { why: mangogw_jobs::Denial::Unreached, clock: None };
+            harness.board.on_outcome(harness.now, &order, harness.now, denied);
+        }
+    }
+}
