A takeover refuses nothing by forecast

Cause: while a new leader collects the lists of runs, the targets that have listed theirs are full and the others don't count, so that the forecast saw a tiny pool and refused nearly all that waited, just before hundreds of targets had room. Change: no forecast while a target of an earlier leader has not listed its runs, and a pool counts as full by all its targets that report to be ready, not only by those that may be given runs now. Measured: a_takeover_refuses_no_jobs_for_lack_of_room fails on the commit before (37 of 40 refused after 10 ms, with 19 of 20 targets about to have room) and passes. Tests of jobs pass.

--- a/crates/jobs/src/board/forecast.rs
+++ b/crates/jobs/src/board/forecast.rs
@@ -7,7 +7,8 @@
 use super::table::{Job, JobKey};
 use crate::placement::{accepts_runs, required_resources};
 use crate::policy::PriorityClass;
-use crate::{Resources, Step};
+use crate::target::Target;
+use crate::{Resources, Step, TargetState};
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::Time;
 use std::time::Duration;
@@ -22,6 +23,8 @@
 /// Resources of the targets of a pool that may be given runs, and what is in use of them.
 #[derive(Debug, Clone, Copy, Default)]
 struct PoolLoad {
+    /// Targets that report to be ready, whether they may be given runs now or not.
+    known: usize,
     targets: usize,
     total: Resources,
     /// Resources in use, in targets of mean size.
@@ -42,14 +45,18 @@
     }
 
     fn is_full(&self) -> bool {
-        self.busy >= MIN_BUSY_SHARE * self.targets as f64 && self.rate > 0.0
+        self.busy >= MIN_BUSY_SHARE * self.known as f64 && self.rate > 0.0
     }
 }
 
 impl Board {
     /// Returns the jobs without a start that can be in time now, but not after the wait behind the jobs of their pool
-    /// that rank before them. Jobs that are returned do not count as waiting before others.
+    /// that rank before them. Jobs that are returned do not count as waiting before others. Returns none during a
+    /// takeover, since the room of targets that have not listed their runs yet is unknown.
     pub(super) fn jobs_without_room(&self, now: Time) -> IndexSet<JobKey> {
+        if !self.unlisted.is_empty() {
+            return IndexSet::new();
+        }
         let mut loads = self.pool_loads(now);
         let rank = |key: &JobKey| {
             let job = &self.jobs[*key];
@@ -74,6 +81,10 @@
     fn pool_loads(&self, now: Time) -> IndexMap<&str, PoolLoad> {
         let usable = || self.targets.values().filter(|target| accepts_runs(target, now));
         let mut loads: IndexMap<&str, PoolLoad> = IndexMap::new();
+        let is_known = |target: &&Target| target.report.state == TargetState::Ready && target.absent_since.is_none();
+        for target in self.targets.values().filter(is_known) {
+            loads.entry(target.report.pool.as_str()).or_default().known += 1;
+        }
         for target in usable() {
             let load = loads.entry(target.report.pool.as_str()).or_default();
             load.targets += 1;
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -409,6 +409,32 @@
     assert_eq!(harness.refused(), (4..=12).collect::<Vec<_>>(), "the first one has room in time");
 }
 
+/// Guards against a new leader that refuses most jobs at once, since the first targets that have listed their runs are
+/// full, while the others are about to.
+#[test]
+fn a_takeover_refuses_no_jobs_for_lack_of_room() {
+    let ids: Vec<String> = (1..=20).map(|id| format!("w{id}")).collect();
+    for earlier_leader in [true, false] {
+        let mut harness = Harness::open(&[]);
+        if earlier_leader {
+            let targets = ids.iter().map(|id| (id.clone(), report(id))).collect();
+            let queues = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+            let ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+            harness.board = Board::open(Settings::default(), 4, &ledger, harness.now);
+        } else {
+            ids.iter().for_each(|id| harness.board.on_report(harness.now, &report(id)));
+        }
+        (1..=40).for_each(|id| harness.submit(id, 1, 6000, 5000));
+        let renewals = harness.orders();
+        harness.answer_listing(&renewals[0], listing(500));
+        assert_eq!(harness.starts().len(), 2, "one target has room for two");
+        harness.advance(10);
+        assert_eq!(harness.refused(), [], "the others are about to have room");
+        renewals[1..].iter().for_each(|renewal| harness.answer_listing(renewal, listing(510)));
+        assert_eq!(harness.starts().len(), 38);
+    }
+}
+
 /// Guards against a new leader that refuses what it could start as soon as its targets have listed their runs.
 #[test]
 fn jobs_that_wait_for_lists_of_runs_are_not_refused_for_lack_of_room() {
