--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -422,7 +422,9 @@
             let ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
             harness.board = Board::open(Settings::default(), 4, &ledger, harness.now);
         } else {
-            ids.iter().for_each(|id| harness.board.on_report(harness.now, &report(id)));
+            for id in &ids {
+                harness.board.on_report(harness.now, &report(id));
+            }
         }
         (1..=40).for_each(|id| harness.submit(id, 1, 6000, 5000));
         let renewals = harness.orders();
@@ -430,7 +432,9 @@
         assert_eq!(harness.starts().len(), 2, "one target has room for two");
         harness.advance(10);
         assert_eq!(harness.refused(), [], "the others are about to have room");
-        renewals[1..].iter().for_each(|renewal| harness.answer_listing(renewal, listing(510)));
+        for renewal in &renewals[1..] {
+            harness.answer_listing(renewal, listing(510));
+        }
         assert_eq!(harness.starts().len(), 38);
     }
 }
