--- a/crates/jobs/tests/driver/mod.rs
+++ b/crates/jobs/tests/driver/mod.rs
@@ -363,10 +363,12 @@
         let timely = self.now - arrival.at <= arrival.goal;
         assert!(!self.board.has_job(JobId(reply_to)), "the board must remove an answered job");
         let held = self.now - arrival.at > arrival.goal / 4;
+        let may_fail = self.scenario.troubles.iter().any(|trouble| matches!(trouble.kind, TroubleKind::Fail));
         self.record(&arrival, |tally| match end {
             JobEnd::Completed if timely => tally.timely += 1,
             JobEnd::Completed => tally.late += 1,
-            JobEnd::Failed => tally.failed += 1,
+            JobEnd::Failed if may_fail => tally.failed += 1,
+            JobEnd::Failed => panic!("no run of this simulation fails"),
             JobEnd::Refused(_) => {
                 tally.refused += 1;
                 tally.held += usize::from(held);
--- a/crates/jobs/tests/replay.rs
+++ b/crates/jobs/tests/replay.rs
@@ -70,7 +70,7 @@
 }
 
 /// Guards against runs on targets on which their job is late, while faster ones are about to have room: a burst then
-/// costs the long jobs a sixth of their worth.
+/// cost the long jobs a fifth of their worth.
 #[test]
 fn a_burst_leaves_long_jobs_in_time_on_targets_of_three_speeds() {
     let worths: Vec<(usize, usize)> = (1..4).map(|seed| burst_at_site(seed, Vec::new()).worth()).collect();
@@ -96,8 +96,8 @@
     assert!(mean >= 900, "{worths:?}");
 }
 
-/// Guards against jobs that are held and then refused: of 1000 jobs of a burst of 1.6 times the usual load, 13 were
-/// refused, 12 of them after a quarter of the time that they had.
+/// Guards against jobs that are held and then refused: with a burst of 1.6 times the usual load 137 of 5753 jobs were
+/// refused, 131 of them after a quarter of the time that they had.
 #[test]
 fn a_burst_is_refused_early() {
     let loads = [1.0, 1.0, 1.6, 1.6, 1.6, 1.6, 1.0, 1.0, 1.0, 1.0];
