A host whose disk failed takes part again once the disk takes writes

Cause: after a failed write the thread of the data folder ended and the member stayed in Role::Failed until its folder is opened again, which nothing did; the platform restarts only processes that end. Each disk that was full for a moment cost the group a voter for good.

Ruled out: lost data (the folders held all that was synced), an election that fails for another reason (two of three voters Failed).

Change: the thread of the folder opens it again, every 500 ms until the disk allows it (Folder::reopen: reads the disk, cuts a torn tail, writes and syncs the newest segment anew). The member starts again from the state found there, as after a restart of the process; queued writes of the old one are dropped. mangogw_host::Host had the same gap and gets the same change.

--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -154,13 +154,22 @@
         }
     }
 
-    /// Handles a failed write. This host no longer takes part in the control group.
+    /// Handles a failed write. This host takes no part in the control group until [`ControlHost::on_reopened`].
     pub fn on_failed(&mut self, now: Time) {
         if let Some(member) = &mut self.member {
             member.on_failed(now);
         }
     }
 
+    /// Handles the data folder that was opened again after a failed write: the host takes part in the control group
+    /// again, from what its disk holds. Writes that were requested before must not reach the folder any more.
+    pub fn on_reopened(&mut self, now: Time, stored: DurableState) {
+        if let Some(member) = &mut self.member {
+            member.on_reopened(now, stored);
+            self.effects.retain(|effect| !matches!(effect, Effect::Write(_)));
+        }
+    }
+
     /// Runs the timers. The shell calls it every 10 ms.
     pub fn on_tick(&mut self, now: Time) {
         if now - self.last_tick >= PAUSE_THRESHOLD {
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -192,6 +192,24 @@
         self.raft.on_failed(now);
     }
 
+    /// Replaces the log and the ledger by those that the disk holds, after a failed write has ended the old ones.
+    pub(crate) fn on_reopened(&mut self, now: Time, stored: DurableState) {
+        let status = self.raft.status();
+        if (stored.host, stored.folder_id) != (status.host, status.folder_id) {
+            log::error!(
+                host = status.host.0, found = stored.host.0;
+                "member: the data folder belongs to another host; this host stays out of the control group"
+            );
+            return;
+        }
+        // Closes the board of the group and refuses the calls that wait for the log.
+        self.process_outputs(now);
+        let Self { raft, ledger, applied, membership, outputs, .. } = Self::open(self.settings.clone(), stored, now);
+        (self.raft, self.ledger, self.applied, self.membership) = (raft, ledger, applied, membership);
+        (self.last_expiry, self.handover_started) = (now, None);
+        self.outputs.extend(outputs);
+    }
+
     pub(crate) fn on_outcome(&mut self, now: Time, order: &Order, sent: Time, outcome: Outcome) {
         if let Some(board) = self.board.as_mut().filter(|board| board.token() == order.token) {
             board.on_outcome(now, order, sent, outcome);
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -25,6 +25,7 @@
     crashes: true,
     drains: false,
     zones: false,
+    full_disks: false,
 };
 
 /// Logger that prints the log lines that contain the text of `FUZZ_TRACE`, and those that contain "leading".
@@ -155,6 +156,31 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
+/// Guards against a group that loses a voter for good with each disk that is full for a moment: after two of them, one
+/// after the other, there would be no majority.
+#[test]
+fn a_group_serves_on_after_each_leader_had_a_full_disk() {
+    trace();
+    let mut sim = Simulation::new(11, Faults::default(), 8, 100, 0.5);
+    sim.run_for(Duration::from_secs(6));
+    for _ in 0..3 {
+        let leader = sim.leader().expect("the group has a leader between two faults");
+        sim.fill_disk(leader, Duration::from_secs(5));
+        sim.run_for(Duration::from_secs(13));
+    }
+    sim.run(Duration::from_secs(10));
+    assert!(sim.oracle.violations.is_empty(), "{:#?}", sim.oracle.violations);
+    let (answered, jobs) = (sim.reply_counts["ended"] + sim.reply_counts["accepted"], sim.jobs.len() as u64);
+    assert!(answered * 10 >= jobs * 9, "{answered} of {jobs} jobs; {:?}", sim.reply_counts);
+}
+
+#[test]
+fn full_disks_break_no_rule_beside_other_faults() {
+    let faults = Faults { full_disks: true, ..ALL_FAULTS };
+    seeds(150, 4).for_each(|seed| check(seed, faults, 100, 0.5));
+    seeds(160, 2).for_each(|seed| check(seed, Faults { zones: true, ..faults }, 0, 0.5));
+}
+
 /// Returns the numbers of jobs that end and of jobs that are sent within some seconds.
 fn served(sim: &mut Simulation, seconds: u64) -> (u64, u64) {
     let before = (sim.reply_counts["ended"], sim.jobs.len() as u64);
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -26,6 +26,7 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longer than any simulation.
 const JOB_RETENTION: Duration = Duration::from_hours(24);
+const REOPEN_INTERVAL_MS: u64 = 500;
 const RESEND_DELAY: Duration = Duration::from_millis(1300);
 
 /// Faults of a simulation, as probabilities and as switches.
@@ -43,6 +44,7 @@
     pub crashes: bool,
     pub drains: bool,
     pub zones: bool,
+    pub full_disks: bool,
 }
 
 #[derive(Debug)]
@@ -50,6 +52,8 @@
     Tick(usize),
     Frame { to: usize, from: HostId, incarnation: u64, messages: Vec<Message> },
     Synced { host: usize, incarnation: u64, id: WriteId },
+    DiskFailed { host: usize, incarnation: u64 },
+    DiskReopened { host: usize, incarnation: u64 },
     DeliverOrder { host: usize, incarnation: u64, order_id: OrderId, order: Box<Order>, answer: bool },
     Outcome { host: usize, incarnation: u64, order_id: OrderId, outcome: Box<Outcome> },
     CheckTarget { target: usize },
@@ -71,6 +75,10 @@
     disk: Option<DurableState>,
     unsynced: Vec<Write>,
     frozen_until: Time,
+    /// Writes fail until this time.
+    full_until: Time,
+    /// A write has failed, and the folder is not open again yet.
+    failed: bool,
 }
 
 #[derive(Debug)]
@@ -166,6 +174,8 @@
                 disk,
                 unsynced: Vec::new(),
                 frozen_until: Time::ZERO,
+                full_until: Time::ZERO,
+                failed: false,
             });
             sim.boot(host);
             sim.after(10, Event::Tick(host));
@@ -217,6 +227,7 @@
         let node = &mut self.nodes[host];
         node.incarnation += 1;
         node.unsynced.clear();
+        node.failed = false;
         let seeds = (0..CONTROL_HOSTS).map(|seed| SocketAddr::from((ip(seed), 80))).collect();
         let settings = Settings {
             host: node.id,
@@ -285,6 +296,10 @@
                 });
             }
             Event::Synced { host, incarnation, id } => self.synced(host, incarnation, id),
+            Event::DiskFailed { host, incarnation } => {
+                self.input(host, incarnation, Event::DiskFailed { host, incarnation }, ControlHost::on_failed);
+            }
+            Event::DiskReopened { host, incarnation } => self.reopen_disk(host, incarnation),
             Event::DeliverOrder { host, incarnation, order_id, order, answer } => {
                 self.deliver_order(host, incarnation, order_id, &order, answer);
             }
@@ -316,6 +331,9 @@
         if node.incarnation != incarnation {
             return;
         }
+        if node.failed {
+            return;
+        }
         let ready = node.unsynced.iter().position(|write| write.id == id).map_or(0, |place| place + 1);
         let writes: Vec<Write> = node.unsynced.drain(..ready).collect();
         let disk = node.disk.as_mut().expect("a host that writes has a data folder");
@@ -324,6 +342,39 @@
         self.input(host, incarnation, copy, |control_host, now| control_host.on_synced(now, id));
     }
 
+    /// Fails a write, of which the disk may hold a part, and opens the folder again later.
+    fn fail_write(&mut self, host: usize, incarnation: u64, write: Write) {
+        let whole = write.ops.len();
+        let part = self.rng.random_range(0..=whole);
+        let node = &mut self.nodes[host];
+        node.failed = true;
+        // Earlier writes are synced, and reported before the failure.
+        let (disk, writes) = (node.disk.as_mut().expect("a host that writes has a data folder"), &mut node.unsynced);
+        let earlier = std::mem::take(writes).into_iter().flat_map(|write| write.ops);
+        earlier.chain(write.ops.into_iter().take(part)).for_each(|op| apply_op(disk, op));
+        self.after(9, Event::DiskFailed { host, incarnation });
+        self.after(9 + REOPEN_INTERVAL_MS, Event::DiskReopened { host, incarnation });
+    }
+
+    /// Opens the data folder of a host again once its disk takes writes again.
+    fn reopen_disk(&mut self, host: usize, incarnation: u64) {
+        let (now, node) = (self.now, &mut self.nodes[host]);
+        if node.incarnation != incarnation {
+            return;
+        }
+        let event = Event::DiskReopened { host, incarnation };
+        if node.full_until > now {
+            return self.after(REOPEN_INTERVAL_MS, event);
+        }
+        if node.frozen_until > now {
+            let wake = node.frozen_until;
+            return self.at(wake, event);
+        }
+        node.failed = false;
+        let stored = node.disk.clone().expect("a host that writes has a data folder");
+        self.input(host, incarnation, event, |control_host, now| control_host.on_reopened(now, stored));
+    }
+
     fn process_effects(&mut self, host: usize) {
         let now = self.now;
         let node = &mut self.nodes[host];
@@ -331,6 +382,8 @@
         let Some(control_host) = &mut node.control_host else { return };
         for effect in control_host.drain(now) {
             match effect {
+                Effect::Write(_) if self.nodes[host].failed => {}
+                Effect::Write(write) if self.nodes[host].full_until > now => self.fail_write(host, incarnation, write),
                 Effect::Write(write) => {
                     let id = write.id;
                     self.nodes[host].unsynced.push(write);
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -3,8 +3,9 @@
 use super::{
     CONNECTED_HOSTS, CONTROL_HOSTS, Event, Faults, HOSTS, PendingCall, RESEND_DELAY, Simulation, ZONES, apply_op, ip,
 };
-use mangogw_control::joining_state;
+use mangogw_control::{ControlHost, joining_state};
 use mangogw_jobs::{JobId, TargetState};
+use mangogw_model::Time;
 use rand::RngExt;
 use std::time::Duration;
 
@@ -31,6 +32,17 @@
         self.after(down, Event::Restart { host });
     }
 
+    /// Makes the disk of a control host refuse writes for a while.
+    pub fn fill_disk(&mut self, host: usize, span: Duration) {
+        self.nodes[host].full_until = self.now + span;
+    }
+
+    /// Returns the control host that leads the group, if there is one.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |host: &usize| self.nodes[*host].control_host.as_ref().is_some_and(ControlHost::is_leader);
+        (0..CONTROL_HOSTS).find(leads)
+    }
+
     pub(super) fn fault(&mut self) {
         if self.now >= self.load_end {
             self.heal(0);
@@ -44,6 +56,10 @@
         let control = self.rng.random_range(0..CONTROL_HOSTS);
         let target = self.rng.random_range(0..self.targets.len());
         let kinds = if self.faults.zones { 11 } else { 9 };
+        if self.faults.full_disks && self.rng.random_bool(0.5) {
+            let span = self.rng.random_range(5..5000);
+            return self.fill_disk(control, Duration::from_millis(span));
+        }
         match self.rng.random_range(0..kinds) {
             0 if kills && all_up => self.kill(host, false, 900),
             1 if power_loss && all_up => {
@@ -129,6 +145,7 @@
             self.isolated_zone = None;
         }
         if kind == 0 {
+            self.nodes.iter_mut().for_each(|node| node.full_until = Time::ZERO);
             self.faults = Faults { fail: self.faults.fail, ..Faults::default() };
             self.targets.iter_mut().for_each(|target| target.report.state = TargetState::Ready);
         }
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -130,6 +130,7 @@
 /// One member of the control group.
 #[derive(Debug)]
 pub(crate) struct Group<T> {
+    seed: u64,
     raft: Raft,
     state: GroupState,
     pending_calls: IndexMap<Tag, PendingCall<T>>,
@@ -151,6 +152,7 @@
     pub(crate) fn open(stored: DurableState, seed: u64, wall_offset: u64, now: Time) -> Self {
         let settings = mangogw_store::Settings { seed, ..mangogw_store::Settings::default() };
         let mut group = Self {
+            seed,
             raft: Raft::open(settings, stored, now),
             state: GroupState::default(),
             pending_calls: IndexMap::new(),
@@ -201,6 +203,25 @@
         self.process_outputs(now);
     }
 
+    /// Replaces the log and the replicated state by those that the disk holds, after a failed write has ended the old
+    /// ones.
+    pub(crate) fn on_reopened(&mut self, now: Time, stored: DurableState) {
+        let status = self.raft.status();
+        if (stored.host, stored.folder_id) != (status.host, status.folder_id) {
+            log::error!(
+                host = status.host.0, found = stored.host.0;
+                "group: the data folder belongs to another host; this host stays out of the control group"
+            );
+            return;
+        }
+        // Refuses the calls that wait for the log.
+        self.process_outputs(now);
+        let Self { raft, state, outputs, .. } = Self::open(stored, self.seed, self.wall_offset, now);
+        (self.raft, self.state, self.next_plan) = (raft, state, now);
+        (self.is_leader, self.unapplied_term) = (false, None);
+        self.outputs.extend(outputs);
+    }
+
     /// Runs due timers. `peers` are used only if this host leads and already led before this tick.
     pub(crate) fn on_tick(&mut self, now: Time, peers: &[Peer]) {
         self.raft.on_tick(now);
--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -232,7 +232,7 @@
         self.process_outputs(now);
     }
 
-    /// Reports that a write has failed; the host no longer takes part in the control group.
+    /// Reports that a write has failed; the host takes no part in the control group until [`Host::on_reopened`].
     pub fn on_write_failed(&mut self, now: Time) {
         if let Some(group) = &mut self.group {
             group.on_write_failed(now);
@@ -240,6 +240,16 @@
         self.process_outputs(now);
     }
 
+    /// Handles the data folder that was opened again after a failed write: the host takes part in the control group
+    /// again, from what its disk holds. Writes that were requested before must not reach the folder any more.
+    pub fn on_reopened(&mut self, now: Time, stored: DurableState) {
+        if let Some(group) = &mut self.group {
+            group.on_reopened(now, stored);
+            self.effects.retain(|effect| !matches!(effect, Effect::Write(_)));
+        }
+        self.process_outputs(now);
+    }
+
     /// Runs all timers.
     pub fn on_tick(&mut self, now: Time) {
         self.members.on_tick(now);
--- a/crates/host/tests/hosts/restart.rs
+++ b/crates/host/tests/hosts/restart.rs
@@ -1,4 +1,4 @@
-//! Calls of operators to a voter that has restarted and not yet applied its log.
+//! Calls of operators to a voter that has restarted or opened its data folder again.
 
 use bytes::Bytes;
 use mangogw_catalogue::{Action, Role, Token};
@@ -78,14 +78,11 @@
     }
 }
 
-/// Guards against a new leader that checks tokens against its last snapshot before its log is applied: it refused valid
-/// tokens and would have accepted revoked ones.
-#[test]
-fn a_new_leader_checks_no_token_before_it_has_applied_its_log() {
+/// Founds a group of one voter, and waits until it has issued an administrator's token.
+fn found_group() -> (Voter, DurableState, Token) {
     let (id, folder_id) = (HostId(1), FolderId(9));
     let mut stored =
         DurableState::bootstrap(id, folder_id, GroupId(7), Members::from_voters([(id, folder_id)]), Bytes::new());
-    let commit = stored.hard_state.commit;
     let token = Token::from_random(1, [7; 32]);
     let issue = Action::Issue {
         id: token.id(),
@@ -94,16 +91,24 @@
         role: Role::Administrator,
         expires_ms: 1 << 50,
     };
-    let mut first = Voter::open(&stored, 1, Time::from_millis(1));
-    first.host.set_bootstrap_actions(vec![issue]);
+    let mut voter = Voter::open(&stored, 1, Time::from_millis(1));
+    voter.host.set_bootstrap_actions(vec![issue]);
     for _ in 0..200 {
-        first.tick(&mut stored);
-        first.sync(&mut stored);
+        voter.tick(&mut stored);
+        voter.sync(&mut stored);
     }
-    assert!(matches!(first.read_shift(&mut stored, &token), Some(Reply::Operator(OperatorReply::Read { .. }))));
+    assert!(matches!(voter.read_shift(&mut stored, &token), Some(Reply::Operator(OperatorReply::Read { .. }))));
+    (voter, stored, token)
+}
+
+/// Guards against a new leader that checks tokens against its last snapshot before its log is applied: it refused valid
+/// tokens and would have accepted revoked ones.
+#[test]
+fn a_new_leader_checks_no_token_before_it_has_applied_its_log() {
+    let (_, mut stored, token) = found_group();
 
     // After a crash, the stored commit index may be outdated.
-    stored.hard_state.commit = commit;
+    stored.hard_state.commit = stored.base().index;
     let mut second = Voter::open(&stored.clone(), 2, Time::from_millis(5_000));
     while !second.is_leader() {
         second.tick(&mut stored);
@@ -115,3 +120,28 @@
     let late = second.read_shift(&mut stored, &token);
     assert!(matches!(late, Some(Reply::Operator(OperatorReply::Read { .. }))), "{late:?}");
 }
+
+/// Guards against a voter that takes no part in its group for good after one failed write.
+#[test]
+fn a_voter_takes_part_again_when_its_folder_is_open_again() {
+    let (mut voter, mut stored, token) = found_group();
+    for round in 0..2 {
+        voter.host.on_write_failed(voter.now);
+        voter.carry_out(&mut stored);
+        assert!(!voter.is_leader());
+        let failed = voter.read_shift(&mut stored, &token);
+        assert!(!matches!(failed, Some(Reply::Operator(OperatorReply::Read { .. }))), "round {round}: {failed:?}");
+        let foreign = DurableState { folder_id: FolderId(10), ..stored.clone() };
+        voter.host.on_reopened(voter.now, foreign);
+        voter.tick(&mut stored);
+        assert!(!voter.is_leader(), "a folder of another host is not taken");
+        voter.unsynced.clear();
+        voter.host.on_reopened(voter.now, stored.clone());
+        for _ in 0..200 {
+            voter.tick(&mut stored);
+            voter.sync(&mut stored);
+        }
+        let read = voter.read_shift(&mut stored, &token);
+        assert!(matches!(read, Some(Reply::Operator(OperatorReply::Read { .. }))), "round {round}: {read:?}");
+    }
+}
--- a/crates/mangogwd/src/disk.rs
+++ b/crates/mangogwd/src/disk.rs
@@ -2,17 +2,21 @@
 
 use mangogw_catalogue::Token;
 use mangogw_model::HostId;
-use mangogw_store::{DurableState, Folder, FolderDisk, FolderId, GroupId, Members, StoreError, Write, WriteId};
+use mangogw_store::{Disk, DurableState, Folder, FolderDisk, FolderId, GroupId, Members, StoreError, Write, WriteId};
 use snafu::{ResultExt, Snafu};
 use std::fs;
 use std::io::Read;
 use std::path::{Path, PathBuf};
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
+use std::time::{Duration, Instant};
 
 /// File in the data folder that holds the first administrator's token.
 const TOKEN_FILE: &str = "admin.token";
 
+/// Time between a failed write and opening the folder again, and between two attempts to open it.
+const REOPEN_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Reason why the data folder can't be used.
 #[derive(Debug, Snafu)]
 pub enum BadFolder {
@@ -166,41 +170,86 @@
     fs::File::open("/dev/urandom")?.read_exact(bytes)
 }
 
-/// Result of writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum WriteStatus {
+/// Event of a data folder, in the order in which it happened.
+#[derive(Debug)]
+pub enum DiskEvent {
     /// All writes up to and including this one are durable.
-    UpTo(WriteId),
+    Synced(WriteId),
     /// A write failed; the folder takes no further writes.
     Failed,
+    /// The folder takes writes again, through a new queue. Writes in the earlier queue are dropped.
+    Reopened {
+        /// State that was read from the disk.
+        stored: DurableState,
+        /// Queue of the writes from now on.
+        writes: Sender<Write>,
+    },
 }
 
-/// Starts the thread that writes `folder`. Queued writes are written as one batch, and `done` is called with the result
-/// of each batch.
+/// Starts the thread that writes `folder`, and returns the queue of writes. Queued writes are written as one batch, and
+/// `report` is called with the result of each batch. After a failed write the folder is opened again as soon as the disk
+/// allows it.
 ///
 /// # Errors
 /// Error of the operating system if the thread can't be started.
-pub fn spawn(mut folder: Folder, done: impl Fn(WriteStatus) + Send + 'static) -> std::io::Result<Sender<Write>> {
+pub fn spawn<D>(folder: Folder<D>, report: impl Fn(DiskEvent) + Send + 'static) -> std::io::Result<Sender<Write>>
+where
+    D: Disk<File: Send> + Clone + Send + 'static,
+{
     let (sender, receiver) = channel();
-    thread::Builder::new().name("disk".to_owned()).spawn(move || {
-        while let Some(batch) = next_batch(&receiver) {
-            let last = batch.last().map(|write| write.id);
-            match (folder.write(&batch), last) {
-                (Ok(()), Some(last)) => done(WriteStatus::UpTo(last)),
-                (Ok(()), None) => {}
-                (Err(error), _) => {
-                    log::error!(error:%; "disk: failed to write the data folder; this host left the control group");
-                    return done(WriteStatus::Failed);
-                }
-            }
-        }
-    })?;
+    thread::Builder::new().name("disk".to_owned()).spawn(move || run(folder, receiver, report))?;
     Ok(sender)
 }
 
-/// Waits for a write and returns it with all writes queued behind it; `None` once the host has been dropped.
-fn next_batch(receiver: &Receiver<Write>) -> Option<Vec<Write>> {
-    let mut batch = vec![receiver.recv().ok()?];
-    batch.extend(receiver.try_iter());
-    Some(batch)
+/// Writes the folder until the host has been dropped, or until its contents can't be used.
+fn run<D: Disk + Clone>(mut folder: Folder<D>, mut queue: Receiver<Write>, report: impl Fn(DiskEvent)) {
+    while let Err(error) = write_queued(&mut folder, &queue, &report) {
+        log::error!(error:%; "disk: failed to write the data folder; this host leaves the control group for now");
+        report(DiskEvent::Failed);
+        let Some(stored) = reopen(&mut folder, &queue) else { return };
+        let (writes, receiver) = channel();
+        queue = receiver;
+        report(DiskEvent::Reopened { stored, writes });
+    }
+}
+
+/// Writes the queue in batches. Returns once the host has been dropped.
+fn write_queued<D: Disk>(
+    folder: &mut Folder<D>,
+    queue: &Receiver<Write>,
+    report: &impl Fn(DiskEvent),
+) -> Result<(), StoreError> {
+    while let Ok(first) = queue.recv() {
+        let mut batch = vec![first];
+        batch.extend(queue.try_iter());
+        folder.write(&batch)?;
+        batch.last().into_iter().for_each(|last| report(DiskEvent::Synced(last.id)));
+    }
+    Ok(())
+}
+
+/// Opens the folder again, however long the disk refuses that. Drops the queued writes, which belong to the state before
+/// the failure. Returns `None` once the host has been dropped, or if the contents can't be used.
+fn reopen<D: Disk + Clone>(folder: &mut Folder<D>, queue: &Receiver<Write>) -> Option<DurableState> {
+    loop {
+        let due = Instant::now() + REOPEN_INTERVAL;
+        loop {
+            match queue.recv_timeout(due.saturating_duration_since(Instant::now())) {
+                Ok(_dropped) => {}
+                Err(RecvTimeoutError::Timeout) => break,
+                Err(RecvTimeoutError::Disconnected) => return None,
+            }
+        }
+        match folder.reopen() {
+            Ok(stored) => {
+                log::info!(host = stored.host.0; "disk: opened the data folder again");
+                return Some(stored);
+            }
+            Err(error) if error.is_io() => log::warn!(error:%; "disk: the data folder can't be opened again yet"),
+            Err(error) => {
+                log::error!(error:%; "disk: the data folder can't be used; this host stays out of the control group");
+                return None;
+            }
+        }
+    }
 }
--- a/crates/mangogwd/src/node.rs
+++ b/crates/mangogwd/src/node.rs
@@ -2,7 +2,7 @@
 //! its effects.
 
 use crate::clock::Clock;
-use crate::disk::{self, OpenedFolder, WriteStatus};
+use crate::disk::{self, DiskEvent, OpenedFolder};
 use crate::links::{Identity, Inbox, Links};
 use crate::pool::{AttemptCommand, Pool};
 use indexmap::IndexMap;
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{oneshot, watch};
@@ -29,7 +29,8 @@
     callers: Mutex<IndexMap<Caller, oneshot::Sender<Reply>>>,
     pool: Pool,
     links: Links,
-    disk: OnceLock<Sender<Write>>,
+    /// Queue of the writes; `None` without a data folder. Locked after `host`.
+    disk: Mutex<Option<Sender<Write>>>,
     serial: AtomicU64,
     closing: AtomicBool,
     halted: watch::Sender<bool>,
@@ -59,7 +60,7 @@
             callers: Mutex::new(IndexMap::new()),
             pool: Pool::default(),
             links: Links::new(identity),
-            disk: OnceLock::new(),
+            disk: Mutex::default(),
             serial: AtomicU64::new(0),
             closing: AtomicBool::new(false),
             halted: watch::Sender::new(false),
@@ -67,9 +68,8 @@
         });
         if let Some(folder) = folder {
             let weak = Arc::downgrade(&node);
-            let writes = disk::spawn(folder, move |status| report_write(&weak, status))?;
-            // The cell is empty: nothing else sets it.
-            _ = node.disk.set(writes);
+            let writes = disk::spawn(folder, move |event| on_disk_event(&weak, event))?;
+            node.set_disk(writes);
         }
         let timer = tokio::spawn(Arc::clone(&node).run_timer());
         Ok((node, timer))
@@ -151,6 +151,7 @@
     /// Takes the effects out of the host. Writes are queued for the disk; without a data folder they count as durable
     /// at once.
     fn take_effects(&self, host: &mut Host, now: Time) -> Vec<Effect> {
+        let disk = self.disk.lock().unwrap_or_else(PoisonError::into_inner);
         let mut effects = Vec::new();
         loop {
             let drained = host.drain();
@@ -158,8 +159,8 @@
                 return effects;
             }
             for effect in drained {
-                match (effect, self.disk.get()) {
-                    // The disk thread ends only if a write failed, which it has reported to the host.
+                match (effect, &*disk) {
+                    // The queue is closed only after a failed write, which has been reported to the host.
                     (Effect::Write(write), Some(disk)) => drop(disk.send(write)),
                     (Effect::Write(write), None) => host.on_synced(now, write.id),
                     (effect, _) => effects.push(effect),
@@ -168,6 +169,10 @@
         }
     }
 
+    fn set_disk(&self, writes: Sender<Write>) {
+        *self.disk.lock().unwrap_or_else(PoisonError::into_inner) = Some(writes);
+    }
+
     fn perform(self: &Arc<Self>, effect: Effect) {
         match effect {
             Effect::Reply { caller, reply } => self.reply(caller, reply),
@@ -220,12 +225,16 @@
     }
 }
 
-/// Reports the result of writes to the host, if it still runs.
-fn report_write(node: &Weak<Node>, status: WriteStatus) {
+/// Passes an event of the data folder to the host, if it still runs.
+fn on_disk_event(node: &Weak<Node>, event: DiskEvent) {
     let Some(node) = node.upgrade() else { return };
-    match status {
-        WriteStatus::UpTo(id) => node.step(|host, now| host.on_synced(now, id)),
-        WriteStatus::Failed => node.step(Host::on_write_failed),
+    match event {
+        DiskEvent::Synced(id) => node.step(|host, now| host.on_synced(now, id)),
+        DiskEvent::Failed => node.step(Host::on_write_failed),
+        DiskEvent::Reopened { stored, writes } => node.step(|host, now| {
+            node.set_disk(writes);
+            host.on_reopened(now, stored);
+        }),
     }
 }
 
--- a/crates/mangogwd/src/shell.rs
+++ b/crates/mangogwd/src/shell.rs
@@ -3,16 +3,16 @@
 
 use crate::clock::Clock;
 use crate::contain::contain;
-use crate::disk::{self, WriteStatus};
+use crate::disk::{self, DiskEvent};
 use crate::links::{Identity, Inbox, Links};
 use indexmap::IndexMap;
 use mangogw_control::{Call, Caller, ControlHost, Effect, HostMetrics, Message, OrderId, Reply};
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Incarnation, Time};
-use mangogw_store::{DurableState, Folder, Write};
+use mangogw_store::{Disk, DurableState, Folder, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
-use std::sync::{Arc, Mutex, OnceLock, PoisonError, Weak};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
 use std::time::Duration;
 use tokio::runtime::Handle;
 use tokio::sync::{Notify, oneshot, watch};
@@ -35,7 +35,8 @@
     callers: Mutex<IndexMap<Caller, oneshot::Sender<Reply>>>,
     client: C,
     links: Links,
-    disk: OnceLock<Sender<Write>>,
+    /// Queue of the writes; `None` without a data folder. Locked after `host`.
+    disk: Mutex<Option<Sender<Write>>>,
     /// Number of the next caller.
     next_caller: AtomicU64,
     /// Notified after each input to the control host.
@@ -49,12 +50,15 @@
     ///
     /// # Errors
     /// The error of the operating system if the thread of the data folder can't be started.
-    pub fn spawn(
+    pub fn spawn<D>(
         mut settings: mangogw_control::Settings,
         cluster: &str,
-        folder: Option<(Folder, DurableState)>,
+        folder: Option<(Folder<D>, DurableState)>,
         client: C,
-    ) -> std::io::Result<(Arc<Self>, JoinHandle<()>)> {
+    ) -> std::io::Result<(Arc<Self>, JoinHandle<()>)>
+    where
+        D: Disk<File: Send> + Clone + Send + 'static,
+    {
         let clock = Clock::start();
         settings.jobs.wall_offset = crate::clock::unix_millis();
         let incarnation = Incarnation(settings.seed);
@@ -66,7 +70,7 @@
             callers: Mutex::default(),
             client,
             links: Links::new(identity),
-            disk: OnceLock::new(),
+            disk: Mutex::default(),
             next_caller: AtomicU64::new(0),
             inputs: Notify::new(),
             halted: watch::Sender::new(false),
@@ -74,9 +78,8 @@
         });
         if let Some(folder) = folder {
             let weak = Arc::downgrade(&shell);
-            let writes = disk::spawn(folder, move |status| report_write(&weak, status))?;
-            // The cell is empty: nothing else sets it.
-            _ = shell.disk.set(writes);
+            let writes = disk::spawn(folder, move |event| on_disk_event(&weak, event))?;
+            shell.set_disk(writes);
         }
         let owned = Arc::clone(&shell);
         let timer = tokio::spawn(async move {
@@ -162,6 +165,10 @@
         self.inputs.notify_one();
     }
 
+    fn set_disk(&self, writes: Sender<Write>) {
+        *self.disk.lock().unwrap_or_else(PoisonError::into_inner) = Some(writes);
+    }
+
     fn halt_unless(&self, sound: bool) {
         if !sound {
             self.halted.send_replace(true);
@@ -195,8 +202,8 @@
     fn take_write(&self, effect: &mut Effect) -> bool {
         let Effect::Write(write) = effect else { return false };
         let write = std::mem::replace(write, Write { id: write.id, ops: Vec::new() });
-        match self.disk.get() {
-            // The disk thread ends only if a write failed, which it has reported to the control host.
+        match &*self.disk.lock().unwrap_or_else(PoisonError::into_inner) {
+            // The queue is closed only after a failed write, which has been reported to the control host.
             Some(disk) => drop(disk.send(write)),
             None => log::error!("shell: write dropped; this host has no data folder"),
         }
@@ -237,12 +244,16 @@
     }
 }
 
-/// Reports the result of writes to the control host, if it still runs.
-fn report_write<C: TargetClient>(shell: &Weak<Shell<C>>, status: WriteStatus) {
+/// Passes an event of the data folder to the control host, if it still runs.
+fn on_disk_event<C: TargetClient>(shell: &Weak<Shell<C>>, event: DiskEvent) {
     let Some(shell) = shell.upgrade() else { return };
-    match status {
-        WriteStatus::UpTo(id) => shell.step_or_halt(|host, now| host.on_synced(now, id)),
-        WriteStatus::Failed => shell.step_or_halt(ControlHost::on_failed),
+    match event {
+        DiskEvent::Synced(id) => shell.step_or_halt(|host, now| host.on_synced(now, id)),
+        DiskEvent::Failed => shell.step_or_halt(ControlHost::on_failed),
+        DiskEvent::Reopened { stored, writes } => shell.step_or_halt(|host, now| {
+            shell.set_disk(writes);
+            host.on_reopened(now, stored);
+        }),
     }
 }
 
--- a/crates/store/src/disk.rs
+++ b/crates/store/src/disk.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File, TryLockError};
 use std::io::{self, Write as _};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// The file operations that the store needs, all in one folder. Names are file names without a path.
 pub trait Disk: Debug {
@@ -67,11 +68,11 @@
 
 const LOCK_FILE: &str = "lock";
 
-/// A folder of the file system, locked against other processes until this value is dropped.
-#[derive(Debug)]
+/// A folder of the file system, locked against other processes until this value and its clones are dropped.
+#[derive(Debug, Clone)]
 pub struct FolderDisk {
     path: PathBuf,
-    _lock: File,
+    _lock: Arc<File>,
 }
 
 impl FolderDisk {
@@ -95,7 +96,7 @@
         let io = IoSnafu { operation: "lock", file: file.display().to_string() };
         let lock = File::options().create(true).truncate(false).write(true).open(&file).context(io.clone())?;
         match lock.try_lock() {
-            Ok(()) => Ok(Self { path, _lock: lock }),
+            Ok(()) => Ok(Self { path, _lock: Arc::new(lock) }),
             Err(TryLockError::WouldBlock) => LockedSnafu { folder: path.display().to_string() }.fail(),
             Err(TryLockError::Error(error)) => Err(error).context(io),
         }
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -63,11 +63,16 @@
         previous: u64,
     },
     /// An earlier write failed, so the content of the disk is unknown until the folder is opened again.
-    #[snafu(display("store: an earlier write failed; restart once the disk is mended"))]
+    #[snafu(display("store: an earlier write failed and the folder was not opened again"))]
     EarlierWriteFailed,
 }
 
 impl StoreError {
+    /// Returns true if the disk refused an operation, which it may carry out later.
+    pub const fn is_io(&self) -> bool {
+        matches!(self, Self::Io { .. })
+    }
+
     /// Returns true if the error is [`StoreError::Empty`].
     pub const fn is_empty(&self) -> bool {
         matches!(self, Self::Empty)
--- a/crates/store/src/folder.rs
+++ b/crates/store/src/folder.rs
@@ -152,6 +152,21 @@
         Ok((folder, stored))
     }
 
+    /// Opens the folder again after a failed write, from what the disk holds now. The folder takes writes again if that
+    /// succeeds, from [`WriteId`] 1 on, for a [`Raft`](crate::Raft) that is opened from the returned state.
+    ///
+    /// # Errors
+    /// As [`Folder::open`]; the folder then still takes no writes.
+    pub fn reopen(&mut self) -> Result<DurableState, StoreError>
+    where
+        D: Clone,
+    {
+        self.failed = true;
+        let (folder, stored) = Self::open_disk(self.disk.clone())?;
+        *self = Self { segment_limit: self.segment_limit, ..folder };
+        Ok(stored)
+    }
+
     /// Writes and syncs all operations of `writes` in order, with as few syncs as possible.
     ///
     /// # Errors
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -8,6 +8,7 @@
 //!   out in order.
 //! - [`Folder`] stores [`Write`]s. It blocks, so it runs on a separate thread that takes all waiting writes, calls
 //!   [`Folder::write`] once, then passes the id of the last write to [`Raft::on_synced`], or calls [`Raft::on_failed`].
+//!   After that, [`Folder::reopen`] returns the state to open a new [`Raft`] from.
 //! - [`Message`]s are plain `serde` data. They may be lost, delayed, duplicated and reordered.
 //!
 //! The caller must keep to these rules:
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -229,8 +229,9 @@
         }
     }
 
-    /// Reports that a write failed and that no later write will succeed: this host steps down and takes no part until
-    /// it is opened again. Nothing that waited for the write is ever acknowledged.
+    /// Reports that a write failed and that no later write will succeed: this host steps down and takes no part. Nothing
+    /// that waited for the write is ever acknowledged. To take part again, replace this value by one that is opened from
+    /// the state that [`Folder::reopen`](crate::Folder::reopen) returns.
     pub fn on_failed(&mut self, now: Time) {
         self.advance(now);
         self.fail("writing to the data folder failed");
@@ -318,11 +319,11 @@
         self.outputs.push(Output::Write(Write { id: self.sync_queue.issue(bytes), ops }));
     }
 
-    /// Logs `reason` as an error and enters [`Role::Failed`]: this host takes no part until it is opened again.
+    /// Logs `reason` as an error and enters [`Role::Failed`], in which this host takes no part in the group.
     fn fail(&mut self, reason: &str) {
         log::error!(
             host = self.host.0, term = self.term.0;
-            "store: {reason}; this host takes no part in the group until it is restarted"
+            "store: {reason}; this host takes no part in the group until its data folder is opened again"
         );
         self.role = Role::Failed;
         self.leader = None;
--- a/crates/store/tests/folder.rs
+++ b/crates/store/tests/folder.rs
@@ -311,3 +311,31 @@
     }
     assert!(Folder::open(temp.path()).unwrap_err().is_empty(), "an emptied folder must not open as the old host");
 }
+
+/// Guards against a host that stays out of its group for good after its disk was full for a moment: once the disk takes
+/// writes again, the folder opens with all that was synced, and takes writes again.
+#[test]
+fn a_folder_reopens_after_a_failed_write() {
+    let writes = random_writes(5, 30);
+    for at in 0..90 {
+        let disk = FakeDisk::default();
+        let mut folder = Folder::create(disk.clone(), &bootstrap_state()).unwrap().with_segment_bytes(SEGMENT_BYTES);
+        disk.fail_after(Some(at));
+        let done = writes.iter().take_while(|write| folder.write(std::slice::from_ref(write)).is_ok()).count();
+        assert!(done < writes.len(), "operation {at} of the writes fails");
+        assert!(folder.reopen().is_err_and(|error| error.is_io()), "the disk still refuses writes");
+        assert!(matches!(folder.write(&writes[done..]), Err(StoreError::EarlierWriteFailed)));
+        disk.fail_after(None);
+        let stored = folder.reopen().unwrap();
+        let synced = writes[..done].iter().fold(bootstrap_state(), |stored, write| apply_all(&stored, &write.ops));
+        let failed = &writes[done].ops;
+        let is_prefix = (0..=failed.len()).any(|part| as_reopened(apply_all(&synced, &failed[..part])) == stored);
+        assert!(is_prefix, "operation {at} failed after {done} writes; the folder holds an unexpected state");
+        let tail = stored.entries.last().map_or(stored.base(), |entry| entry.id);
+        let entry = LogEntry { id: LogId { index: tail.index.next(), ..tail }, payload: Payload::Blank };
+        folder.write(&[Write { id: WriteId(1), ops: vec![Op::Append(vec![entry])] }]).unwrap();
+        drop(folder);
+        disk.crash(&mut Pcg64Mcg::seed_from_u64(at));
+        assert_eq!(open(&disk).1.entries.len(), stored.entries.len() + 1, "operation {at} failed");
+    }
+}
