A deregistration concerns its own incarnation, and the runs of a target that has left hold their tasks

Cause: Call::Leave carried the id alone, and the leader filled in the incarnation known at its arrival. And Board::lose_target gave the tasks of a target that has left to others at once, though an executor without an acknowledgement works on for a while; this alone breaks the rule.

Evidence: lines of the core: `leave i-` received 2.2 s after the later life had reported, 1 ms later `board: target removed` with the later life's born and 12 runs, then 12 starts elsewhere.

Ruled out: a heartbeat taken for one of another life, a lost lease, a change of the leader.

Change: born is read from the body of a deregistration; one of an earlier incarnation is acknowledged and ignored. A target that has left stays in the ledger as Left: it gets no new runs, its runs hold their tasks until they end or the lease is surely over, the next leader waits for it as for any other, and it is forgotten a minute after it can't run anything any more, so that a delayed heartbeat doesn't bring it back.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
 use mangogw_jobs::{
-    Board, Command, Counts, EndRecord, JobId, Ledger, Outcome, Phase, StoredJob, Submission, TargetKey,
+    Board, Command, Counts, EndRecord, JobId, Ledger, Outcome, Phase, StoredJob, Submission, TargetKey, TargetState,
 };
 use mangogw_model::{HostId, Time, Zone};
 use mangogw_store::{DurableState, Index, Raft, Role, Status, Tag, Write, WriteId};
@@ -372,17 +372,24 @@
                     self.answer(call_id, Reply::Done);
                 }
                 Some(known) if known.incarnation > report.incarnation => self.answer(call_id, Reply::Done),
+                Some(known) if known.state == TargetState::Left && !report.supersedes(known) => {
+                    self.answer(call_id, Reply::Done);
+                }
                 _ => {
                     let command = Command::ReportTarget(report);
                     self.propose(now, &command, PendingOp::Change(call_id, command.clone()));
                 }
             },
-            Call::Leave { id } => match self.ledger.targets.get(&id).map(|known| known.incarnation) {
-                Some(incarnation) => {
-                    let command = Command::RemoveTarget { id, incarnation };
+            Call::Leave { id, incarnation } => match self.ledger.targets.get(&id).map(|known| known.incarnation) {
+                // A deregistration that arrives late concerns an incarnation that is gone.
+                Some(known) if incarnation.is_none_or(|left| left >= known) => {
+                    let command = Command::TargetLeft { id, incarnation: incarnation.unwrap_or(known) };
                     self.propose(now, &command, PendingOp::Change(call_id, command.clone()));
                 }
-                None => self.answer(call_id, Reply::Done),
+                known => {
+                    log::info!(target = id, left = incarnation, known; "member: late deregistration ignored");
+                    self.answer(call_id, Reply::Done);
+                }
             },
             Call::Read { .. } | Call::Count { .. } | Call::Fetch => {
                 let tag = self.tag();
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -147,7 +147,8 @@
                     board.install(set);
                 }
                 Command::ReportTarget(report) => board.on_report(now, report),
-                Command::RemoveTarget { id, incarnation } => board.on_target_left(now, id, *incarnation),
+                Command::TargetLeft { id, incarnation } => board.on_target_left(now, id, *incarnation),
+                Command::RemoveTarget { id, incarnation } => board.on_target_removed(now, id, *incarnation),
                 Command::StoreJob { id, .. } => {
                     if let Some(stored_job) = self.ledger.jobs.get(id).filter(|stored_job| stored_job.ended.is_none()) {
                         board.restore(now, *id, stored_job, applied.status == ApplyStatus::Changed);
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -54,10 +54,12 @@
     Fetch,
     /// Reports the state of a target.
     Report(TargetReport),
-    /// Removes a target that has ended.
+    /// Deregisters a target.
     Leave {
         /// Id of the target.
         id: String,
+        /// Incarnation that leaves; `None` if the target did not name it.
+        incarnation: Option<u64>,
     },
 }
 
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -26,6 +26,7 @@
     drains: false,
     zones: false,
     full_disks: false,
+    leaves: false,
 };
 
 /// Logger that prints the log lines that contain the text of `FUZZ_TRACE`, and those that contain "leading".
@@ -181,6 +182,15 @@
     seeds(160, 2).for_each(|seed| check(seed, Faults { zones: true, ..faults }, 0, 0.5));
 }
 
+/// Guards against deregistrations that arrive while the target still works, or after it has started again under its id:
+/// its runs must not be started elsewhere.
+#[test]
+fn late_deregistrations_break_no_rule() {
+    let faults = Faults { leaves: true, ..Faults::default() };
+    seeds(170, 4).for_each(|seed| check(seed, faults, 100, 0.5));
+    seeds(180, 2).for_each(|seed| check(seed, Faults { leaves: true, ..ALL_FAULTS }, 0, 0.5));
+}
+
 /// Returns the numbers of jobs that end and of jobs that are sent within some seconds.
 fn served(sim: &mut Simulation, seconds: u64) -> (u64, u64) {
     let before = (sim.reply_counts["ended"], sim.jobs.len() as u64);
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -45,6 +45,7 @@
     pub drains: bool,
     pub zones: bool,
     pub full_disks: bool,
+    pub leaves: bool,
 }
 
 #[derive(Debug)]
@@ -65,6 +66,8 @@
     Heal(usize),
     Restart { host: usize },
     Rejoin(usize),
+    Leave { target: usize, incarnation: Option<u64> },
+    Shutdown { target: usize, incarnation: u64 },
 }
 
 #[derive(Debug)]
@@ -89,6 +92,7 @@
     Fetch { sent: Time },
     FinalRead { id: JobId },
     Heartbeat,
+    Leave,
 }
 
 #[derive(Debug)]
@@ -317,6 +321,12 @@
             Event::Fault => self.fault(),
             Event::Heal(kind) => self.heal(kind),
             Event::Restart { host } => self.boot(host),
+            Event::Leave { target, incarnation } => {
+                let host = self.rng.random_range(0..CONTROL_HOSTS);
+                let id = self.targets[target].report.id.clone();
+                self.call(host, Call::Leave { id, incarnation }, PendingCall::Leave);
+            }
+            Event::Shutdown { target, incarnation } => self.shut_down(target, incarnation),
             Event::Rejoin(target) => {
                 let rate = self.rng.random_range(980..=1000);
                 let incarnation = self.now.as_micros() / 1000 + 100_000;
@@ -597,7 +607,7 @@
             PendingCall::FinalRead { id } => {
                 self.final_replies.insert(id, reply);
             }
-            PendingCall::Heartbeat => {}
+            PendingCall::Heartbeat | PendingCall::Leave => {}
         }
     }
 
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -43,6 +43,29 @@
         (0..CONTROL_HOSTS).find(leads)
     }
 
+    /// Deregisters a target, which ends some seconds later and starts again under its id. The deregistration may arrive
+    /// after that, and may not name its incarnation.
+    fn deregister(&mut self, target: usize) {
+        let incarnation = self.targets[target].report.incarnation;
+        if self.rng.random_bool(0.5) {
+            self.targets[target].report.state = TargetState::Draining;
+        }
+        let named = self.rng.random_bool(0.7);
+        let (delay, down) = (self.rng.random_range(0..8000), self.rng.random_range(0..3000));
+        self.after(delay, Event::Leave { target, incarnation: named.then_some(incarnation) });
+        self.after(down, Event::Shutdown { target, incarnation });
+    }
+
+    /// Ends an incarnation of a target, unless it has ended before.
+    pub(super) fn shut_down(&mut self, target: usize, incarnation: u64) {
+        if self.targets[target].alive && self.targets[target].report.incarnation == incarnation {
+            self.oracle.on_crash((target, incarnation));
+            self.targets[target].alive = false;
+            let pause = self.rng.random_range(300..1500);
+            self.after(pause, Event::Rejoin(target));
+        }
+    }
+
     pub(super) fn fault(&mut self) {
         if self.now >= self.load_end {
             self.heal(0);
@@ -60,6 +83,9 @@
             let span = self.rng.random_range(5..5000);
             return self.fill_disk(control, Duration::from_millis(span));
         }
+        if self.faults.leaves && self.rng.random_bool(0.5) {
+            return self.deregister(target);
+        }
         match self.rng.random_range(0..kinds) {
             0 if kills && all_up => self.kill(host, false, 900),
             1 if power_loss && all_up => {
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -13,11 +13,12 @@
 use crate::target::{Order, OrderKind, RunState, Target};
 use crate::{
     Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
-    TargetKey, TargetReport, TaskId,
+    TargetKey, TargetReport, TargetState, TaskId,
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
 use slotmap::SlotMap;
+use std::cmp::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use table::{Job, JobKey};
@@ -238,11 +239,15 @@
         match self.by_id.get(&report.id).copied() {
             Some(key) if self.targets[key].report.incarnation == report.incarnation => {
                 let target = &mut self.targets[key];
+                let newer = report.supersedes(&target.report);
+                if target.report.state == TargetState::Left && !newer {
+                    return;
+                }
                 target.last_report = now;
                 if target.absent_since.take().is_some() {
                     target.next_renewal = now;
                 }
-                if target.report.sequence < report.sequence {
+                if newer {
                     target.report = report.clone();
                 }
             }
@@ -258,12 +263,29 @@
         self.dirty = true;
     }
 
-    /// Removes a target whose incarnation has ended, unless the board knows a later one.
+    /// Gives a target that has left no more runs, unless the board knows a later incarnation. Its runs hold their tasks
+    /// until they end or its lease is over, since the target may work on for a while.
     pub fn on_target_left(&mut self, now: Time, id: &str, incarnation: u64) {
+        let Some(key) = self.by_id.get(id).copied() else { return };
+        let target = &mut self.targets[key];
+        match target.report.incarnation.cmp(&incarnation) {
+            Ordering::Less => self.lose_target(now, key, "a later incarnation has left"),
+            Ordering::Equal => {
+                log::info!(target = id, born = incarnation, runs = target.runs.len(); "board: target left");
+                target.report.state = TargetState::Left;
+                target.next_renewal = target.next_renewal.min(now);
+                self.dirty = true;
+            }
+            Ordering::Greater => {}
+        }
+    }
+
+    /// Removes an incarnation of a target that has ended, unless the board knows a later one.
+    pub fn on_target_removed(&mut self, now: Time, id: &str, incarnation: u64) {
         if let Some(key) =
             self.by_id.get(id).copied().filter(|key| self.targets[*key].report.incarnation <= incarnation)
         {
-            self.lose_target(now, key, "target left");
+            self.lose_target(now, key, "removed from the ledger");
         }
     }
 
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -5,7 +5,7 @@
 use super::{Board, JOB_END_RETENTION, JobEnd, Output, RETRY_AFTER, Refused};
 use crate::policy::PriorityClass;
 use crate::target::RunState;
-use crate::{Command, TargetKey, TaskId};
+use crate::{Command, TargetKey, TargetState, TaskId};
 use indexmap::IndexSet;
 use mangogw_model::Time;
 use std::time::Duration;
@@ -17,6 +17,8 @@
 const ABSENT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which an absent target is removed. No zone is expected to be cut off for longer than an hour.
 const ABSENT_RETENTION: Duration = Duration::from_hours(2);
+/// The same for a target that has left: longer than a report may be delayed.
+const LEFT_RETENTION: Duration = Duration::from_secs(60);
 
 impl Board {
     /// Handles everything that depends on time alone; to be called every 10 ms.
@@ -54,18 +56,20 @@
         }
     }
 
-    /// Marks targets as absent that neither report nor answer and can't run anything any more, so that a later leader
-    /// does not wait for them. They stay in the ledger for a while, since an isolated zone may use them.
+    /// Marks targets as absent that can't run anything any more, so that a later leader does not wait for them: those that
+    /// neither report nor answer, and those that have left. They stay in the ledger for a while, since an isolated zone
+    /// may use silent ones, and late reports of those that have left must meet a record of that.
     fn mark_absent(&mut self, now: Time) {
         let mut removed = Vec::new();
-        for (key, target) in self.targets.iter_mut().filter(|(_, target)| !target.confirmed && target.runs.is_empty()) {
-            let last_contact = target.last_answer.map_or(target.last_report, |at| at.max(target.last_report));
+        for (key, target) in &mut self.targets {
+            let left = target.report.state == TargetState::Left;
+            let retention = if left { LEFT_RETENTION } else { ABSENT_RETENTION };
             match target.absent_since {
-                Some(since) if now - since >= ABSENT_RETENTION => removed.push(key),
-                None if now >= target.expires && now - last_contact >= ABSENT_TIMEOUT => {
+                Some(since) if now - since >= retention => removed.push(key),
+                None if target.is_gone(now, ABSENT_TIMEOUT) => {
                     target.absent_since = Some(now);
                     let (id, incarnation) = (target.report.id.clone(), target.report.incarnation);
-                    log::info!(target = id, born = incarnation; "board: target absent");
+                    log::info!(target = id, born = incarnation, left; "board: target absent");
                     self.outputs.push(Output::Propose(Command::MarkAbsent { id, incarnation }));
                 }
                 _ => {}
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,6 +1,6 @@
 //! The replicated state: queues, targets, stored jobs, and the recorded ends of their tasks.
 
-use crate::{JobId, JobSpec, Phase, QueueSet, RunNumber, TargetReport, TaskId};
+use crate::{JobId, JobSpec, Phase, QueueSet, RunNumber, TargetReport, TargetState, TaskId};
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::Version;
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,13 @@
     },
     /// Remove the jobs that ended before this time, in Unix milliseconds.
     Expire(u64),
+    /// Mark an incarnation of a target as having left; it may still run tasks.
+    TargetLeft {
+        /// Id of the target.
+        id: String,
+        /// Incarnation that has left.
+        incarnation: u64,
+    },
 }
 
 /// Record of the end of one run that was done or failed.
@@ -202,6 +209,19 @@
                 }
                 _ => ApplyStatus::Unchanged,
             },
+            Command::TargetLeft { id, incarnation } => match self.targets.get_mut(id) {
+                // An earlier incarnation has ended before this one began.
+                Some(known) if known.incarnation < *incarnation => {
+                    self.targets.swap_remove(id);
+                    self.absent_targets.swap_remove(id);
+                    ApplyStatus::Changed
+                }
+                Some(known) if known.incarnation == *incarnation && known.state != TargetState::Left => {
+                    known.state = TargetState::Left;
+                    ApplyStatus::Changed
+                }
+                _ => ApplyStatus::Unchanged,
+            },
             Command::StoreJob { id, .. } if self.jobs.contains_key(id) => ApplyStatus::Unchanged,
             Command::StoreJob { id, spec, queue, attempts, accepted_ms } => {
                 let stored_job = StoredJob {
@@ -237,15 +257,17 @@
         ApplyResult { status, ended_jobs }
     }
 
-    /// Stores the report of a target, unless the stored one is of a later incarnation or has a sequence number at least
-    /// as high.
+    /// Stores the report of a target if it is newer than the stored one.
     fn update_target(&mut self, report: &TargetReport) -> ApplyStatus {
-        self.absent_targets.swap_remove(&report.id);
         match self.targets.get(&report.id) {
-            Some(known) if (known.incarnation, known.sequence) >= (report.incarnation, report.sequence) => {
+            Some(known) if !report.supersedes(known) => {
+                if known.state != TargetState::Left {
+                    self.absent_targets.swap_remove(&report.id);
+                }
                 ApplyStatus::Unchanged
             }
             _ => {
+                self.absent_targets.swap_remove(&report.id);
                 self.targets.insert(report.id.clone(), report.clone());
                 ApplyStatus::Changed
             }
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -46,9 +46,38 @@
     Ready,
     /// The target leaves soon and accepts no new tasks.
     Draining,
+    /// The target has deregistered. Its runs go on until it ends, which it may do some seconds later.
+    Left,
 }
 
 impl TargetReport {
+    /// Returns true if this report is newer than `known`: of a later incarnation, or later of the same one. A target that
+    /// has left and reports that it is draining has nothing new to say.
+    ///
+    /// ```
+    /// use mangogw_jobs::{TargetReport, TargetState};
+    /// use mangogw_model::Zone;
+    /// let known = TargetReport {
+    ///     id: "w1".to_owned(),
+    ///     incarnation: 7,
+    ///     sequence: 3,
+    ///     pool: "p".to_owned(),
+    ///     address: "10.0.0.1:80".parse().unwrap(),
+    ///     zone: Zone::from("a"),
+    ///     labels: Vec::new(),
+    ///     resources: Default::default(),
+    ///     state: TargetState::Left,
+    /// };
+    /// let draining = TargetReport { sequence: 4, state: TargetState::Draining, ..known.clone() };
+    /// assert!(!draining.supersedes(&known));
+    /// assert!(TargetReport { incarnation: 8, sequence: 1, ..draining }.supersedes(&known));
+    /// ```
+    pub fn supersedes(&self, known: &Self) -> bool {
+        let repeats = self.incarnation == known.incarnation
+            && (known.state, self.state) == (TargetState::Left, TargetState::Draining);
+        !repeats && (self.incarnation, self.sequence) > (known.incarnation, known.sequence)
+    }
+
     /// Returns true if the two reports differ in more than their sequence numbers.
     pub fn differs_beyond_sequence(&self, other: &Self) -> bool {
         Self { sequence: other.sequence, ..self.clone() } != *other
@@ -354,6 +383,19 @@
         self.runs.insert(task, run);
     }
 
+    /// Returns true if nothing of this group can run on the target any more: it is silent for `timeout`, or it has left
+    /// and holds nothing.
+    pub(crate) fn is_gone(&self, now: Time, timeout: Duration) -> bool {
+        let last_contact = self.last_answer.map_or(self.last_report, |at| at.max(self.last_report));
+        match self.report.state {
+            TargetState::Left if self.confirmed => self.is_idle() && self.acked >= self.ack_number(),
+            TargetState::Left => self.is_idle() && now >= self.expires,
+            TargetState::Ready | TargetState::Draining => {
+                !self.confirmed && self.runs.is_empty() && now >= self.expires && now - last_contact >= timeout
+            }
+        }
+    }
+
     /// Returns true if nothing runs or may run on the target, and no end waits to be recorded.
     pub(crate) fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.orphans.is_empty() && self.unrecorded.is_empty()
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -583,3 +583,78 @@
         }
     }
 }
+
+/// Guards against a task that runs twice because the target of its run has deregistered, got no acknowledgement, and
+/// works on: the task starts elsewhere only when its run has ended or the lease is over.
+#[test]
+fn a_run_on_a_target_that_has_left_holds_its_task() {
+    let mut harness = Harness::open(&["w1"]);
+    harness.submit(1, 1, 6000, 60_000);
+    let (starts, renewals): (Vec<_>, Vec<_>) =
+        harness.orders().into_iter().partition(|order| matches!(order.kind, OrderKind::Start { .. }));
+    let (task, run) = run_of(&starts[0]);
+    harness.board.on_outcome(harness.now, &starts[0], harness.now, Outcome::Done { clock: 510 });
+    let running = vec![ActiveRun { task, run, ..ActiveRun::default() }];
+    harness.answer_listing(&renewals[0], Listing { running, ..listing(510) });
+    harness.board.on_report(harness.now, &report("w2"));
+    harness.board.on_target_left(harness.now, "w1", 1);
+    let mut answers = true;
+    let mut silent_since = None;
+    for step in 0..400 {
+        harness.advance(10);
+        for order in harness.orders() {
+            match (order.id.as_str(), &order.kind) {
+                ("w2", OrderKind::Start { .. }) => {
+                    let since: Time = silent_since.expect("the task starts elsewhere while w1 says that it runs");
+                    assert!(harness.now - since >= Duration::from_millis(900), "after {:?}", harness.now - since);
+                    return;
+                }
+                ("w1", OrderKind::Renew { .. }) if answers => {
+                    let running = vec![ActiveRun { task, run, percent: step / 2, ..ActiveRun::default() }];
+                    harness.answer_listing(&order, Listing { running, ..listing(510 + u64::from(step) * 10) });
+                }
+                ("w1", OrderKind::Renew { .. }) => {
+                    harness.board.on_outcome(harness.now, &order, harness.now, Outcome::Unsure);
+                }
+                (_, OrderKind::Renew { .. }) => harness.answer_listing(&order, listing(500 + u64::from(step) * 10)),
+                (_, kind) => panic!("{} gets {kind:?}", order.id),
+            }
+        }
+        if step == 200 {
+            answers = false;
+            silent_since = Some(harness.now);
+        }
+    }
+    panic!("the task is never started again");
+}
+
+/// Guards against runs that start elsewhere because a deregistration was delayed until the target was there again.
+#[test]
+fn a_late_deregistration_does_not_concern_a_later_incarnation() {
+    let mut harness = Harness::open(&["w1"]);
+    let again = TargetReport { incarnation: 2, ..report("w1") };
+    harness.board.on_report(harness.now, &again);
+    let renewals = harness.orders();
+    harness.answer_listing(&renewals[0], Listing { incarnation: Some(2), ..listing(10) });
+    harness.board.on_target_left(harness.now, "w1", 1);
+    harness.submit(1, 1, 6000, 5000);
+    assert_eq!(harness.starts().len(), 1, "the later incarnation is in use");
+}
+
+/// Guards against targets that have left and are never forgotten, and against late reports that find them forgotten.
+#[test]
+fn a_target_that_has_left_is_forgotten_after_a_minute() {
+    let mut harness = Harness::open(&["w1"]);
+    harness.board.on_target_left(harness.now, "w1", 1);
+    for _ in 0..59 {
+        harness.advance(1000);
+        let draining = TargetReport { sequence: 9, state: TargetState::Draining, ..report("w1") };
+        harness.board.on_report(harness.now, &draining);
+    }
+    assert_eq!(harness.board.target_count(), 1);
+    harness.advance(2000);
+    assert_eq!(harness.board.target_count(), 0);
+    let outputs = harness.board.drain(harness.now);
+    let removal = Output::Propose(Command::RemoveTarget { id: "w1".to_owned(), incarnation: 1 });
+    assert!(outputs.contains(&removal), "{outputs:?}");
+}
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -1,6 +1,9 @@
 //! Tests of the replicated state.
 
-use mangogw_jobs::{Command, EndRecord, JobId, JobSpec, Ledger, Phase, RunNumber, Step, TaskId};
+use mangogw_jobs::{
+    Command, EndRecord, JobId, JobSpec, Ledger, Phase, Resources, RunNumber, Step, TargetReport, TargetState, TaskId,
+};
+use mangogw_model::Zone;
 use std::sync::Arc;
 
 fn accepted(attempts: u32) -> (Ledger, TaskId) {
@@ -54,3 +57,44 @@
     ledger.apply(&Command::Expire(100));
     assert!(ledger.jobs.is_empty());
 }
+
+fn report(incarnation: u64, sequence: u64, state: TargetState) -> Command {
+    Command::ReportTarget(TargetReport {
+        id: "w1".to_owned(),
+        incarnation,
+        sequence,
+        pool: "p".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: Zone::from("a"),
+        labels: Vec::new(),
+        resources: Resources::default(),
+        state,
+    })
+}
+
+/// Guards against a next leader that does not know a target that has left and may still run tasks, or that takes a late
+/// report of it for new.
+#[test]
+fn a_target_that_has_left_stays_known_until_it_is_removed() {
+    let left = |incarnation| Command::TargetLeft { id: "w1".to_owned(), incarnation };
+    let mut ledger = Ledger::default();
+    ledger.apply(&report(5, 3, TargetState::Ready));
+    ledger.apply(&left(4));
+    assert_eq!(ledger.targets["w1"].state, TargetState::Ready, "a late deregistration of an earlier incarnation");
+    ledger.apply(&left(5));
+    ledger.apply(&report(5, 2, TargetState::Ready));
+    ledger.apply(&report(5, 4, TargetState::Draining));
+    assert_eq!(ledger.targets["w1"].state, TargetState::Left, "late reports");
+    ledger.apply(&Command::MarkAbsent { id: "w1".to_owned(), incarnation: 5 });
+    ledger.apply(&report(5, 5, TargetState::Draining));
+    assert!(ledger.absent_targets.contains("w1"));
+    ledger.apply(&report(5, 6, TargetState::Ready));
+    assert_eq!(
+        ledger.targets["w1"].state,
+        TargetState::Ready,
+        "it reports to be in use after an unnamed deregistration"
+    );
+    assert!(ledger.absent_targets.is_empty());
+    ledger.apply(&left(6));
+    assert!(ledger.targets.is_empty(), "a later incarnation has left");
+}
