--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -18,7 +18,7 @@
 /// Time after which an absent target is removed. No zone is expected to be cut off for longer than an hour.
 const ABSENT_RETENTION: Duration = Duration::from_hours(2);
 /// The same for a target that has left: longer than a report may be delayed.
-const LEFT_RETENTION: Duration = Duration::from_secs(60);
+const LEFT_RETENTION: Duration = Duration::from_mins(1);
 
 impl Board {
     /// Handles everything that depends on time alone; to be called every 10 ms.
