A truncated list of ends proves nothing about runs that it does not name

Cause: a target lists its ends 500 at a time and the rest once those are acknowledged. Board::on_listing took a target for fully listed after the first list, so that start_waiting started what that list did not name; drop_missing_runs made the same mistake under one leader.

Evidence: record of a run: the tasks start again at 2,846 ms, their ends (2,359 to 2,361 ms) are taken note of at 2,879 ms.

Ruled out: lost ends (all were recorded later), a late order of the earlier leader, a failure in the log.

Until a list without the mark comes, the target stays among those that a takeover waits for, no run there counts as lost, and it gets no new runs. The next part is asked for once the ends of the last are recorded. In an isolated zone, which acknowledges no end of the group's jobs, such a target gets nothing at all.

Tests, which fail without the check: nothing_starts_before_a_truncated_list_of_ends_is_whole, a_run_is_not_lost_while_its_end_may_be_listed_later, an_isolated_zone_starts_nothing_where_it_would_not_see_the_end, and the soak of the group's fuzz (TWICE at 142,001 ms), whose targets now list four ends at a time.

--- a/crates/control/tests/group/fake_target.rs
+++ b/crates/control/tests/group/fake_target.rs
@@ -1,5 +1,5 @@
 //! A fake target with its own clock, a lease and a fencing token. It does not enforce its resources, and lists ended
-//! runs until they are recorded.
+//! runs, a few at a time, until they are recorded.
 
 use mangogw_jobs::{
     ActiveRun, Denial, EndedRun, Listing, Outcome, Resources, RunEnd, RunNumber, TargetReport, TargetState, TaskId,
@@ -9,6 +9,8 @@
 use std::time::Duration;
 
 pub const LEASE_MS: u64 = 1000;
+/// Number of ends that a target lists at a time.
+const MAX_LISTED_ENDS: usize = 4;
 const STOP_DELAY: Duration = Duration::from_millis(50);
 
 #[derive(Debug, Clone)]
@@ -217,7 +219,8 @@
             incarnation: Some(self.report.incarnation),
             clock: self.clock(now),
             running: running.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(MAX_LISTED_ENDS).cloned().collect(),
+            truncated: self.ended.len() >= MAX_LISTED_ENDS,
         })
     }
 }
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -136,7 +136,12 @@
         target.missed_renewals = 0;
         let first = !target.confirmed;
         target.confirmed = true;
-        if self.unlisted.swap_remove(&key) && self.unlisted.is_empty() {
+        if listing.truncated && !target.truncated {
+            log::info!(target = target.report.id, ends = listing.ended.len(); "board: target has more ends to list");
+        }
+        target.truncated = listing.truncated;
+        let whole = self.is_whole(listing);
+        if whole && self.unlisted.swap_remove(&key) && self.unlisted.is_empty() {
             log::info!(token = self.token, now = now.as_micros(); "board: takeover of all targets is complete");
         }
         self.process_ends(now, key, &listing.ended);
@@ -144,6 +149,13 @@
         self.schedule_renewal(now, key);
     }
 
+    /// Returns true if a run that the listing does not name has surely not ended with a result that is still to come. An
+    /// isolated zone acknowledges no end of the group's jobs, so its listings may stay truncated for as long as it lasts;
+    /// its own jobs may run again.
+    const fn is_whole(&self, listing: &Listing) -> bool {
+        !listing.truncated || self.isolated
+    }
+
     /// Processes the ends that were not listed before, in their order.
     fn process_ends(&mut self, now: Time, key: TargetKey, ended: &[EndedRun]) {
         let (mut numbers, mut records) = (Vec::new(), Vec::new());
@@ -347,7 +359,9 @@
                 _ => self.add_orphan(key, running.task, running.run, now),
             }
         }
-        self.drop_missing_runs(now, key, sent_at, listing);
+        if self.is_whole(listing) {
+            self.drop_missing_runs(now, key, sent_at, listing);
+        }
         self.stop_orphans(now, key, listing);
         if first {
             let target = &self.targets[key];
--- a/crates/jobs/src/board/renewal.rs
+++ b/crates/jobs/src/board/renewal.rs
@@ -64,6 +64,8 @@
         let awaited = self.unlisted.contains(&key);
         let target = &mut self.targets[key];
         target.next_renewal = match target {
+            // The rest of a truncated list comes only after the ends in it are recorded.
+            _ if awaited && !target.unrecorded.is_empty() => now + MAX_RENEWAL_DELAY,
             _ if awaited && target.missed_renewals <= MAX_IMMEDIATE_RETRIES => now,
             // Its runs go on if it answers before their lease is over, however long it was silent.
             _ if !target.confirmed && !target.runs.is_empty() => now + RENEWAL_RETRY_INTERVAL,
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -189,8 +189,10 @@
     pub clock: u64,
     /// Runs that are active on the target.
     pub running: Vec<ActiveRun>,
-    /// Ended runs whose ends have not been acknowledged.
+    /// Ended runs whose ends have not been acknowledged, the oldest first.
     pub ended: Vec<EndedRun>,
+    /// True if the target may hold further ends, which it lists once these are acknowledged.
+    pub truncated: bool,
 }
 
 /// Active run on a target.
@@ -284,6 +286,8 @@
     pub(crate) lease_end: u64,
     /// Consecutive renewals without a listing.
     pub(crate) missed_renewals: u32,
+    /// True if the last listing was truncated, so that the end of a run may be listed late or, in an isolated zone, never.
+    pub(crate) truncated: bool,
     /// Time of the last report.
     pub(crate) last_report: Time,
     /// Time since which the target is absent: silent, and known to run nothing of this group.
@@ -330,6 +334,7 @@
             expires,
             lease_end: 0,
             missed_renewals: 0,
+            truncated: false,
             last_report: now,
             absent_since: None,
             last_answer: None,
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -209,6 +209,113 @@
     }
 }
 
+/// Opens the board of a new leader with one target and a stored job of `count` tasks, which the earlier leader has
+/// started.
+fn take_over(count: u32) -> (Harness, Order) {
+    let mut harness = Harness::open(&[]);
+    let need = Resources { cpu: 1000, ..Resources::default() };
+    let step = Step { count, need, estimate: 100, ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![step], ..JobSpec::default() });
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let queues = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+    let mut ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    let job = Command::StoreJob { id: JobId(9), spec, queue: "q".to_owned(), attempts: 2, accepted_ms: 0 };
+    ledger.apply(&job);
+    harness.board = Board::open(Settings::default(), 4, &ledger, harness.now);
+    let renewal = harness.orders().remove(0);
+    (harness, renewal)
+}
+
+/// Returns the end as done of a task of the job of [`take_over`], whose number is one above its index.
+fn done(index: u32, run: RunNumber) -> EndedRun {
+    let task = TaskId { job: JobId(9), index, ..TaskId::default() };
+    EndedRun { number: u64::from(index) + 1, task, run, run_end: RunEnd::Done, checkpoint: String::new() }
+}
+
+/// Records the ends that the board has listed, and returns the orders that follow.
+fn record_ends(harness: &mut Harness) -> Vec<Order> {
+    let outputs = harness.board.drain(harness.now);
+    for output in &outputs {
+        if let Output::RecordEnds { target, numbers, records } = output {
+            harness.board.on_ends_recorded(harness.now, *target, numbers, records);
+        }
+    }
+    let mut orders = harness.orders();
+    orders.extend(outputs.into_iter().filter_map(|output| match output {
+        Output::Order(order) => Some(order),
+        _ => None,
+    }));
+    orders
+}
+
+/// Guards against tasks that run twice after a change of the leader: a target lists its ends a part at a time, and a new
+/// leader took a task for not started whose end was not among the first.
+#[test]
+fn nothing_starts_before_a_truncated_list_of_ends_is_whole() {
+    let (mut harness, mut renewal) = take_over(6);
+    let run = RunNumber::new(3, 1);
+    for first in [0, 2] {
+        let ended = vec![done(first, run), done(first + 1, run)];
+        harness.answer_listing(&renewal, Listing { ended, truncated: true, ..listing(600) });
+        let orders = record_ends(&mut harness);
+        assert!(!orders.iter().any(|order| matches!(order.kind, OrderKind::Start { .. })), "{orders:?}");
+        let seen = u64::from(first) + 2;
+        let next = |order: &Order| matches!(order.kind, OrderKind::Renew { seen: acked, .. } if acked == seen);
+        renewal = orders.into_iter().find(next).expect("the rest is asked for once these are recorded");
+    }
+    harness.answer_listing(&renewal, Listing { ended: vec![done(4, run)], ..listing(610) });
+    let starts: Vec<_> = harness.starts().iter().map(|order| run_of(order).0.index).collect();
+    assert_eq!(starts, [5], "the only task that has not ended");
+}
+
+/// Guards against tasks that run twice under one leader: a run that is not listed as active counted as lost though its
+/// end was not listed yet.
+#[test]
+fn a_run_is_not_lost_while_its_end_may_be_listed_later() {
+    let (mut harness, renewal) = take_over(3);
+    harness.answer_listing(&renewal, listing(600));
+    let (starts, renewals): (Vec<_>, Vec<_>) =
+        harness.orders().into_iter().partition(|order| matches!(order.kind, OrderKind::Start { .. }));
+    assert_eq!(starts.len(), 3);
+    for start in &starts {
+        harness.board.on_outcome(harness.now, start, harness.now, Outcome::Done { clock: 610 });
+    }
+    let ends: Vec<_> = starts.iter().map(run_of).map(|(task, run)| done(task.index, run)).collect();
+    let end_of = |index: usize| {
+        let end = ends.iter().find(|end| end.number == index as u64 + 1);
+        end.expect("each task was started").clone()
+    };
+    harness.answer_listing(&renewals[0], listing(605));
+    harness.advance(150);
+    let mut renewal = harness.orders().remove(0);
+    for index in 0..2 {
+        harness.answer_listing(&renewal, Listing { ended: vec![end_of(index)], truncated: true, ..listing(760) });
+        harness.advance(10);
+        let orders = record_ends(&mut harness);
+        assert!(!orders.iter().any(|order| matches!(order.kind, OrderKind::Start { .. })), "{orders:?}");
+        let next = |order: &Order| matches!(order.kind, OrderKind::Renew { .. });
+        renewal = orders.into_iter().find(next).expect("the rest is asked for once this is recorded");
+    }
+    harness.answer_listing(&renewal, Listing { ended: vec![end_of(2)], ..listing(790) });
+    assert!(record_ends(&mut harness).iter().all(|order| matches!(order.kind, OrderKind::Renew { .. })));
+}
+
+/// Guards against jobs without an answer in an isolated zone: it acknowledges no end of the group's jobs, so a target
+/// with many of them would never list the end of a run of the zone.
+#[test]
+fn an_isolated_zone_starts_nothing_where_it_would_not_see_the_end() {
+    let mut harness = Harness::open(&[]);
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let queues = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+    let ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    harness.board = Board::open_isolated(Settings::default(), 1025, &ledger, &Zone::from("a"), harness.now);
+    let renewal = harness.orders().remove(0);
+    let ended = vec![done(0, RunNumber::new(1024, 1)), done(1, RunNumber::new(1024, 2))];
+    harness.answer_listing(&renewal, Listing { ended, truncated: true, ..listing(600) });
+    harness.submit(1, 1, 6000, 5000);
+    assert!(harness.starts().is_empty());
+}
+
 /// Guards against the loss of ends of the group's jobs: only the group may record them, so the board of an isolated
 /// zone must leave them on the target.
 #[test]
--- a/crates/jobs/tests/driver/mod.rs
+++ b/crates/jobs/tests/driver/mod.rs
@@ -304,6 +304,7 @@
                     clock: now.as_micros() / 1000,
                     running: worker.runs.iter().map(running).collect(),
                     ended: worker.ended.clone(),
+                    truncated: false,
                 };
                 outcomes.push((order, sent_at, Outcome::Listed(listing)));
             }
