One recorded end of a gang stands for all of it, for the next leader too

Cause: the board marks all members of a gang as done with the first record and proposes none for the others; Job::restore_progress restored only the members that the ledger names, so that the gang's step was never done and the steps after it never had their turn.

Ruled out: lost records, a takeover that is not complete.

Change: StoredJob::is_gang_done is the one place that says so, for restoring, for completing a job, and for counting a failure: a failure of a member recorded after the end of its gang no longer fails the job.

Test, which fails without the change: a_gang_that_has_ended_is_done_for_the_next_leader_too.

--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -296,7 +296,7 @@
         job.mark_done(id);
         let gang = job.spec.steps.get(id.step as usize).is_some_and(|step| step.gang);
         if gang {
-            self.complete_gang(key, id);
+            self.jobs[key].complete_gang(id);
         }
         if let Some(target) = other {
             self.stop_run(now, target, id);
@@ -308,17 +308,6 @@
         self.dirty = true;
     }
 
-    /// Marks all tasks of a gang as done: one end stands for all of them.
-    fn complete_gang(&mut self, key: super::JobKey, id: TaskId) {
-        let job = &mut self.jobs[key];
-        let count = job.spec.steps[id.step as usize].count;
-        for index in 0..count {
-            let member = TaskId { index, ..id };
-            job.remove_waiting(member);
-            job.mark_done(member);
-        }
-    }
-
     /// Acknowledges ends that are recorded in the log, and applies them to their jobs.
     pub fn on_ends_recorded(&mut self, now: Time, target: TargetKey, numbers: &[u64], records: &[EndRecord]) {
         if let Some(target) = self.targets.get_mut(target) {
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -121,6 +121,9 @@
                 let id = TaskId { job: self.id, occurrence: *occurrence, step: *step, index: *index };
                 self.remove_waiting(id);
                 self.mark_done(id);
+                if stored_job.is_gang_done(*occurrence, *step) {
+                    self.complete_gang(id);
+                }
             }
         }
         for ((occurrence, step, index), (count, _)) in &stored_job.failures {
@@ -191,6 +194,16 @@
         }
     }
 
+    /// Marks all tasks of a gang as done: one end stands for all of them.
+    pub(crate) fn complete_gang(&mut self, id: TaskId) {
+        let count = self.spec.steps.get(id.step as usize).map_or(0, |step| step.count);
+        for index in 0..count {
+            let member = TaskId { index, ..id };
+            self.remove_waiting(member);
+            self.mark_done(member);
+        }
+    }
+
     /// Returns true if all steps that this step depends on are done.
     pub(crate) fn is_step_ready(&self, occurrence: u32, step: usize) -> bool {
         let Some(state) = self.occurrences.get(&occurrence) else { return false };
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -129,7 +129,15 @@
 impl StoredJob {
     /// Returns true if the task is done and its job has not ended.
     pub fn is_done(&self, task: TaskId) -> bool {
-        self.done.get(&(task.occurrence, task.step)).is_some_and(|done| done.binary_search(&task.index).is_ok())
+        let done = self.done.get(&(task.occurrence, task.step));
+        self.is_gang_done(task.occurrence, task.step)
+            || done.is_some_and(|done| done.binary_search(&task.index).is_ok())
+    }
+
+    /// Returns true if the step is a gang of which an end as done is recorded: one stands for all of its tasks.
+    pub fn is_gang_done(&self, occurrence: u32, step: u32) -> bool {
+        let gang = self.spec.steps.get(step as usize).is_some_and(|step| step.gang);
+        gang && self.done.get(&(occurrence, step)).is_some_and(|done| !done.is_empty())
     }
 
     fn record_end(&mut self, record: &EndRecord) {
@@ -156,8 +164,7 @@
         (0..self.spec.occurrences()).all(|occurrence| {
             self.spec.steps.iter().enumerate().all(|(index, step)| {
                 let done = self.done.get(&(occurrence, index as u32)).map_or(0, Vec::len);
-                // One end stands for all tasks of a gang.
-                done >= step.count as usize || step.gang && done > 0
+                done >= step.count as usize || self.is_gang_done(occurrence, index as u32)
             })
         })
     }
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1,9 +1,9 @@
 //! Tests of the board with a few targets whose outcomes are given one by one.
 
 use mangogw_jobs::{
-    ActiveRun, Board, Command, EndedRun, JobEnd, JobId, JobSpec, Ledger, Listing, Order, OrderKind, Outcome, Output,
-    Queue, QueueSet, Refused, Resources, RunEnd, RunNumber, Settings, Step, Submission, TargetReport, TargetState,
-    TaskId,
+    ActiveRun, Board, Command, EndRecord, EndedRun, JobEnd, JobId, JobSpec, Ledger, Listing, Order, OrderKind, Outcome,
+    Output, Queue, QueueSet, Refused, Resources, RunEnd, RunNumber, Settings, Step, Submission, TargetReport,
+    TargetState, TaskId,
 };
 use mangogw_model::{Time, Zone};
 use std::sync::Arc;
@@ -765,3 +765,33 @@
     let removal = Output::Propose(Command::RemoveTarget { id: "w1".to_owned(), incarnation: 1 });
     assert!(outputs.contains(&removal), "{outputs:?}");
 }
+
+/// Guards against stored jobs that stand still after a change of the leader: an end that is recorded for one member of a
+/// gang stands for all, for the next leader as for the one that recorded it.
+#[test]
+fn a_gang_that_has_ended_is_done_for_the_next_leader_too() {
+    let mut harness = Harness::open(&[]);
+    let id = JobId(9);
+    let need = Resources { cpu: 1000, ..Resources::default() };
+    let gang = Step { count: 3, need, estimate: 100, gang: true, ..Step::default() };
+    let last = Step { count: 1, need, estimate: 100, depends_on: vec![0], ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![gang, last], ..JobSpec::default() });
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let queues = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+    let mut ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    ledger.apply(&Command::StoreJob { id, spec, queue: "q".to_owned(), attempts: 1, accepted_ms: 0 });
+    let member = |index| TaskId { job: id, index, ..TaskId::default() };
+    let record = |index, done| {
+        let (task, run) = (member(index), RunNumber::new(3, 1));
+        Command::RecordEnds(vec![EndRecord { task, run, done, recorded_ms: 1 }])
+    };
+    ledger.apply(&record(1, true));
+    ledger.apply(&record(2, false));
+    assert!(ledger.jobs[&id].is_done(member(0)));
+    assert_eq!(ledger.jobs[&id].ended, None, "a failure of a member after the end of its gang");
+    harness.board = Board::open(Settings::default(), 4, &ledger, harness.now);
+    let renewal = harness.orders().remove(0);
+    harness.answer_listing(&renewal, listing(600));
+    let starts: Vec<_> = harness.starts().iter().map(|order| run_of(order).0).collect();
+    assert_eq!(starts, [TaskId { step: 1, ..member(0) }]);
+}
