An ejected target is probed whatever else runs there

Cause: Health::may_run gave an ejected target its probe only while nothing else ran there; a long-running task is never over.

Ruled out: a suspected target, lack of room.

Change: one run when the ejection time is over, and the next after that time again even if the first has not ended; failures double the time as before.

Test, which fails without the change: an_ejected_target_is_probed_beside_a_task_without_end.

--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -271,7 +271,7 @@
         // No longer than one lease, because the next leader waits for one lease only.
         let until = clock.min_reading(now).saturating_add(lease);
         target.extend_lease(until);
-        target.health.record_start();
+        target.health.record_start(now);
         self.counts.starts += 1;
         let run = Run {
             number,
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -23,7 +23,7 @@
         && target.report.state == TargetState::Ready
         && target.orphans.is_empty()
         && target.clock.is_some()
-        && target.health.may_run(now, target.runs.len())
+        && target.health.may_run(now)
         && target.renewal_sent.is_none_or(|sent| now - sent < UNRESPONSIVE_TIMEOUT)
 }
 
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -795,3 +795,63 @@
     let starts: Vec<_> = harness.starts().iter().map(|order| run_of(order).0).collect();
     assert_eq!(starts, [TaskId { step: 1, ..member(0) }]);
 }
+
+/// Ejects the only target, w1, while a task without end runs on it. Returns the run of that task.
+fn eject_beside_endless_task(harness: &mut Harness) -> (TaskId, RunNumber) {
+    harness.queue.slack = 30_000;
+    let need = Resources { cpu: 1000, memory: 1, accelerators: 0 };
+    let step = Step { count: 1, need, estimate: 100, ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![step], transient: true, endless: true, ..JobSpec::default() });
+    let submission = Submission { id: JobId(50), spec, deadline: None, reply_to: 50, first_attempt: true };
+    harness.board.admit(harness.now, submission, &harness.queue);
+    harness.submit(51, 2, 1000, 60_000);
+    let (starts, renewals): (Vec<_>, Vec<_>) =
+        harness.orders().into_iter().partition(|order| matches!(order.kind, OrderKind::Start { .. }));
+    let (endless, failing): (Vec<_>, Vec<_>) = starts.iter().map(run_of).partition(|(task, _)| task.job == JobId(50));
+    for start in &starts {
+        harness.board.on_outcome(harness.now, start, harness.now, Outcome::Done { clock: 510 });
+    }
+    let end = |(number, (task, run)): (u64, &(TaskId, RunNumber))| EndedRun {
+        number,
+        task: *task,
+        run: *run,
+        run_end: RunEnd::Failed,
+        checkpoint: String::new(),
+    };
+    let ended = (1..).zip(&failing).map(end).collect();
+    let running = vec![ActiveRun { task: endless[0].0, run: endless[0].1, ..ActiveRun::default() }];
+    harness.answer_listing(&renewals[0], Listing { running, ended, ..listing(520) });
+    endless[0]
+}
+
+/// Answers the renewals of w1 as a target that runs nothing but `endless`, for `millis`. Returns the starts.
+fn run_endless(harness: &mut Harness, (task, run): (TaskId, RunNumber), millis: u64) -> Vec<Order> {
+    let mut starts = Vec::new();
+    for _ in 0..millis / 10 {
+        harness.advance(10);
+        for order in harness.orders() {
+            match order.kind {
+                OrderKind::Renew { .. } => {
+                    let running = vec![ActiveRun { task, run, ..ActiveRun::default() }];
+                    let clock = harness.now.as_micros() / 1000 - 500;
+                    harness.answer_listing(&order, Listing { running, ..listing(clock) });
+                }
+                OrderKind::Start { .. } => starts.push(order),
+                OrderKind::Stop { .. } => {}
+            }
+        }
+    }
+    starts
+}
+
+/// Guards against a target that gets no run any more after it has failed for a while: the probe came only once nothing
+/// else ran there, and a task without end never ends.
+#[test]
+fn an_ejected_target_is_probed_beside_a_task_without_end() {
+    let mut harness = Harness::open(&["w1"]);
+    let endless = eject_beside_endless_task(&mut harness);
+    harness.submit(60, 3, 1000, 60_000);
+    assert_eq!(run_endless(&mut harness, endless, 1400).len(), 0, "it is ejected");
+    let probes = run_endless(&mut harness, endless, 200);
+    assert_eq!(probes.len(), 1, "one run as a probe");
+}
