The members of a gang start as a whole on ejected targets, or wait

Cause: fits_gang counted the whole room of an ejected target, while start_job closed the target after its first run.

Change: a gang's members are one probe: targets stay open until all members are placed. A gang of which a member's earlier run may still go on waits as a whole.

Test, which fails without the change (1 of 4 members starts): a_gang_starts_as_a_whole_on_an_ejected_target.

--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -34,9 +34,7 @@
             return;
         }
         let min_need = self.min_need();
-        let usable = |target: &Target| accepts_runs(target, now) && target.free().can_fit(&min_need);
-        let mut open: Vec<TargetKey> =
-            self.targets.iter().filter(|(_, target)| usable(target)).map(|(key, _)| key).collect();
+        let mut open: Vec<TargetKey> = self.targets.keys().filter(|key| self.is_open(*key, &min_need, now)).collect();
         if open.is_empty() {
             return;
         }
@@ -49,6 +47,12 @@
         }
     }
 
+    /// Returns true if the target may be given a run and has room for `min_need`.
+    fn is_open(&self, key: TargetKey, min_need: &Resources, now: Time) -> bool {
+        let target = &self.targets[key];
+        accepts_runs(target, now) && target.free().can_fit(min_need)
+    }
+
     /// Returns the tasks, sorted, that must not start because a run of them may go on: an orphan, or a run that is
     /// being stopped or whose last order got no answer.
     fn conflicting_tasks(&self) -> Vec<TaskId> {
@@ -114,8 +118,10 @@
             let gang = spec.steps[step].gang;
             let waiting = self.jobs[key].occurrences[&occurrence].steps[step].waiting.clone();
             // Members of a gang start together or not at all.
-            let missing = gang && waiting.len() < spec.steps[step].count as usize;
-            if missing || gang && !self.fits_gang(key, occurrence, step, &waiting, open, now) {
+            let task = |index| TaskId { job: self.jobs[key].id, occurrence, step: step as u32, index };
+            let missing = waiting.len() < spec.steps[step].count as usize;
+            let blocked = missing || waiting.iter().any(|index| conflicting.binary_search(&task(*index)).is_ok());
+            if gang && (blocked || !self.fits_gang(key, occurrence, step, &waiting, open, now)) {
                 continue;
             }
             let number = self.next_number();
@@ -131,10 +137,14 @@
                 let number = if gang { number } else { self.next_number() };
                 self.start_run(now, key, task, target, number);
                 begun.push(target);
-                if !accepts_runs(&self.targets[target], now) || !self.targets[target].free().can_fit(min_need) {
+                // The members of a gang are one probe of an ejected target.
+                if !gang && !self.is_open(target, min_need, now) {
                     open.retain(|other| *other != target);
                 }
             }
+            if gang {
+                open.retain(|target| self.is_open(*target, min_need, now));
+            }
             self.log_starts(now, key, step, &begun);
         }
         let job = &self.jobs[key];
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -855,3 +855,20 @@
     let probes = run_endless(&mut harness, endless, 200);
     assert_eq!(probes.len(), 1, "one run as a probe");
 }
+
+/// Guards against a gang that is started in part, again and again, on ejected targets, which get one run each as a probe:
+/// its members are one probe.
+#[test]
+fn a_gang_starts_as_a_whole_on_an_ejected_target() {
+    let mut harness = Harness::open(&["w1"]);
+    let endless = eject_beside_endless_task(&mut harness);
+    harness.board.on_disconnected(harness.now, 51);
+    let need = Resources { cpu: 1000, memory: 1, accelerators: 0 };
+    let step = Step { count: 4, need, estimate: 100, gang: true, ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
+    let submission = Submission { id: JobId(61), spec, deadline: None, reply_to: 61, first_attempt: true };
+    harness.board.admit(harness.now, submission, &harness.queue);
+    assert_eq!(run_endless(&mut harness, endless, 1400).len(), 0, "it is ejected");
+    let starts = run_endless(&mut harness, endless, 200);
+    assert_eq!(starts.iter().filter(|order| run_of(order).0.job == JobId(61)).count(), 4);
+}
