A pass considers tasks whose turn has come, and all of them in turn

Cause: ranked_jobs considered the first 128 of all jobs with waiting tasks; those whose next step waits for an earlier one and those that fit nowhere count among them for ever.

Change: only jobs with tasks whose turn has come are ranked; a pass that leaves room considers 128 of the others, in turn by their keys.

Test, which fails without either half of the change: a_job_behind_many_that_cannot_start_is_started.

Not run: the cost of a pass at 5,000 targets and 50,000 waiting jobs.

--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -16,8 +16,8 @@
 /// time: of equally fast targets the one that is filled best is chosen.
 const FRAGMENTATION_WEIGHT: f64 = 0.05;
 
-/// Maximum number of jobs considered in one pass: more than can start between two inputs, as 48 targets have room for
-/// 110 tasks.
+/// Number of jobs of the highest ranks that a pass considers: more than can start between two inputs, as 48 targets have
+/// room for 110 tasks. A pass that leaves room considers as many of the others, in turn.
 const MAX_JOBS_PER_PASS: usize = 128;
 
 /// Number of waiting jobs from which on jobs that can only be late are refused; fewer can start between two inputs.
@@ -30,6 +30,8 @@
     /// Starts waiting tasks in the order of their ranks, as far as resources allow. While a target of earlier leaders
     /// has not listed its runs, only first attempts are started, because other jobs may run there.
     pub(super) fn start_waiting(&mut self, now: Time) {
+        let jobs = &self.jobs;
+        self.waiting.retain(|key| jobs[*key].has_waiting_tasks());
         if self.waiting.is_empty() {
             return;
         }
@@ -39,12 +41,35 @@
             return;
         }
         let conflicting = self.conflicting_tasks();
-        for (_, key) in self.ranked_jobs(now) {
+        let (first, others) = self.ranked_jobs(now);
+        for (_, key) in first {
             if open.is_empty() {
                 return;
             }
             self.start_job(now, key, &mut open, &min_need, &conflicting);
         }
+        for key in self.next_in_turn(others) {
+            if open.is_empty() {
+                return;
+            }
+            self.last_in_turn = Some(key);
+            self.start_job(now, key, &mut open, &min_need, &conflicting);
+        }
+    }
+
+    /// Returns some of the jobs that rank behind the first ones, so that each has its turn after a bounded number of
+    /// passes, even if none of the first ones fits on the targets that have room.
+    fn next_in_turn(&mut self, mut others: Vec<JobKey>) -> Vec<JobKey> {
+        if others.iter().all(|key| self.last_in_turn.is_some_and(|last| *key <= last)) {
+            self.last_in_turn = None;
+        }
+        others.retain(|key| self.last_in_turn.is_none_or(|last| *key > last));
+        if others.len() > MAX_JOBS_PER_PASS {
+            others.select_nth_unstable(MAX_JOBS_PER_PASS);
+            others.truncate(MAX_JOBS_PER_PASS);
+        }
+        others.sort_unstable();
+        others
     }
 
     /// Returns true if the target may be given a run and has room for `min_need`.
@@ -78,21 +103,25 @@
         steps.reduce(least).unwrap_or_default()
     }
 
-    fn ranked_jobs(&self, now: Time) -> Vec<(Rank, JobKey)> {
+    /// Returns the jobs with tasks whose turn has come: the first ones in the order of their ranks, and the others.
+    fn ranked_jobs(&self, now: Time) -> (Vec<(Rank, JobKey)>, Vec<JobKey>) {
         let rank = |key: &JobKey| {
             let job = &self.jobs[*key];
             (job.deadlines.rank(now, Duration::from_millis(job.remaining_path())), *key)
         };
         let settled = self.unlisted.is_empty();
-        let may_start = |key: &&JobKey| settled || self.jobs[**key].first_attempt;
-        let mut order: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
-        // Of a long backlog only the first jobs can start.
-        if order.len() > MAX_JOBS_PER_PASS {
-            order.select_nth_unstable(MAX_JOBS_PER_PASS);
-            order.truncate(MAX_JOBS_PER_PASS);
+        let may_start = |key: &&JobKey| {
+            let job = &self.jobs[**key];
+            (settled || job.first_attempt) && job.has_ready_tasks()
+        };
+        let mut first: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
+        let mut others = Vec::new();
+        if first.len() > MAX_JOBS_PER_PASS {
+            first.select_nth_unstable(MAX_JOBS_PER_PASS);
+            others = first.split_off(MAX_JOBS_PER_PASS).into_iter().map(|(_, key)| key).collect();
         }
-        order.sort_unstable();
-        order
+        first.sort_unstable();
+        (first, others)
     }
 
     /// Starts the waiting tasks of one job, as far as they fit on the `open` targets.
@@ -106,14 +135,7 @@
     ) {
         let job = &self.jobs[key];
         let spec = Arc::clone(&job.spec);
-        let ready_steps: Vec<(u32, usize)> = job
-            .occurrences
-            .iter()
-            .flat_map(|(occurrence, state)| (0..state.steps.len()).map(move |step| (*occurrence, step)))
-            .filter(|(occurrence, step)| {
-                !job.occurrences[occurrence].steps[*step].waiting.is_empty() && job.is_step_ready(*occurrence, *step)
-            })
-            .collect();
+        let ready_steps: Vec<(u32, usize)> = job.ready_steps().collect();
         for (occurrence, step) in ready_steps {
             let gang = spec.steps[step].gang;
             let waiting = self.jobs[key].occurrences[&occurrence].steps[step].waiting.clone();
@@ -147,8 +169,7 @@
             }
             self.log_starts(now, key, step, &begun);
         }
-        let job = &self.jobs[key];
-        if job.occurrences.values().all(|occurrence| occurrence.steps.iter().all(|group| group.waiting.is_empty())) {
+        if !self.jobs[key].has_waiting_tasks() {
             self.waiting.swap_remove(&key);
         }
     }
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -872,3 +872,57 @@
     let starts = run_endless(&mut harness, endless, 200);
     assert_eq!(starts.iter().filter(|order| run_of(order).0.job == JobId(61)).count(), 4);
 }
+
+/// Guards against work that is never looked at: a job that could start ranks behind as many jobs as a pass considers,
+/// whose next step waits for an earlier one, or which fit nowhere.
+#[test]
+fn a_job_behind_many_that_cannot_start_is_started() {
+    let need = |cpu| Resources { cpu, memory: 1, accelerators: 0 };
+    let first = Step { count: 1, need: need(10), estimate: 100, ..Step::default() };
+    let second = Step { depends_on: vec![0], ..first.clone() };
+    let huge = Step { count: 1, need: need(20_000), estimate: 100, ..Step::default() };
+    let labelled = Step { label: Some("nowhere".to_owned()), ..first.clone() };
+    for steps in [vec![first, second], vec![huge], vec![labelled]] {
+        let mut harness = Harness::open(&["w1"]);
+        harness.queue.slack = 30_000;
+        let spec = Arc::new(JobSpec { steps, transient: true, ..JobSpec::default() });
+        for id in 1..=1000 {
+            let submission = Submission {
+                id: JobId(id),
+                spec: Arc::clone(&spec),
+                deadline: None,
+                reply_to: id,
+                first_attempt: true,
+            };
+            harness.board.admit(harness.now, submission, &harness.queue);
+        }
+        let mut running: Vec<ActiveRun> = Vec::new();
+        for pass in 0..60_u64 {
+            if pass == 20 {
+                // Ranks behind all others, since it is due last.
+                harness.queue.slack = 60_000;
+                harness.submit(2000, 1, 100, 60_000);
+            }
+            for order in harness.orders() {
+                if let OrderKind::Start { task, run, .. } = order.kind {
+                    running.push(ActiveRun { task, run, ..ActiveRun::default() });
+                    harness.board.on_outcome(
+                        harness.now,
+                        &order,
+                        harness.now,
+                        Outcome::Done { clock: 500 + pass * 20 },
+                    );
+                } else {
+                    for run in &mut running {
+                        run.percent += 1;
+                    }
+                    let running = running.clone();
+                    harness.answer_listing(&order, Listing { running, ..listing(500 + pass * 20) });
+                }
+            }
+            harness.advance(20);
+        }
+        let started = running.iter().any(|run| run.task.job == JobId(2000));
+        assert!(started, "{:?}", spec.steps[0]);
+    }
+}
