A stored job goes on when its queue is in force again

Cause: Board::restore took an empty queue, without name and pool, for one that the config didn't hold then; install didn't correct it.

Change: the job keeps the name of its queue, and gets pool and deadlines when a config brings it back.

Test, which fails without the change: a_job_goes_on_when_its_queue_is_in_force_again.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -213,6 +213,12 @@
     pub fn install(&mut self, set: &Arc<QueueSet>) {
         self.routes = RouteIndex::new(set);
         self.queue_set = Some(Arc::clone(set));
+        for job in self.jobs.values_mut().filter(|job| job.pool.is_empty()) {
+            if let Some(queue) = set.queues.iter().find(|queue| queue.name == job.queue) {
+                job.pool.clone_from(&queue.pool);
+                job.deadlines = deadlines_of(&job.spec, queue, job.arrived, None);
+            }
+        }
         self.dirty = true;
     }
 
@@ -304,8 +310,7 @@
             self.by_reply_to.insert(reply_to, key);
             return;
         }
-        let critical_path = Duration::from_millis(spec.critical_path());
-        let deadlines = Deadlines::new(now, critical_path, queue.stretch, Duration::from_millis(queue.slack), deadline);
+        let deadlines = deadlines_of(&spec, queue, now, deadline);
         let mut job = Job::new(id, spec, queue, now, deadlines, false);
         job.recipients.push(reply_to);
         job.deadline = deadline;
@@ -322,10 +327,10 @@
         }
         let queue =
             self.queue_set.as_ref().and_then(|set| set.queues.iter().find(|queue| queue.name == stored_job.queue));
-        let mut queue = queue.cloned().unwrap_or_default();
+        // A job whose queue is not in force has no pool until it is again.
+        let mut queue = queue.cloned().unwrap_or_else(|| Queue { name: stored_job.queue.clone(), ..Queue::default() });
         queue.attempts = stored_job.attempts;
-        let critical_path = Duration::from_millis(stored_job.spec.critical_path());
-        let deadlines = Deadlines::new(now, critical_path, queue.stretch, Duration::from_millis(queue.slack), None);
+        let deadlines = deadlines_of(&stored_job.spec, &queue, now, None);
         let mut job = Job::new(id, Arc::clone(&stored_job.spec), &queue, now, deadlines, true);
         job.restore_progress(stored_job);
         job.first_attempt = first_attempt;
@@ -484,6 +489,12 @@
     }
 }
 
+/// Returns the deadlines of a job of a queue that arrived at `arrived`.
+fn deadlines_of(spec: &JobSpec, queue: &Queue, arrived: Time, deadline: Option<Time>) -> Deadlines {
+    let critical_path = Duration::from_millis(spec.critical_path());
+    Deadlines::new(arrived, critical_path, queue.stretch, Duration::from_millis(queue.slack), deadline)
+}
+
 impl Board {
     /// Returns the number of known targets.
     pub fn target_count(&self) -> usize {
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -926,3 +926,23 @@
         assert!(started, "{:?}", spec.steps[0]);
     }
 }
+
+/// Guards against a stored job that stands still for good because its queue was not in force at a change of the leader.
+#[test]
+fn a_job_goes_on_when_its_queue_is_in_force_again() {
+    let mut harness = Harness::open(&[]);
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let mut ledger = Ledger { queue_set: Some(Arc::default()), targets, ..Ledger::default() };
+    let need = Resources { cpu: 1000, ..Resources::default() };
+    let spec = JobSpec { steps: vec![Step { count: 1, need, estimate: 100, ..Step::default() }], ..JobSpec::default() };
+    let (id, queue) = (JobId(9), "q".to_owned());
+    ledger.apply(&Command::StoreJob { id, spec: Arc::new(spec), queue, attempts: 2, accepted_ms: 0 });
+    harness.board = Board::open(Settings::default(), 5, &ledger, harness.now);
+    let renewal = harness.orders().remove(0);
+    harness.answer_listing(&renewal, listing(600));
+    assert!(harness.starts().is_empty(), "no queue sends it anywhere");
+    let set = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+    harness.board.install(&Arc::new(set));
+    assert_eq!(harness.board.pending_jobs("q"), 1);
+    assert_eq!(harness.starts().len(), 1);
+}
