The time after which a run counts as stalled doubles with each stalled run of its task

Cause: the limit of 0.6 to 2 s without a rise of the percentage was the same for each run, so that work that shows a percent less often was stopped for ever.

Change: stall_timeout doubles with each run of the task that this leader has stopped as stalled. The first stall is found as fast as before.

--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -295,6 +295,7 @@
     fn start_run(&mut self, now: Time, key: JobKey, id: TaskId, at: TargetKey, number: RunNumber) {
         let lease = self.settings.lease.as_millis() as u64;
         let job = &mut self.jobs[key];
+        let stalls = job.task_mut(id).map_or(0, |task| task.stalls);
         let step = &job.spec.steps[id.step as usize];
         let target = &mut self.targets[at];
         let Some(clock) = target.clock else { return };
@@ -314,7 +315,7 @@
             percent: 0,
             last_progress: now,
             expected,
-            stall_timeout: stall_timeout(step, expected, self.settings.gang_timeout),
+            stall_timeout: stall_timeout(step, expected, self.settings.gang_timeout, stalls),
         };
         target.insert_run(id, run);
         target.next_renewal = target.next_renewal.min(now);
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -60,6 +60,8 @@
 pub(crate) struct Task {
     pub(crate) state: TaskState,
     pub(crate) failures: u32,
+    /// Number of runs that this leader has stopped as stalled.
+    pub(crate) stalls: u32,
     pub(crate) checkpoint: String,
     /// Target of the last failed run.
     pub(crate) avoid: Option<TargetKey>,
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -946,3 +946,49 @@
     assert_eq!(harness.board.pending_jobs("q"), 1);
     assert_eq!(harness.starts().len(), 1);
 }
+
+/// Guards against healthy work that is stopped and started for ever: a task that takes far longer than its estimate shows
+/// a step of its percentage only after the time in which a run counts as stalled.
+#[test]
+fn a_task_far_beyond_its_estimate_ends() {
+    const STEP_MILLIS: u64 = 2500;
+    let mut harness = Harness::open(&["w1", "w2"]);
+    harness.queue.slack = 600_000;
+    harness.submit(1, 1, 1000, 600_000);
+    let (mut active, mut starts, mut ended) = (None::<(String, TaskId, RunNumber, Time)>, 0, Vec::new());
+    for _ in 0..40_000 {
+        harness.advance(10);
+        let clock = harness.now.as_micros() / 1000 - 500;
+        for order in harness.orders() {
+            match order.kind {
+                OrderKind::Start { task, run, .. } => {
+                    starts += 1;
+                    active = Some((order.id.clone(), task, run, harness.now));
+                    harness.board.on_outcome(harness.now, &order, harness.now, Outcome::Done { clock });
+                }
+                OrderKind::Stop { task, run } => {
+                    let number = ended.len() as u64 + 1;
+                    let end = EndedRun { number, task, run, run_end: RunEnd::Stopped, checkpoint: String::new() };
+                    ended.push((order.id.clone(), end));
+                    active = None;
+                    harness.board.on_outcome(harness.now, &order, harness.now, Outcome::Done { clock });
+                }
+                OrderKind::Renew { .. } => {
+                    let here = active.iter().filter(|(id, ..)| *id == order.id);
+                    let running = here.map(|(_, task, run, began)| {
+                        let percent = ((harness.now - *began).as_millis() as u64 / STEP_MILLIS) as u32;
+                        ActiveRun { task: *task, run: *run, percent, ..ActiveRun::default() }
+                    });
+                    let running: Vec<_> = running.collect();
+                    if running.iter().any(|run| run.percent >= 100) {
+                        assert!(starts <= 5, "{starts} runs");
+                        return;
+                    }
+                    let ended = ended.iter().filter(|(id, _)| *id == order.id).map(|(_, end)| end.clone()).collect();
+                    harness.answer_listing(&order, Listing { running, ended, ..listing(clock) });
+                }
+            }
+        }
+    }
+    panic!("{starts} runs, and none has ended");
+}
