--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -126,8 +126,6 @@
     counts: Counts,
     /// Time of the last pass over targets and waiting jobs.
     last_pass: Time,
-    /// Last job that was considered out of the order of the ranks.
-    last_in_turn: Option<JobKey>,
     outputs: Vec<Output>,
 }
 
@@ -157,7 +155,6 @@
             dirty: true,
             counts: Counts::default(),
             last_pass: Time::ZERO,
-            last_in_turn: None,
             outputs: Vec::new(),
         };
         if let Some(set) = &ledger.queue_set {
--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -102,7 +102,7 @@
             percent,
             last_progress: now,
             expected,
-            stall_timeout: stall_timeout(&step, expected, self.settings.gang_timeout, 0),
+            stall_timeout: stall_timeout(&step, expected, self.settings.gang_timeout),
         };
         self.targets[at].insert_run(id, run);
         log::info!(task:% = id, run = number.0, target = self.targets[at].report.id; "board: run adopted");
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -16,8 +16,8 @@
 /// time: of equally fast targets the one that is filled best is chosen.
 const FRAGMENTATION_WEIGHT: f64 = 0.05;
 
-/// Number of jobs of the highest ranks that a pass considers: more than can start between two inputs, as 48 targets have
-/// room for 110 tasks. A pass that leaves room considers as many of the others, in turn.
+/// Maximum number of jobs considered in one pass: more than can start between two inputs, as 48 targets have room for
+/// 110 tasks.
 const MAX_JOBS_PER_PASS: usize = 128;
 
 /// Number of waiting jobs from which on jobs that can only be late are refused; fewer can start between two inputs.
@@ -30,52 +30,23 @@
     /// Starts waiting tasks in the order of their ranks, as far as resources allow. While a target of earlier leaders
     /// has not listed its runs, only first attempts are started, because other jobs may run there.
     pub(super) fn start_waiting(&mut self, now: Time) {
-        let jobs = &self.jobs;
-        self.waiting.retain(|key| jobs[*key].has_waiting_tasks());
         if self.waiting.is_empty() {
             return;
         }
         let min_need = self.min_need();
-        let mut open: Vec<TargetKey> = self.targets.keys().filter(|key| self.is_open(*key, &min_need, now)).collect();
+        let usable = |target: &Target| accepts_runs(target, now) && target.free().can_fit(&min_need);
+        let mut open: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, target)| usable(target)).map(|(key, _)| key).collect();
         if open.is_empty() {
             return;
         }
         let conflicting = self.conflicting_tasks();
-        let (first, others) = self.ranked_jobs(now);
-        for (_, key) in first {
+        for (_, key) in self.ranked_jobs(now) {
             if open.is_empty() {
                 return;
             }
             self.start_job(now, key, &mut open, &min_need, &conflicting);
         }
-        for key in self.next_in_turn(others) {
-            if open.is_empty() {
-                return;
-            }
-            self.last_in_turn = Some(key);
-            self.start_job(now, key, &mut open, &min_need, &conflicting);
-        }
-    }
-
-    /// Returns some of the jobs that rank behind the first ones, so that each has its turn after a bounded number of
-    /// passes, even if none of the first ones fits on the targets that have room.
-    fn next_in_turn(&mut self, mut others: Vec<JobKey>) -> Vec<JobKey> {
-        if others.iter().all(|key| self.last_in_turn.is_some_and(|last| *key <= last)) {
-            self.last_in_turn = None;
-        }
-        others.retain(|key| self.last_in_turn.is_none_or(|last| *key > last));
-        if others.len() > MAX_JOBS_PER_PASS {
-            others.select_nth_unstable(MAX_JOBS_PER_PASS);
-            others.truncate(MAX_JOBS_PER_PASS);
-        }
-        others.sort_unstable();
-        others
-    }
-
-    /// Returns true if the target may be given a run and has room for `min_need`.
-    fn is_open(&self, key: TargetKey, min_need: &Resources, now: Time) -> bool {
-        let target = &self.targets[key];
-        accepts_runs(target, now) && target.free().can_fit(min_need)
     }
 
     /// Returns the tasks, sorted, that must not start because a run of them may go on: an orphan, or a run that is
@@ -103,25 +74,21 @@
         steps.reduce(least).unwrap_or_default()
     }
 
-    /// Returns the jobs with tasks whose turn has come: the first ones in the order of their ranks, and the others.
-    fn ranked_jobs(&self, now: Time) -> (Vec<(Rank, JobKey)>, Vec<JobKey>) {
+    fn ranked_jobs(&self, now: Time) -> Vec<(Rank, JobKey)> {
         let rank = |key: &JobKey| {
             let job = &self.jobs[*key];
             (job.deadlines.rank(now, Duration::from_millis(job.remaining_path())), *key)
         };
         let settled = self.unlisted.is_empty();
-        let may_start = |key: &&JobKey| {
-            let job = &self.jobs[**key];
-            (settled || job.first_attempt) && job.has_ready_tasks()
-        };
-        let mut first: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
-        let mut others = Vec::new();
-        if first.len() > MAX_JOBS_PER_PASS {
-            first.select_nth_unstable(MAX_JOBS_PER_PASS);
-            others = first.split_off(MAX_JOBS_PER_PASS).into_iter().map(|(_, key)| key).collect();
+        let may_start = |key: &&JobKey| settled || self.jobs[**key].first_attempt;
+        let mut order: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
+        // Of a long backlog only the first jobs can start.
+        if order.len() > MAX_JOBS_PER_PASS {
+            order.select_nth_unstable(MAX_JOBS_PER_PASS);
+            order.truncate(MAX_JOBS_PER_PASS);
         }
-        first.sort_unstable();
-        (first, others)
+        order.sort_unstable();
+        order
     }
 
     /// Starts the waiting tasks of one job, as far as they fit on the `open` targets.
@@ -135,15 +102,20 @@
     ) {
         let job = &self.jobs[key];
         let spec = Arc::clone(&job.spec);
-        let ready_steps: Vec<(u32, usize)> = job.ready_steps().collect();
+        let ready_steps: Vec<(u32, usize)> = job
+            .occurrences
+            .iter()
+            .flat_map(|(occurrence, state)| (0..state.steps.len()).map(move |step| (*occurrence, step)))
+            .filter(|(occurrence, step)| {
+                !job.occurrences[occurrence].steps[*step].waiting.is_empty() && job.is_step_ready(*occurrence, *step)
+            })
+            .collect();
         for (occurrence, step) in ready_steps {
             let gang = spec.steps[step].gang;
             let waiting = self.jobs[key].occurrences[&occurrence].steps[step].waiting.clone();
             // Members of a gang start together or not at all.
-            let task = |index| TaskId { job: self.jobs[key].id, occurrence, step: step as u32, index };
-            let missing = waiting.len() < spec.steps[step].count as usize;
-            let blocked = missing || waiting.iter().any(|index| conflicting.binary_search(&task(*index)).is_ok());
-            if gang && (blocked || !self.fits_gang(key, occurrence, step, &waiting, open, now)) {
+            let missing = gang && waiting.len() < spec.steps[step].count as usize;
+            if missing || gang && !self.fits_gang(key, occurrence, step, &waiting, open, now) {
                 continue;
             }
             let number = self.next_number();
@@ -159,17 +131,14 @@
                 let number = if gang { number } else { self.next_number() };
                 self.start_run(now, key, task, target, number);
                 begun.push(target);
-                // The members of a gang are one probe of an ejected target.
-                if !gang && !self.is_open(target, min_need, now) {
+                if !accepts_runs(&self.targets[target], now) || !self.targets[target].free().can_fit(min_need) {
                     open.retain(|other| *other != target);
                 }
             }
-            if gang {
-                open.retain(|target| self.is_open(*target, min_need, now));
-            }
             self.log_starts(now, key, step, &begun);
         }
-        if !self.jobs[key].has_waiting_tasks() {
+        let job = &self.jobs[key];
+        if job.occurrences.values().all(|occurrence| occurrence.steps.iter().all(|group| group.waiting.is_empty())) {
             self.waiting.swap_remove(&key);
         }
     }
@@ -295,7 +264,6 @@
     fn start_run(&mut self, now: Time, key: JobKey, id: TaskId, at: TargetKey, number: RunNumber) {
         let lease = self.settings.lease.as_millis() as u64;
         let job = &mut self.jobs[key];
-        let stalls = job.task_mut(id).map_or(0, |task| task.stalls);
         let step = &job.spec.steps[id.step as usize];
         let target = &mut self.targets[at];
         let Some(clock) = target.clock else { return };
@@ -303,7 +271,7 @@
         // No longer than one lease, because the next leader waits for one lease only.
         let until = clock.min_reading(now).saturating_add(lease);
         target.extend_lease(until);
-        target.health.record_start(now);
+        target.health.record_start();
         self.counts.starts += 1;
         let run = Run {
             number,
@@ -315,7 +283,7 @@
             percent: 0,
             last_progress: now,
             expected,
-            stall_timeout: stall_timeout(step, expected, self.settings.gang_timeout, stalls),
+            stall_timeout: stall_timeout(step, expected, self.settings.gang_timeout),
         };
         target.insert_run(id, run);
         target.next_renewal = target.next_renewal.min(now);
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -60,8 +60,6 @@
 pub(crate) struct Task {
     pub(crate) state: TaskState,
     pub(crate) failures: u32,
-    /// Number of runs that this leader has stopped as stalled.
-    pub(crate) stalls: u32,
     pub(crate) checkpoint: String,
     /// Target of the last failed run.
     pub(crate) avoid: Option<TargetKey>,
@@ -213,27 +211,6 @@
         self.spec.steps[step].depends_on.iter().all(done)
     }
 
-    /// Returns true if a task waits for a target, whether its turn has come or not.
-    pub(crate) fn has_waiting_tasks(&self) -> bool {
-        self.occurrences.values().flat_map(|occurrence| &occurrence.steps).any(|group| !group.waiting.is_empty())
-    }
-
-    /// Returns the steps, each with its occurrence, that have tasks whose turn has come and that wait for a target.
-    pub(crate) fn ready_steps(&self) -> impl Iterator<Item = (u32, usize)> {
-        let steps = self
-            .occurrences
-            .iter()
-            .flat_map(|(occurrence, state)| state.steps.iter().enumerate().map(move |step| (*occurrence, step)));
-        steps
-            .filter(|(occurrence, (step, group))| !group.waiting.is_empty() && self.is_step_ready(*occurrence, *step))
-            .map(|(occurrence, (step, _))| (occurrence, step))
-    }
-
-    /// Returns true if a task waits for a target whose turn has come.
-    pub(crate) fn has_ready_tasks(&self) -> bool {
-        self.ready_steps().next().is_some()
-    }
-
     /// Returns true if every task of every occurrence is done.
     pub(crate) fn is_complete(&self) -> bool {
         let complete = |occurrence: &Occurrence| occurrence.steps.iter().all(|group| group.remaining == 0);
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -94,9 +94,6 @@
             let target = &mut self.targets[key];
             target.health.record_stall(now);
             log::info!(task:%, target = target.report.id; "board: run stalled; stopping it");
-            if let Some(task) = self.by_job.get(&task.job).and_then(|job| self.jobs[*job].task_mut(task)) {
-                task.stalls = task.stalls.saturating_add(1);
-            }
             self.stop_run(now, key, task);
         }
     }
--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -6,7 +6,7 @@
 /// Consecutive failures after which a target is ejected. Tasks fail by their own fault in 2 of 1000 runs, so two in a
 /// row are almost certainly the fault of the target.
 const FAILURES_BEFORE_EJECTION: u32 = 2;
-/// Time after which an ejected target gets one run as a probe, and the next one; doubles with each failure.
+/// Time after which an ejected target gets one run as a probe; doubles with each failed probe.
 const EJECTION_TIME: Duration = Duration::from_millis(1500);
 /// Longest time between ejection and the next probe.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(8);
@@ -23,13 +23,20 @@
     runs: u32,
     failures: u32,
     ejection_time: Duration,
-    /// Time of the next probe; `None` if the target is not ejected.
     ejected_until: Option<Time>,
+    probing: bool,
 }
 
 impl Default for Health {
     fn default() -> Self {
-        Self { time_ratio: 1.0, runs: 0, failures: 0, ejection_time: EJECTION_TIME, ejected_until: None }
+        Self {
+            time_ratio: 1.0,
+            runs: 0,
+            failures: 0,
+            ejection_time: EJECTION_TIME,
+            ejected_until: None,
+            probing: false,
+        }
     }
 }
 
@@ -63,15 +70,16 @@
 
     /// Records a successful run without its time, and ends an ejection.
     pub const fn record_success(&mut self) {
-        *self = Self { failures: 0, ejection_time: EJECTION_TIME, ejected_until: None, ..*self };
+        *self = Self { failures: 0, ejection_time: EJECTION_TIME, ejected_until: None, probing: false, ..*self };
     }
 
     /// Records a run that failed, stalled, or was refused.
     pub fn record_failure(&mut self, now: Time) {
-        self.failures = self.failures.saturating_add(1);
-        if self.failures >= FAILURES_BEFORE_EJECTION {
+        self.failures += 1;
+        if self.failures >= FAILURES_BEFORE_EJECTION || self.probing {
             self.ejected_until = Some(now + self.ejection_time);
             self.ejection_time = (2 * self.ejection_time).min(MAX_EJECTION_TIME);
+            self.probing = false;
         }
     }
 
@@ -81,23 +89,23 @@
         self.record_failure(now);
     }
 
-    /// Returns true if the target may be given a run. An ejected target gets one at a time as a probe, whatever else runs
-    /// there: runs from before the ejection may last for ever.
+    /// Returns true if the target may be given a run beside `busy` others; an ejected target gets a single probe.
     ///
     /// ```
     /// use mangogw_model::Time;
     /// let mut health = mangogw_jobs::Health::default();
     /// health.record_failure(Time::ZERO);
-    /// assert!(health.may_run(Time::ZERO));
+    /// assert!(health.may_run(Time::ZERO, 3));
     /// health.record_failure(Time::ZERO);
-    /// assert!(!health.may_run(Time::ZERO));
-    /// let later = Time::from_millis(1600);
-    /// assert!(health.may_run(later), "one run as a probe");
-    /// health.record_start(later);
-    /// assert!(!health.may_run(later));
+    /// assert!(!health.may_run(Time::ZERO, 0));
+    /// assert!(health.may_run(Time::from_millis(1600), 0), "one run as a probe");
+    /// assert!(!health.may_run(Time::from_millis(1600), 1));
     /// ```
-    pub fn may_run(&self, now: Time) -> bool {
-        self.ejected_until.is_none_or(|until| now >= until)
+    pub fn may_run(&self, now: Time, busy: usize) -> bool {
+        match self.ejected_until {
+            None => true,
+            Some(until) => now >= until && busy == 0,
+        }
     }
 
     /// Returns true if the target is ejected, which includes the time of a probe.
@@ -105,9 +113,8 @@
         self.ejected_until.is_some()
     }
 
-    /// Records the start of a run, which is a probe if the target is ejected. The next probe follows even if this one does
-    /// not end.
-    pub fn record_start(&mut self, now: Time) {
-        self.ejected_until = self.ejected_until.map(|_| now + self.ejection_time);
+    /// Records the start of a run, which is a probe if the target is ejected.
+    pub const fn record_start(&mut self) {
+        self.probing = self.ejected_until.is_some();
     }
 }
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -15,8 +15,6 @@
 const MIN_STALL_TIMEOUT: Duration = Duration::from_millis(600);
 /// Longest time without progress after which a run is stalled, because the expected run time may be far off.
 const MAX_STALL_TIMEOUT: Duration = Duration::from_secs(2);
-/// Number of times that the time without progress doubles: to ten minutes at least.
-const MAX_STALL_DOUBLINGS: u32 = 10;
 
 /// Returns true if the target may be given a run, whatever the task needs.
 pub(crate) fn accepts_runs(target: &Target, now: Time) -> bool {
@@ -25,7 +23,7 @@
         && target.report.state == TargetState::Ready
         && target.orphans.is_empty()
         && target.clock.is_some()
-        && target.health.may_run(now)
+        && target.health.may_run(now, target.runs.len())
         && target.renewal_sent.is_none_or(|sent| now - sent < UNRESPONSIVE_TIMEOUT)
 }
 
@@ -51,11 +49,9 @@
     step.estimate as f64 * target.health.time_ratio() * if near { 1.0 } else { remote_factor }
 }
 
-/// Returns the time without progress after which a run with an expected time of `millis` is stalled. It doubles with each
-/// earlier run of the task that has stalled, because the task may just take far longer than its estimate. The tasks of a
+/// Returns the time without progress after which a run with an expected time of `millis` is stalled. The tasks of a
 /// gang first wait up to `gang_timeout` for each other.
-pub(crate) fn stall_timeout(step: &Step, millis: f64, gang_timeout: Duration, stalls: u32) -> Duration {
+pub(crate) fn stall_timeout(step: &Step, millis: f64, gang_timeout: Duration) -> Duration {
     let half = Duration::from_secs_f64(millis * STALL_RATIO / 1000.0).clamp(MIN_STALL_TIMEOUT, MAX_STALL_TIMEOUT);
-    let timeout = half * (1 << stalls.min(MAX_STALL_DOUBLINGS));
-    if step.gang { timeout + gang_timeout } else { timeout }
+    if step.gang { half + gang_timeout } else { half }
 }
