--- a/review/stand-2/executor.rs
+++ b/review/stand-2/executor.rs
@@ -1,7 +1,8 @@
 //! Executors: they beat, take orders under leases and fencing tokens, and run tasks that only take time.
 //!
 //! The spec of a job says how long its tasks work, in milliseconds, by step: `work 900,200`. A task of a step whose
-//! time is 0 works until it is stopped.
+//! time is 0 works until it is stopped. The tasks of `fail 50` fail after that time. Those of `gang 16 500` work only
+//! together, 16 of them.
 
 use crate::http::{self, Answer, Request};
 use crate::world::{RunRecord, World};
@@ -20,6 +21,8 @@
 const FIRST_CLOCK: u64 = 1000;
 /// Most ends in one list.
 const MAX_ENDS: usize = 500;
+/// Time that the members of a gang wait for each other: `gangTimeoutMs` of the settings.
+const GANG_TIMEOUT: Duration = Duration::from_millis(3000);
 
 struct Run {
     task: String,
@@ -28,6 +31,8 @@
     /// `None` for a task that works until it is stopped.
     work: Option<Duration>,
     fails: bool,
+    /// Job, occurrence and step of a gang, and the run that its members share.
+    gang: Option<(String, u64)>,
     record: usize,
 }
 
@@ -78,6 +83,9 @@
         self.last_end += 1;
         let floor = self.floors.entry(run.task.clone()).or_default();
         *floor = run.number.max(*floor);
+        if let Some(gang) = run.gang.as_ref().filter(|_| how != "done") {
+            world.break_gang(gang);
+        }
         record_end(world, run.record, how);
         self.ended.push(End { number: self.last_end, task: run.task, run: run.number, how });
     }
@@ -96,8 +104,6 @@
 /// What a case may tell an executor to do.
 #[derive(Default)]
 pub struct Conduct {
-    /// Every run that begins fails after this time.
-    pub fail_after: Option<Duration>,
     /// Range of fencing tokens of the callers that reach this executor; the orders of others get no response.
     pub reachable: Option<(u64, u64)>,
 }
@@ -164,7 +170,10 @@
     pub fn crash(&self) {
         *self.lives.lock().unwrap() += 1;
         if let Some(life) = self.life.lock().unwrap().take() {
-            life.running.iter().for_each(|run| record_end(&self.world, run.record, "crashed"));
+            for run in &life.running {
+                record_end(&self.world, run.record, "crashed");
+                run.gang.iter().for_each(|gang| self.world.break_gang(gang));
+            }
         }
         for stream in self.streams.lock().unwrap().drain(..) {
             drop(stream.shutdown(Shutdown::Both));
@@ -281,9 +290,10 @@
         }
         let step = task.split('.').nth(2).and_then(|step| step.parse::<usize>().ok()).unwrap_or(0);
         let spec = http::text_field(&request.body, "spec").unwrap_or_default();
-        let times = spec.trim_start_matches("work ").split(',').map(|time| time.parse::<u64>().unwrap_or(0));
+        let words: Vec<&str> = spec.split(' ').collect();
+        let count = words.get(1).filter(|_| words[0] == "gang").and_then(|count| count.parse::<usize>().ok());
+        let times = words.last().unwrap_or(&"").split(',').map(|time| time.parse::<u64>().unwrap_or(0));
         let work = times.collect::<Vec<_>>().get(step).copied().filter(|time| *time > 0).map(Duration::from_millis);
-        let fail_after = self.conduct.lock().unwrap().fail_after;
         let (executor, begun) = (self.id.clone(), self.world.now());
         let record = RunRecord { task: task.clone(), run: number, token, executor, begun, ended: None, how: "" };
         let mut runs = self.world.runs.lock().unwrap();
@@ -291,8 +301,13 @@
         let record = runs.len() - 1;
         drop(runs);
         self.world.log(&format!("start {task} run {number} token {token} on {}", self.id));
-        let (work, fails) = (fail_after.or(work), fail_after.is_some());
-        life.running.push(Run { task, number, begun: Instant::now(), work, fails, record });
+        let fails = words[0] == "fail";
+        let step = task.rsplit_once('.').map_or("", |(step, _)| step);
+        let gang = count.map(|_| (step.to_owned(), number));
+        if let (Some(gang), Some(count)) = (&gang, count) {
+            self.world.join_gang(gang, count);
+        }
+        life.running.push(Run { task, number, begun: Instant::now(), work, fails, gang, record });
         None
     }
 
@@ -303,14 +318,17 @@
             let mut guard = self.life.lock().unwrap();
             let Some(life) = guard.as_mut() else { continue };
             let lapsed = life.clock() > life.lease;
-            let over = |run: &Run| run.work.is_some_and(|work| run.begun.elapsed() >= work);
-            while let Some(at) = life.running.iter().position(|run| lapsed || over(run)) {
-                let run = &life.running[at];
-                let how = match over(run) {
-                    true if run.fails => "failed",
-                    true => "done",
-                    false => "lapsed",
-                };
+            let end_of = |run: &Run| match &run.gang {
+                Some(gang) => self.world.gang_end(gang, run.begun, run.work.unwrap_or_default(), GANG_TIMEOUT),
+                None if run.work.is_some_and(|work| run.begun.elapsed() >= work) => {
+                    Some(if run.fails { "failed" } else { "done" })
+                }
+                None => None,
+            };
+            let over = |run: &Run| end_of(run).or(lapsed.then_some("lapsed"));
+            while let Some((at, how)) =
+                life.running.iter().enumerate().find_map(|(at, run)| Some((at, over(run)?)))
+            {
                 life.end_run(at, how, &self.world);
                 self.changed.notify_all();
             }
--- a/review/stand-2/world.rs
+++ b/review/stand-2/world.rs
@@ -1,11 +1,12 @@
 //! What the stand-ins share: the record of the case, and every run that an executor has begun.
 
+use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::Write;
 use std::path::Path;
 use std::process::Child;
 use std::sync::Mutex;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// One run of a task on one executor, as that executor saw it. Times are in seconds from the start of the case.
 #[derive(Debug, Clone)]
@@ -20,6 +21,15 @@
     pub how: &'static str,
 }
 
+/// Members of a gang that share one run.
+#[derive(Default)]
+struct Gang {
+    present: usize,
+    complete: Option<Instant>,
+    /// True once a member has ended without being done.
+    broken: bool,
+}
+
 /// Record of one case.
 pub struct World {
     start: Instant,
@@ -27,11 +37,12 @@
     pub runs: Mutex<Vec<RunRecord>>,
     /// Processes that this program has started and not ended yet.
     children: Mutex<Vec<Option<Child>>>,
+    gangs: Mutex<BTreeMap<(String, u64), Gang>>,
 }
 
 impl World {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        Ok(Self { start: Instant::now(), file: Mutex::new(File::create(path)?), runs: Mutex::default(), children: Mutex::default() })
+        Ok(Self { start: Instant::now(), file: Mutex::new(File::create(path)?), runs: Mutex::default(), children: Mutex::default(), gangs: Mutex::default() })
     }
 
     pub fn now(&self) -> f64 {
@@ -44,6 +55,34 @@
         self.file.lock().unwrap().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Adds a member to a gang of `count`.
+    pub fn join_gang(&self, gang: &(String, u64), count: usize) {
+        let mut gangs = self.gangs.lock().unwrap();
+        let gang = gangs.entry(gang.clone()).or_default();
+        gang.present += 1;
+        if gang.present == count {
+            gang.complete = Some(Instant::now());
+        }
+    }
+
+    pub fn break_gang(&self, gang: &(String, u64)) {
+        if let Some(gang) = self.gangs.lock().unwrap().get_mut(gang) {
+            gang.broken = true;
+        }
+    }
+
+    /// Returns how the run of a member that began at `begun` ends now, if it does.
+    pub fn gang_end(&self, gang: &(String, u64), begun: Instant, work: Duration, wait: Duration) -> Option<&'static str> {
+        let gangs = self.gangs.lock().unwrap();
+        let gang = gangs.get(gang)?;
+        match gang.complete {
+            _ if gang.broken => Some("broken"),
+            Some(complete) if complete.elapsed() >= work => Some("done"),
+            None if begun.elapsed() >= wait => Some("alone"),
+            _ => None,
+        }
+    }
+
     /// Takes over a child process and returns its position.
     pub fn add_child(&self, child: Child) -> usize {
         let mut children = self.children.lock().unwrap();
