--- a/review/stand-2/case_9.rs
+++ b/review/stand-2/case_9.rs
@@ -11,9 +11,9 @@
 
 const EXECUTORS: usize = 9;
 /// Time from the kill to the cut.
-const KILL_TO_CUT: Duration = Duration::from_millis(130);
+const KILL_TO_CUT: Duration = Duration::from_millis(550);
 /// Time after which a process that was killed runs again.
-const RESTART: Duration = Duration::from_millis(500);
+const RESTART: Duration = Duration::from_millis(300);
 /// Time after a broken channel at which a client sends its job again: `resendMs` of the settings.
 const RESEND: Duration = Duration::from_millis(1300);
 /// Length of the cut; the pages let it be 6.4 s.
