review: case 10, the service stays full for as long as jobs keep coming

Before: one batch of jobs, 13 to 14 s without a run. Ruled out: want of room, 145 tasks of later jobs start meanwhile.

--- a/review/stand-2/case_10.rs
+++ b/review/stand-2/case_10.rs
@@ -11,9 +11,12 @@
 const LASTING_ID: &str = "7000000000000001";
 const LASTING: &str =
     r#"{"spec":"work 0","phases":[{"count":1,"cpu":6800,"memMb":64,"estimateMs":900}],"longRunning":true}"#;
-/// Two tasks of 6.8 cores fit on an executor, so twelve of these jobs fill the service for 22 s.
+/// Two tasks of 6.8 cores fit on an executor, so one of these jobs in 1.8 s is what the service can do.
 const WIDE: &str = r#"{"spec":"work 3600","phases":[{"count":8,"cpu":6800,"memMb":64,"estimateMs":3600}]}"#;
-const WIDE_JOBS: u64 = 12;
+/// Jobs that come together, and jobs that come one after the other behind them.
+const JOBS_AT_ONCE: u64 = 6;
+const JOBS_LATER: u64 = 16;
+const BETWEEN: Duration = Duration::from_millis(1800);
 /// Seconds after its last run from which on a task that lasts may not be without a run for another 3 s.
 const LIMIT: f64 = 6.0 + 3.0;
 
@@ -27,19 +30,25 @@
         return Err("the job that lasts is not accepted".to_owned());
     }
     thread::sleep(Duration::from_secs(8));
-    for number in 0..WIDE_JOBS {
+    let hand_in = |number: u64| {
         let id = format!("{:016x}", 0x4000_0000_0000_0000 + number);
-        if submit(world, fronts[number as usize % fronts.len()], &id, WIDE, 1500).status() != 200 {
-            return Err(format!("job {id} is not accepted"));
+        match submit(world, fronts[number as usize % fronts.len()], &id, WIDE, 1500).status() {
+            200 => Ok(()),
+            _ => Err(format!("job {id} is not accepted")),
         }
-    }
+    };
+    (0..JOBS_AT_ONCE).try_for_each(hand_in)?;
     thread::sleep(Duration::from_millis(500));
     if trouble {
         let run = world.runs_of(LASTING_ID).last().cloned().ok_or("the task that lasts has not begun")?;
         let executor = platform.executors.iter().find(|executor| executor.id == run.executor);
         executor.ok_or("no such executor")?.fail_run(&run.task);
     }
-    thread::sleep(Duration::from_secs(26));
+    for number in 0..JOBS_LATER {
+        hand_in(JOBS_AT_ONCE + number)?;
+        thread::sleep(BETWEEN);
+    }
+    thread::sleep(Duration::from_secs(14));
     let runs = world.runs_of(LASTING_ID);
     let mut broken = false;
     for (at, run) in runs.iter().enumerate() {
