Logs and counts orders that another incarnation of a target answers

Callers saw two runs of one task at once after executors had started again under their ids. The logs could not tell an answered start from an unanswered one at the moment when the board drops a target, so hypotheses 1 and 2 of docs/incidents/restarted-targets.md looked the same.

No decision is changed.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -469,8 +469,14 @@
     fn lose_target(&mut self, now: Time, key: TargetKey, why: &str) {
         let Some(target) = self.targets.remove(key) else { return };
         let report = &target.report;
+        let unanswered: Vec<String> = target
+            .runs
+            .iter()
+            .filter(|(_, run)| run.state != RunState::Running)
+            .map(|(task, run)| format!("{task} run {} {:?}", run.number.0, run.state))
+            .collect();
         log::info!(
-            target = report.id, born = report.incarnation, runs = target.runs.len(), why;
+            target = report.id, born = report.incarnation, runs = target.runs.len(), unanswered:?, why;
             "board: target removed"
         );
         let (id, incarnation) = (report.id.clone(), report.incarnation);
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -32,6 +32,9 @@
         if matches!(order.kind, OrderKind::Renew { .. }) {
             self.targets[key].renewal_sent = None;
         }
+        if outcome == Outcome::Replaced {
+            self.counts.replaced += 1;
+        }
         match (&order.kind, outcome) {
             (_, Outcome::Replaced) => self.lose_target(now, key, "another incarnation listens at its address"),
             (_, Outcome::Denied { why: Denial::Fenced, .. }) => {
--- a/crates/jobs/src/counts.rs
+++ b/crates/jobs/src/counts.rs
@@ -11,6 +11,8 @@
     pub unsure: u64,
     /// Starts that a target refused.
     pub denied: u64,
+    /// Orders that another incarnation of their target answered.
+    pub replaced: u64,
     /// Renewals sent to targets.
     pub renewals: u64,
     /// Renewals that returned no list of runs.
@@ -33,6 +35,7 @@
             starts: self.starts + rhs.starts,
             unsure: self.unsure + rhs.unsure,
             denied: self.denied + rhs.denied,
+            replaced: self.replaced + rhs.replaced,
             renewals: self.renewals + rhs.renewals,
             missed_renewals: self.missed_renewals + rhs.missed_renewals,
             completed: self.completed + rhs.completed,
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -7,6 +7,7 @@
 use mangogw_model::{Time, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -138,6 +139,17 @@
     },
 }
 
+impl fmt::Display for OrderKind {
+    /// Writes the action and its run, without the payload.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Start { task, run, .. } => write!(f, "start {task} run {}", run.0),
+            Self::Stop { task, run } => write!(f, "stop {task} run {}", run.0),
+            Self::Renew { .. } => write!(f, "renew"),
+        }
+    }
+}
+
 /// Outcome of an order.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -60,6 +60,7 @@
         ("mangogw_starts_total", view.counts.starts),
         ("mangogw_starts_unsure_total", view.counts.unsure),
         ("mangogw_starts_denied_total", view.counts.denied),
+        ("mangogw_orders_replaced_total", view.counts.replaced),
         ("mangogw_looks_total", view.counts.renewals),
         ("mangogw_looks_missed_total", view.counts.missed_renewals),
         ("mangogw_jobs_completed_total", view.counts.completed),
