Replaced orders name the incarnation that listens at the address

The outcome of an order that met another incarnation kept neither which one it was nor whether that one has received the order, so the board could not do better than to forget what it had ordered.

--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -446,7 +446,9 @@
         let mut events = Vec::new();
         let outcome = match &order.kind {
             _ if !target.alive => Outcome::Denied { why: mangogw_jobs::Denial::Unreached, clock: None },
-            _ if target.report.incarnation != order.incarnation => Outcome::Replaced,
+            _ if target.report.incarnation != order.incarnation => {
+                Outcome::Replaced { incarnation: Some(target.report.incarnation), received: false }
+            }
             OrderKind::Start { task, run, until, .. } => {
                 let need = self.jobs.get(&task.job).map(|job| job.steps[task.step as usize].need);
                 let estimate = self.jobs.get(&task.job).map_or(100, |job| job.steps[task.step as usize].estimate);
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -23,7 +23,7 @@
             Outcome::Done { clock } => Some(*clock),
             Outcome::Listed(listing) => Some(listing.clock),
             Outcome::Denied { clock, .. } => *clock,
-            Outcome::Unsure | Outcome::Replaced => None,
+            Outcome::Unsure | Outcome::Replaced { .. } => None,
         };
         let before = self.targets[key].last_answer;
         if let Some(clock) = clock {
@@ -32,11 +32,11 @@
         if matches!(order.kind, OrderKind::Renew { .. }) {
             self.targets[key].renewal_sent = None;
         }
-        if outcome == Outcome::Replaced {
+        if matches!(outcome, Outcome::Replaced { .. }) {
             self.counts.replaced += 1;
         }
         match (&order.kind, outcome) {
-            (_, Outcome::Replaced) => self.lose_target(now, key, "another incarnation listens at its address"),
+            (_, Outcome::Replaced { .. }) => self.lose_target(now, key, "another incarnation listens at its address"),
             (_, Outcome::Denied { why: Denial::Fenced, .. }) => {
                 log::warn!(
                     target = order.id, token = self.token;
@@ -80,7 +80,7 @@
                 known.started_at = Some(now);
                 known.last_progress = now;
             }
-            Outcome::Done { .. } | Outcome::Listed(_) | Outcome::Replaced => {}
+            Outcome::Done { .. } | Outcome::Listed(_) | Outcome::Replaced { .. } => {}
             Outcome::Unsure => {
                 if known.state == RunState::Starting {
                     known.state = RunState::Unsure;
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -170,7 +170,12 @@
     /// No answer: the order may have been carried out already, or may be later.
     Unsure,
     /// Another incarnation listens at the address.
-    Replaced,
+    Replaced {
+        /// The other incarnation, if it is of the same target; `None` for another target.
+        incarnation: Option<u64>,
+        /// False if the order has surely not been sent to the other incarnation.
+        received: bool,
+    },
 }
 
 /// Reason for which a target refuses an order.
