--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -815,3 +815,160 @@
     assert_eq!(harness.board.pending_jobs("q"), 1);
     assert_eq!(harness.starts().len(), 1);
 }
+
+impl Harness {
+    /// Opens a board with targets `w1` and `w2`, starts a job of one task, and returns its start.
+    fn start_one() -> (Self, Order) {
+        let mut harness = Self::open(&["w1", "w2"]);
+        harness.submit(1, 1, 16_000, 60_000);
+        let orders = harness.orders();
+        let start = orders.into_iter().find(|order| matches!(order.kind, OrderKind::Start { .. })).unwrap();
+        (harness, start)
+    }
+
+    fn finish(&mut self, order: &Order, outcome: Outcome) {
+        self.board.on_outcome(self.now, order, self.now, outcome);
+    }
+
+    /// Returns the open renewal of a target among `orders`.
+    fn renewal_of(orders: &[Order], id: &str, incarnation: u64) -> Option<Order> {
+        let is_it = |order: &&Order| {
+            matches!(order.kind, OrderKind::Renew { .. }) && (order.id.as_str(), order.incarnation) == (id, incarnation)
+        };
+        orders.iter().find(is_it).cloned()
+    }
+}
+
+fn later(id: &str) -> TargetReport {
+    TargetReport { incarnation: 2, ..report(id) }
+}
+
+fn later_listing(clock: u64) -> Listing {
+    Listing { incarnation: Some(2), ..listing(clock) }
+}
+
+fn is_start(order: &Order) -> bool {
+    matches!(order.kind, OrderKind::Start { .. })
+}
+
+/// Guards against a second run of a task whose start was meant for an earlier incarnation of a target and carried out by
+/// the later one.
+#[test]
+fn a_run_on_a_later_incarnation_goes_on() {
+    let (mut harness, start) = Harness::start_one();
+    let (task, run) = run_of(&start);
+    harness.finish(&start, Outcome::Replaced { incarnation: Some(2), received: true });
+    let orders = harness.orders();
+    assert!(!orders.iter().any(is_start), "the run may go on at the later incarnation");
+    let renewal =
+        Harness::renewal_of(&orders, &start.id, 2).expect("the later incarnation is asked for its runs at once");
+    let running = ActiveRun { task, run, ..ActiveRun::default() };
+    harness.answer_listing(&renewal, Listing { running: vec![running], ..later_listing(10) });
+    harness.advance(10);
+    let orders = harness.orders();
+    assert!(orders.iter().all(|order| matches!(order.kind, OrderKind::Renew { .. })), "{orders:?}");
+    let renewal = Harness::renewal_of(&orders, &start.id, 2).expect("a busy target is renewed");
+    let ended = EndedRun { number: 1, task, run, run_end: RunEnd::Done, checkpoint: String::new() };
+    harness.answer_listing(&renewal, Listing { ended: vec![ended], ..later_listing(110) });
+    let answer = Output::Answer { reply_to: 1, end: JobEnd::Completed };
+    assert!(harness.board.drain(harness.now).contains(&answer));
+}
+
+/// Guards against a second run of a task whose start had no answer when a later incarnation of the target became known:
+/// the start may still reach it.
+#[test]
+fn a_start_without_an_answer_is_barred_from_a_later_incarnation() {
+    for reported in [true, false] {
+        let (mut harness, start) = Harness::start_one();
+        if reported {
+            harness.board.on_report(harness.now, &later(&start.id));
+        } else {
+            let renewal =
+                Order { kind: OrderKind::Renew { until: None, seen: 0, wait: Duration::ZERO }, ..start.clone() };
+            harness.finish(&renewal, Outcome::Replaced { incarnation: Some(2), received: true });
+        }
+        let orders = harness.orders();
+        assert!(!orders.iter().any(is_start), "the start may still arrive");
+        let renewal = Harness::renewal_of(&orders, &start.id, 2).unwrap();
+        harness.now += Duration::from_millis(5);
+        harness.answer_listing(&renewal, later_listing(10));
+        let orders = harness.orders();
+        let is_stop = |order: &&Order| matches!(order.kind, OrderKind::Stop { .. });
+        let stop = orders.iter().find(is_stop).expect("a stop keeps the run from starting").clone();
+        assert_eq!((stop.id.as_str(), stop.incarnation, run_of(&stop)), (start.id.as_str(), 2, run_of(&start)));
+        assert!(!orders.iter().any(is_start));
+        // The outcome of the start comes late, and changes nothing.
+        harness.finish(&start, Outcome::Unsure);
+        harness.finish(&stop, Outcome::Done { clock: 12 });
+        harness.now += Duration::from_millis(5);
+        let renewal = Harness::renewal_of(&harness.orders(), &start.id, 2).unwrap();
+        harness.now += Duration::from_millis(5);
+        harness.answer_listing(&renewal, later_listing(20));
+        assert_eq!(harness.starts().len(), 1, "the run can't start there any more");
+    }
+}
+
+/// Guards against a second run, and against a task that waits for ever, when the later incarnation is cut off before it
+/// has listed its runs.
+#[test]
+fn a_task_waits_for_the_lease_of_a_later_incarnation_that_is_silent() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Replaced { incarnation: Some(2), received: true });
+    let mut waited = Duration::ZERO;
+    loop {
+        let orders = harness.orders();
+        if orders.iter().any(is_start) {
+            break;
+        }
+        for order in orders {
+            let unanswered = order.id == start.id;
+            harness.finish(&order, if unanswered { Outcome::Unsure } else { Outcome::Listed(listing(500)) });
+        }
+        harness.advance(10);
+        waited += Duration::from_millis(10);
+        assert!(waited < Duration::from_secs(3), "the task must run again once the lease is over");
+    }
+    assert!(waited >= Settings::default().lease, "{waited:?}: the run may go on for a whole lease");
+}
+
+/// Guards against work that waits for nothing: an order that was never sent starts no run.
+#[test]
+fn a_start_that_was_not_sent_holds_no_task() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Replaced { incarnation: Some(2), received: false });
+    let starts = harness.starts();
+    assert_eq!((starts.len(), starts[0].id == start.id), (1, false));
+}
+
+/// Guards against work that waits for nothing: what surely ran on an earlier incarnation ended with it.
+#[test]
+fn a_run_of_an_earlier_incarnation_starts_again_at_once() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Done { clock: 500 });
+    harness.board.on_report(harness.now, &later(&start.id));
+    let starts = harness.starts();
+    assert_eq!((starts.len(), starts[0].id == start.id), (1, false));
+}
+
+/// Guards against a next leader that takes an answer of a later incarnation for a list of what runs there.
+#[test]
+fn a_takeover_waits_for_the_list_of_a_later_incarnation() {
+    let queues = Harness::open(&[]).queue;
+    let set = QueueSet { queues: vec![queues.clone()], ..QueueSet::default() };
+    let targets = ["w1", "w2"].into_iter().map(|id| (id.to_owned(), report(id))).collect();
+    let ledger = Ledger { queue_set: Some(Arc::new(set)), targets, ..Ledger::default() };
+    let now = Time::from_millis(1000);
+    let mut harness = Harness { board: Board::open(Settings::default(), 4, &ledger, now), queue: queues, now };
+    harness.resubmit(1, 1, 6000, 60_000);
+    let orders = harness.orders();
+    let (one, two) = (Harness::renewal_of(&orders, "w1", 1).unwrap(), Harness::renewal_of(&orders, "w2", 1).unwrap());
+    harness.answer_listing(&two, listing(500));
+    harness.finish(&one, Outcome::Replaced { incarnation: Some(2), received: true });
+    let orders = harness.orders();
+    assert!(!orders.iter().any(is_start), "the earlier leader may have started the job on the later incarnation");
+    let renewal = Harness::renewal_of(&orders, "w1", 2).unwrap();
+    let task = TaskId { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    let running = ActiveRun { task, run: RunNumber::new(3, 1), ..ActiveRun::default() };
+    harness.answer_listing(&renewal, Listing { running: vec![running], ..later_listing(10) });
+    assert!(harness.starts().is_empty() && !harness.board.is_taking_over(), "the run is adopted");
+}
