An order is written only to the incarnation that it is meant for

Callers saw two runs of one task at once after an executor had started again under its id: the start meant for the earlier life was carried out by the later one, and the board gave the task to another executor as well.

Cause: X-Expect-Instance carries the id alone, which both lives share, and the pool kept connections by address. A start therefore reached whichever life accepted the connection, at once or, from the accept queue, long after the order was given up.

Ruled out: to read the answer more carefully. It comes after the start was carried out, and an order without an answer has none.

Rule: an order that starts, stops, acknowledges or renews something is written only to a connection whose peer has named the incarnation that the order is meant for. A TCP connection leads to one life of a process. A new connection carries a /hold without effect first (lastSeen 0, no deadline, no wait); a renewal that is as harmless needs none and identifies its connection. Idle connections to other incarnations are closed. A target whose lists name no incarnation is given orders as before, after one such request.

--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -17,7 +17,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Longest time to set up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -43,6 +43,81 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     last_used: Instant,
+    peer: Peer,
+}
+
+/// What the peer of a connection has said of its incarnation. A connection leads to one life of a process, so this holds
+/// for as long as the connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// The peer has said nothing that can be read.
+    Unknown,
+    /// The peer has answered without an incarnation: it names none at all.
+    Unnamed,
+    /// The peer has named its incarnation.
+    Named(u64),
+}
+
+impl Peer {
+    /// Returns true if the peer is another incarnation than `wanted`.
+    ///
+    /// ```
+    /// use mangogwd::pool::Peer;
+    /// assert!(Peer::Named(8).differs_from(7));
+    /// assert!(!Peer::Named(7).differs_from(7) && !Peer::Unnamed.differs_from(7));
+    /// ```
+    pub fn differs_from(self, wanted: u64) -> bool {
+        matches!(self, Self::Named(named) if named != wanted)
+    }
+}
+
+/// Call that is meant for one incarnation of a target.
+pub trait Call {
+    /// Decoded response.
+    type Answer;
+
+    /// Returns the incarnation that the call is meant for.
+    fn incarnation(&self) -> u64;
+
+    /// Returns true if the call must not reach another incarnation.
+    fn needs_identification(&self) -> bool;
+
+    /// Returns a request that has the peer name its incarnation and does nothing else; `None` if it can't be encoded.
+    fn identification(&self) -> Option<Request<Full<Bytes>>>;
+
+    /// Decodes the response to the call or to its identifying request, and what it says of the peer.
+    fn decode(&self, response: &Response<Bytes>) -> (Peer, Self::Answer);
+}
+
+/// Response to a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply<A> {
+    /// Response to the call itself.
+    Answered(A),
+    /// Response to the identifying request, which doesn't name the incarnation that the call is meant for; no byte of the
+    /// call was written.
+    Unidentified(A),
+}
+
+/// Result of a request on one connection.
+enum Exchange {
+    Answered(Response<Bytes>),
+    /// No byte of the request was written.
+    Unsent(Request<Full<Bytes>>),
+    /// Bytes of the request may have been written.
+    Lost,
+}
+
+/// Connection for a call.
+enum Route<A> {
+    /// The connection leads to the incarnation that the call is meant for, or need not.
+    Open {
+        connection: Connection,
+        /// False if the connection may have been closed while it was idle.
+        is_new: bool,
+    },
+    /// The peer gave this answer to the identifying request.
+    Unidentified(A),
 }
 
 /// Command about an attempt that a target runs.
@@ -74,6 +149,8 @@
 pub enum CallError {
     /// No byte was written to the target.
     Unsent,
+    /// The target didn't identify itself in time, or ended the connection once it had; no byte of the call was written.
+    Unidentified,
     /// Bytes may have been written to the target.
     MaybeSent,
 }
@@ -124,29 +201,80 @@
         }
     }
 
-    /// Sends a request and reads the whole response, of at most `max_bytes` in its body, within `time_limit`.
+    /// Sends the request of a call and reads the whole response, of at most `max_bytes` in its body, within `time_limit`.
+    ///
+    /// A call that needs it is written only to a connection whose peer has identified itself as the incarnation that the
+    /// call is meant for, or as one that names none. A new connection carries the identifying request first.
     ///
     /// # Errors
-    /// [`CallError`], which tells whether a byte may have reached the target.
-    pub async fn call(
+    /// [`CallError`], which tells whether a byte of the call may have reached the target.
+    pub async fn call<C: Call>(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        call: &C,
+        mut request: Request<Full<Bytes>>,
         time_limit: Duration,
         max_bytes: u64,
-    ) -> Result<Response<Bytes>, CallError> {
-        let exchange = async {
-            let (response, connection) = self.send(address, request).await?;
-            let (head, body) = response.into_parts();
-            let body = collect(body, max_bytes).await.map_err(|_report| CallError::MaybeSent)?;
-            self.put_back(address, connection);
-            Ok(Response::from_parts(head, body))
-        };
-        match timeout(time_limit, exchange).await {
-            Ok(answer) => answer,
-            Err(_elapsed) => {
-                self.drop_idle(address);
-                Err(CallError::MaybeSent)
+    ) -> Result<Reply<C::Answer>, CallError> {
+        let deadline = Instant::now() + time_limit;
+        loop {
+            let route = match timeout_at(deadline, self.route(address, call, max_bytes)).await {
+                Ok(route) => route?,
+                Err(_elapsed) => {
+                    self.drop_idle(address);
+                    return Err(CallError::Unidentified);
+                }
+            };
+            let (mut connection, is_new) = match route {
+                Route::Open { connection, is_new } => (connection, is_new),
+                Route::Unidentified(answer) => return Ok(Reply::Unidentified(answer)),
+            };
+            match timeout_at(deadline, connection.exchange(request, max_bytes)).await {
+                Ok(Exchange::Answered(response)) => {
+                    let answer = connection.decode(call, &response);
+                    self.put_back(address, connection);
+                    return Ok(Reply::Answered(answer));
+                }
+                Ok(Exchange::Unsent(unsent)) if !is_new => request = unsent,
+                Ok(Exchange::Unsent(_)) if call.needs_identification() => return Err(CallError::Unidentified),
+                Ok(Exchange::Unsent(_)) => return Err(CallError::Unsent),
+                Ok(Exchange::Lost) => return Err(CallError::MaybeSent),
+                Err(_elapsed) => {
+                    self.drop_idle(address);
+                    return Err(CallError::MaybeSent);
+                }
+            }
+        }
+    }
+
+    /// Returns an idle or a new connection for a call, with its peer identified if the call needs it.
+    async fn route<C: Call>(
+        &self,
+        address: SocketAddr,
+        call: &C,
+        max_bytes: u64,
+    ) -> Result<Route<C::Answer>, CallError> {
+        loop {
+            let (mut connection, is_new) = match self.take_idle(address, Some(call.incarnation())) {
+                Some(connection) => (connection, false),
+                None => (connect(address).await.ok_or(CallError::Unsent)?, true),
+            };
+            if connection.peer != Peer::Unknown || !call.needs_identification() {
+                return Ok(Route::Open { connection, is_new });
+            }
+            let request = call.identification().ok_or(CallError::Unidentified)?;
+            match connection.exchange(request, max_bytes).await {
+                Exchange::Answered(response) => {
+                    let answer = connection.decode(call, &response);
+                    if connection.peer != Peer::Unknown && !connection.peer.differs_from(call.incarnation()) {
+                        return Ok(Route::Open { connection, is_new });
+                    }
+                    self.put_back(address, connection);
+                    return Ok(Route::Unidentified(answer));
+                }
+                Exchange::Unsent(_) if is_new => return Err(CallError::Unsent),
+                Exchange::Unsent(_) => {}
+                Exchange::Lost => return Err(CallError::Unidentified),
             }
         }
     }
@@ -154,7 +282,7 @@
     async fn exchange(&self, start: &TaskStart, left: Duration) -> AttemptOutcome {
         let Ok(request) = request(start, left) else { return AttemptOutcome::Report(AttemptReport::NotStarted) };
         match self.send(start.address, request).await {
-            Err(CallError::Unsent) => AttemptOutcome::Report(AttemptReport::NotStarted),
+            Err(CallError::Unsent | CallError::Unidentified) => AttemptOutcome::Report(AttemptReport::NotStarted),
             Err(CallError::MaybeSent) => AttemptOutcome::Report(AttemptReport::Lost),
             Ok((response, connection)) => self.receive(start, response, connection).await,
         }
@@ -189,7 +317,7 @@
         mut request: Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, Connection), CallError> {
         loop {
-            let (mut connection, is_new) = match self.take_idle(address) {
+            let (mut connection, is_new) = match self.take_idle(address, None) {
                 Some(connection) => (connection, false),
                 None => (connect(address).await.ok_or(CallError::Unsent)?, true),
             };
@@ -204,11 +332,16 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<Connection> {
+    /// Takes an idle connection, and closes those to other incarnations than the wanted one.
+    fn take_idle(&self, address: SocketAddr, wanted: Option<u64>) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|connection| !connection.sender.is_closed() && now - connection.last_used < IDLE_TIMEOUT);
+        connections.retain(|connection| {
+            !connection.sender.is_closed()
+                && now - connection.last_used < IDLE_TIMEOUT
+                && !wanted.is_some_and(|wanted| connection.peer.differs_from(wanted))
+        });
         let ready = connections.iter().rposition(|connection| connection.sender.is_ready())?;
         Some(connections.swap_remove(ready))
     }
@@ -230,6 +363,30 @@
     }
 }
 
+impl Connection {
+    /// Sends a request and reads the whole response, of at most `max_bytes` in its body.
+    async fn exchange(&mut self, request: Request<Full<Bytes>>, max_bytes: u64) -> Exchange {
+        match self.sender.try_send_request(request).await {
+            Ok(response) => {
+                let (head, body) = response.into_parts();
+                let body = collect(body, max_bytes).await;
+                body.map_or(Exchange::Lost, |body| Exchange::Answered(Response::from_parts(head, body)))
+            }
+            Err(mut error) => error.take_message().map_or(Exchange::Lost, Exchange::Unsent),
+        }
+    }
+
+    /// Decodes a response and notes what it says of the peer.
+    fn decode<C: Call>(&mut self, call: &C, response: &Response<Bytes>) -> C::Answer {
+        let (peer, answer) = call.decode(response);
+        self.peer = match (self.peer, peer) {
+            (known, Peer::Unknown) | (known @ Peer::Named(_), Peer::Unnamed) => known,
+            (_, peer) => peer,
+        };
+        answer
+    }
+}
+
 fn request(start: &TaskStart, left: Duration) -> http::Result<Request<Full<Bytes>>> {
     Request::post(format!("/v1/tasks/{}", start.attempt))
         .header(http::header::HOST, start.address.to_string())
@@ -255,7 +412,7 @@
             log::debug!(address:%, error:%; "pool: connection to a target ended with an error");
         }
     });
-    Some(Connection { sender, last_used: Instant::now() })
+    Some(Connection { sender, last_used: Instant::now(), peer: Peer::Unknown })
 }
 
 /// Reads a whole body; [`AttemptReport::TooLarge`] if it is longer than `max_bytes`, [`AttemptReport::Truncated`] if
