--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -266,11 +266,17 @@
             match connection.exchange(request, max_bytes).await {
                 Exchange::Answered(response) => {
                     let answer = connection.decode(call, &response);
-                    if connection.peer != Peer::Unknown && !connection.peer.differs_from(call.incarnation()) {
-                        return Ok(Route::Open { connection, is_new });
+                    let peer = connection.peer;
+                    if peer == Peer::Unknown || peer.differs_from(call.incarnation()) {
+                        self.put_back(address, connection);
+                        return Ok(Route::Unidentified(answer));
                     }
-                    self.put_back(address, connection);
-                    return Ok(Route::Unidentified(answer));
+                    if closes_connection(&response) {
+                        // Such a target can only be called on another connection than the one that identified it.
+                        let connection = connect(address).await.ok_or(CallError::Unidentified)?;
+                        return Ok(Route::Open { connection: Connection { peer, ..connection }, is_new: true });
+                    }
+                    return Ok(Route::Open { connection, is_new });
                 }
                 Exchange::Unsent(_) if is_new => return Err(CallError::Unsent),
                 Exchange::Unsent(_) => {}
@@ -399,6 +405,12 @@
         .body(Full::new(start.body.clone()))
 }
 
+/// Returns true if the peer ends the connection with this response.
+fn closes_connection(response: &Response<Bytes>) -> bool {
+    let options = response.headers().get_all(http::header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    options.flat_map(|value| value.split(',')).any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
 async fn connect(address: SocketAddr) -> Option<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
