The leader drops the calls of a host that has started again

What callers saw: the runs for clients of a killed entry host went on when its process was back within the host timeout (0.8 s), though these clients send again elsewhere after 1.3 s, possibly to a leader or an isolated zone that doesn't know the runs.

Cause: the leader tells a lost host by its silence, under an id that both lives share, and the new life's messages end the silence.

Ruled out: slow stops. With the host down for 5 s the same runs end within a second (runs_for_a_dead_host_end_within_a_second).

Change: a host names its incarnation in leader queries; a leader that hears of another one drops the calls of the earlier.

Tests of mangogw-control and mangogw-jobs pass.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -4,7 +4,7 @@
 mod isolated;
 
 use crate::membership::Membership;
-use crate::{Call, HostMetrics, Message, Reply, Settings};
+use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
 use mangogw_jobs::{
@@ -84,6 +84,8 @@
     /// Open calls by the number under which the board replies.
     by_reply_to: IndexMap<u64, CallId>,
     by_call_id: IndexMap<CallId, u64>,
+    /// Last incarnation of each host that has asked for the leader.
+    incarnations: IndexMap<HostId, u64>,
     /// Calls received before the board was open.
     early_calls: Vec<EarlyCall>,
     /// Commands that the log refused for now; they are proposed again at the next tick.
@@ -113,6 +115,7 @@
             serial: settings.seed << 24,
             by_reply_to: IndexMap::new(),
             by_call_id: IndexMap::new(),
+            incarnations: IndexMap::new(),
             early_calls: Vec::new(),
             retries: Vec::new(),
             waiting_reads: Vec::new(),
@@ -303,8 +306,18 @@
         self.process_outputs(now);
     }
 
-    /// Drops all calls of a lost host.
+    /// Records the leader query of a host, and drops the calls of its earlier incarnation.
+    pub(crate) fn on_host_info(&mut self, now: Time, host: HostId, info: &HostInfo) {
+        if self.incarnations.get(&host).is_some_and(|known| *known != info.incarnation) {
+            log::info!(host = host.0; "member: host has started again");
+            self.on_host_lost(now, host);
+        }
+        self.incarnations.insert(host, info.incarnation);
+    }
+
+    /// Forgets a lost host and drops all its calls.
     pub(crate) fn on_host_lost(&mut self, now: Time, host: HostId) {
+        self.incarnations.swap_remove(&host);
         let call_ids: Vec<CallId> = self.by_call_id.keys().copied().filter(|call_id| call_id.host == host).collect();
         if !call_ids.is_empty() {
             log::info!(host = host.0, calls = call_ids.len(); "member: host lost, its calls are dropped");
