An adopted run holds its task until its lease is over

Cause: a target that reports after a leadership has begun is added with a lease that is over. A run that it lists and the board adopts was therefore given up at the next tick, unless its renewal had gone out before; with an orphan run beside it the renewal waits 50 ms.

Change: adoption counts the lease from then on. an_adopted_run_goes_on_until_its_lease_is_over fails without it and passes with it.

--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -117,8 +117,11 @@
             expected,
             stall_timeout: stall_timeout(&step, expected, self.settings.gang_timeout),
         };
-        self.targets[at].insert_run(id, run);
-        log::info!(task:% = id, run = number.0, target = self.targets[at].report.id; "board: run adopted");
+        let expires = now + self.settings.lease_expiry();
+        let target = &mut self.targets[at];
+        target.expires = target.expires.max(expires);
+        target.insert_run(id, run);
+        log::info!(task:% = id, run = number.0, target = target.report.id; "board: run adopted");
         true
     }
 }
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -346,6 +346,35 @@
 
 /// Guards against targets that are suspected after a single lost answer: with one answer in twenty lost, half of the
 /// targets were suspected at a time.
+/// Guards against a second run of a task whose run was adopted from a target that reported after the takeover had begun.
+#[test]
+fn an_adopted_run_goes_on_until_its_lease_is_over() {
+    let mut harness = Harness::open(&["w1"]);
+    harness.board.on_report(harness.now, &report("w2"));
+    harness.resubmit(1, 1, 16_000, 60_000);
+    let task = TaskId { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    for order in harness.orders() {
+        match order.kind {
+            OrderKind::Start { .. } => harness.finish(&order, Outcome::Replaced { incarnation: None, received: false }),
+            _ => {
+                let run = RunNumber::new(2, 1);
+                let running =
+                    [task, TaskId { index: 7, ..task }].map(|task| ActiveRun { task, run, ..ActiveRun::default() });
+                harness.answer_listing(&order, Listing { running: running.to_vec(), ..listing(500) });
+            }
+        }
+    }
+    harness.advance(10);
+    harness.board.on_report(harness.now, &report("w3"));
+    for order in harness.orders() {
+        if order.id == "w3" {
+            harness.answer_listing(&order, listing(500));
+        }
+    }
+    harness.advance(10);
+    assert!(harness.starts().is_empty(), "the adopted run goes on");
+}
+
 #[test]
 fn one_missed_renewal_does_not_make_a_target_suspected() {
     let mut harness = Harness::open(&["w1"]);
