A target that is slow to identify itself is suspected, not ejected

Now such a start is Denied { Unidentified }: it starts elsewhere at once, since nothing was sent, the target is asked for its list, and no failure is counted. The time limit of a call bounds its identification and the order each, so an order no longer gets what is left of 150 ms.

Reply::Unidentified is now Mismatched, since a target that names another incarnation has identified itself.

--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -112,14 +112,18 @@
             Outcome::Denied { why, .. } => {
                 log::info!(task:%, run = run.0, target = id, why:?; "board: target refused to start a run");
                 target.remove_run(&task);
-                self.counts.denied += 1;
+                match why {
+                    // The target may only be slow.
+                    Denial::Unidentified => self.counts.unsure += 1,
+                    _ => self.counts.denied += 1,
+                }
                 match why {
                     Denial::Unwell | Denial::Room | Denial::Unreached | Denial::Unreadable => {
                         target.health.record_failure(now);
                     }
-                    Denial::Old | Denial::Late | Denial::Fenced => {}
+                    Denial::Old | Denial::Late | Denial::Fenced | Denial::Unidentified => {}
                 }
-                if matches!(why, Denial::Room | Denial::Late | Denial::Unreached) {
+                if matches!(why, Denial::Room | Denial::Late | Denial::Unreached | Denial::Unidentified) {
                     self.suspect_target(now, key, "start refused");
                 }
                 self.requeue_task(now, key, task);
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -207,6 +207,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Incarnation of the target; `None` if the target did not report it.
+    /// The target did not identify itself in time, so no byte of the order was sent.
+    Unidentified,
     pub incarnation: Option<u64>,
     /// Clock of the target, in milliseconds.
     pub clock: u64,
--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -82,7 +82,8 @@
     /// Returns true if the call must not reach another incarnation.
     fn needs_identification(&self) -> bool;
 
-    /// Returns a request that has the peer name its incarnation and does nothing else; `None` if it can't be encoded.
+    /// Returns a request that has the peer name its incarnation, and that does no harm to another one; `None` if it can't
+    /// be encoded.
     fn identification(&self) -> Option<Request<Full<Bytes>>>;
 
     /// Decodes the response to the call or to its identifying request, and what it says of the peer.
@@ -96,7 +97,7 @@
     Answered(A),
     /// Response to the identifying request, which doesn't name the incarnation that the call is meant for; no byte of the
     /// call was written.
-    Unidentified(A),
+    Mismatched(A),
 }
 
 /// Result of a request on one connection.
@@ -116,8 +117,8 @@
         /// False if the connection may have been closed while it was idle.
         is_new: bool,
     },
-    /// The peer gave this answer to the identifying request.
-    Unidentified(A),
+    /// The peer gave this answer to the identifying request, which doesn't name the incarnation that the call is meant for.
+    Mismatched(A),
 }
 
 /// Command about an attempt that a target runs.
@@ -201,7 +202,8 @@
         }
     }
 
-    /// Sends the request of a call and reads the whole response, of at most `max_bytes` in its body, within `time_limit`.
+    /// Sends the request of a call and reads the whole response, of at most `max_bytes` in its body. `time_limit` bounds
+    /// the time until it is written, and again that until the response is there.
     ///
     /// A call that needs it is written only to a connection whose peer has identified itself as the incarnation that the
     /// call is meant for, or as one that names none. A new connection carries the identifying request first.
@@ -227,9 +229,9 @@
             };
             let (mut connection, is_new) = match route {
                 Route::Open { connection, is_new } => (connection, is_new),
-                Route::Unidentified(answer) => return Ok(Reply::Unidentified(answer)),
+                Route::Mismatched(answer) => return Ok(Reply::Mismatched(answer)),
             };
-            match timeout_at(deadline, connection.exchange(request, max_bytes)).await {
+            match timeout(time_limit, connection.exchange(request, max_bytes)).await {
                 Ok(Exchange::Answered(response)) => {
                     let answer = connection.decode(call, &response);
                     self.put_back(address, connection);
@@ -269,7 +271,7 @@
                     let peer = connection.peer;
                     if peer == Peer::Unknown || peer.differs_from(call.incarnation()) {
                         self.put_back(address, connection);
-                        return Ok(Route::Unidentified(answer));
+                        return Ok(Route::Mismatched(answer));
                     }
                     if closes_connection(&response) {
                         // Such a target can only be called on another connection than the one that identified it.
