Runs that can't be on a later incarnation hold no tasks, and the others no longer than their lease

The outcome of an order whose target was replaced meanwhile is now heard. - Runs that the earlier incarnation had confirmed waited as well, if they were being stopped (also by their gang). What counts is now whether the incarnation has confirmed the run, not the state of its last order. - A start that was still on its way took its lease on arrival, after the count of 1.1 s had begun. The count now includes the time of an order. - A target that restarted every second held its task, or a whole takeover, for as long. A run now counts from its first move, and a takeover from its beginning. A list that was asked for after the start can't arrive any more is conclusive. - A first report with sequence 0 left the target unused, and a late ready report brought back one that had left.

Callers would have seen tasks of restarted targets wait without need (LOST in the long run), or for the fourth point two runs.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -10,7 +10,7 @@
 
 use crate::health::Health;
 use crate::queue::RouteIndex;
-use crate::target::{Order, OrderKind, RunState, Target};
+use crate::target::{Order, OrderKind, Run, RunState, Target};
 use crate::{
     Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
     TargetKey, TargetReport, TargetState, TaskId,
@@ -31,6 +31,8 @@
 /// Minimum time between two throttled passes, added once more per [`THROTTLE_THRESHOLD`] waiting jobs: a pass visits
 /// each of them.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(2);
+/// Longest time for which an order without an outcome may be on its way to a target: the bound of the forwarders.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time after which the client of a refused job may retry: 1 s, the shortest time that the header can express.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -111,8 +113,9 @@
     waiting: IndexSet<JobKey>,
     /// Lowest time ratio of the targets of each pool that may be given runs, as of the last tick.
     fastest: IndexMap<String, f64>,
-    /// Targets of earlier leaders that have not listed their runs yet, and may run tasks that this board does not know.
-    unlisted: IndexSet<TargetKey>,
+    /// Targets of earlier leaders that have not listed their runs yet, and may run tasks that this board does not know;
+    /// each with the time at which those are surely over, on any incarnation of the target.
+    unlisted: IndexMap<TargetKey, Time>,
     /// Ends of tasks whose job was unknown when the ends were listed.
     unmatched_ends: IndexMap<TaskId, (RunEnd, Time)>,
     /// Ends of jobs that are not stored, kept for [`JOB_END_RETENTION`].
@@ -147,7 +150,7 @@
             by_reply_to: IndexMap::new(),
             waiting: IndexSet::new(),
             fastest: IndexMap::new(),
-            unlisted: IndexSet::new(),
+            unlisted: IndexMap::new(),
             unmatched_ends: IndexMap::new(),
             recent_ends: IndexMap::new(),
             isolated: false,
@@ -165,7 +168,7 @@
             let key = board.add_target(report.clone(), now, expires);
             match ledger.absent_targets.contains(&report.id) {
                 true => board.targets[key].absent_since = Some(now),
-                false => drop(board.unlisted.insert(key)),
+                false => drop(board.unlisted.insert(key, expires + ORDER_TIMEOUT)),
             }
         }
         for (id, stored_job) in ledger.jobs.iter().filter(|(_, stored_job)| stored_job.ended.is_none()) {
@@ -196,7 +199,7 @@
             target.missed_renewals = 0;
             target.expires = target.expires.max(expires);
             target.next_renewal = now;
-            self.unlisted.insert(key);
+            self.unlisted.insert(key, expires + ORDER_TIMEOUT);
         }
         self.dirty = true;
     }
@@ -248,7 +251,9 @@
         match self.by_id.get(&report.id).copied() {
             Some(key) if self.targets[key].report.incarnation == report.incarnation => {
                 let target = &mut self.targets[key];
-                let newer = report.supersedes(&target.report);
+                // Before its first report, an incarnation may be known from its answers alone.
+                let first = (report.sequence, target.report.sequence) == (0, 0);
+                let newer = first || report.supersedes(&target.report);
                 if target.report.state == TargetState::Left && !newer {
                     return;
                 }
@@ -261,7 +266,7 @@
                 }
             }
             Some(key) if self.targets[key].report.incarnation > report.incarnation => return,
-            Some(key) => self.succeed_target(now, key, report.clone(), "a later incarnation reported"),
+            Some(key) => self.replace_target(now, key, report.clone(), "a later incarnation reported"),
             None => {
                 self.add_target(report.clone(), now, now);
             }
@@ -276,8 +281,8 @@
         let target = &mut self.targets[key];
         match target.report.incarnation.cmp(&incarnation) {
             Ordering::Less => {
-                let report = target.report.successor(incarnation, TargetState::Left);
-                self.succeed_target(now, key, report, "a later incarnation has left");
+                let report = target.report.left_unreported(incarnation);
+                self.replace_target(now, key, report, "a later incarnation has left");
             }
             Ordering::Equal => {
                 log::info!(target = id, born = incarnation, runs = target.runs.len(); "board: target left");
@@ -479,20 +484,24 @@
     }
 
     /// Puts a later incarnation, as `report` describes it, in the place of a target. Runs that were confirmed ended with
-    /// the earlier one. A run whose last order has no answer may be on the later one: it holds its task until that one has
-    /// listed its runs, or until its lease is surely over.
-    fn succeed_target(&mut self, now: Time, key: TargetKey, report: TargetReport, why: &str) {
-        let awaited = self.unlisted.contains(&key);
+    /// the earlier one. A run that was not may be on the later one: it holds its task until that one has listed its runs,
+    /// or until its lease is surely over, wherever it was given.
+    fn replace_target(&mut self, now: Time, key: TargetKey, report: TargetReport, why: &str) {
+        let awaited_until = self.unlisted.get(&key).copied();
         let Some(target) = self.remove_target(key, why) else { return };
-        let next = self.add_target(report, now, now + self.settings.lease_expiry());
+        let hold = ORDER_TIMEOUT + self.settings.lease_expiry();
+        let may_go_on = |run: &Run| !run.confirmed && run.moved_at.is_none_or(|at| now - at < hold);
+        let (moved, ended): (Vec<_>, Vec<_>) = target.runs.into_iter().partition(|(_, run)| may_go_on(run));
+        let next = self.add_target(report, now, now + hold);
         // Runs of an earlier leader may be on the later incarnation too.
-        if awaited {
-            self.unlisted.insert(next);
+        if let Some(until) = awaited_until {
+            self.unlisted.insert(next, until);
+            if moved.is_empty() {
+                self.targets[next].expires = until;
+            }
         }
-        let (ended, unanswered): (Vec<_>, Vec<_>) =
-            target.runs.into_iter().partition(|(_, run)| run.state == RunState::Running);
-        for (task, run) in unanswered {
-            self.move_run(key, next, task, &run);
+        for (task, run) in moved {
+            self.move_run(now, key, next, task, &run);
         }
         for (task, _) in ended {
             self.requeue_task(now, key, task);
@@ -505,7 +514,7 @@
         let unanswered: Vec<String> = target
             .runs
             .iter()
-            .filter(|(_, run)| run.state != RunState::Running)
+            .filter(|(_, run)| !run.confirmed)
             .map(|(task, run)| format!("{task} run {} {:?}", run.number.0, run.state))
             .collect();
         log::info!(
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -1,9 +1,9 @@
 //! Handling of the outcomes of orders, and of the runs and ends that targets list.
 
 use super::table::TaskState;
-use super::{Board, EndRecord, JobEnd, OrderKind, Output};
-use crate::target::{ActiveRun, Denial, EndedRun, Listing, Order, Outcome, RunState};
-use crate::{RunEnd, RunNumber, TargetKey, TargetState, TaskId};
+use super::{Board, EndRecord, JobEnd, ORDER_TIMEOUT, OrderKind, Output};
+use crate::target::{ActiveRun, Denial, EndedRun, Listing, Order, Outcome, Run, RunState};
+use crate::{RunEnd, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 use std::time::Duration;
 
@@ -17,7 +17,7 @@
     pub fn on_outcome(&mut self, now: Time, order: &Order, sent_at: Time, outcome: Outcome) {
         let key = order.target;
         if !self.targets.contains_key(key) {
-            return;
+            return self.on_late_outcome(now, order, &outcome);
         }
         let clock = match &outcome {
             Outcome::Done { clock } => Some(*clock),
@@ -66,15 +66,26 @@
 
     /// Handles an order that has met a later incarnation of its target.
     fn on_replaced(&mut self, now: Time, key: TargetKey, kind: &OrderKind, later: u64, received: bool) {
-        if let OrderKind::Start { task, run, .. } = kind
-            && !received
-            && self.targets[key].runs.get(task).is_some_and(|known| known.number == *run)
-        {
-            self.targets[key].remove_run(task);
-            self.requeue_task(now, key, *task);
+        let unsent = match kind {
+            OrderKind::Start { task, run, .. } if !received => self.targets[key].take_run(task, *run),
+            _ => None,
+        };
+        let report = self.targets[key].report.unreported(later);
+        self.replace_target(now, key, report, "a later incarnation listens at its address");
+        if let Some(task) = unsent {
+            self.requeue_task(now, key, task);
+        }
+    }
+
+    /// Handles the outcome of an order whose target was replaced meanwhile: a run that was moved to the later incarnation
+    /// may be known not to have started.
+    fn on_late_outcome(&mut self, now: Time, order: &Order, outcome: &Outcome) {
+        let refused = matches!(outcome, Outcome::Denied { .. } | Outcome::Replaced { received: false, .. });
+        let OrderKind::Start { task, run, .. } = &order.kind else { return };
+        let Some(key) = self.by_id.get(&order.id).copied().filter(|_| refused) else { return };
+        if let Some(task) = self.targets[key].take_run(task, *run) {
+            self.requeue_task(now, key, task);
         }
-        let report = self.targets[key].report.successor(later, TargetState::Draining);
-        self.succeed_target(now, key, report, "a later incarnation listens at its address");
     }
 
     /// Handles a renewal without a listing. Only its answer may be lost, so the first one is repeated before the target
@@ -97,6 +108,7 @@
         match outcome {
             Outcome::Done { .. } | Outcome::Listed(_) if known.state == RunState::Starting => {
                 known.state = RunState::Running;
+                known.confirmed = true;
                 known.started_at = Some(now);
                 known.last_progress = now;
             }
@@ -152,8 +164,8 @@
         let target = &mut self.targets[key];
         match listing.incarnation {
             Some(incarnation) if incarnation > target.report.incarnation => {
-                let report = target.report.successor(incarnation, TargetState::Draining);
-                return self.succeed_target(now, key, report, "a later incarnation listed");
+                let report = target.report.unreported(incarnation);
+                return self.replace_target(now, key, report, "a later incarnation listed");
             }
             Some(incarnation) if incarnation < target.report.incarnation => {
                 return self.suspect_target(now, key, "an earlier incarnation listed");
@@ -169,7 +181,7 @@
         }
         target.truncated = listing.truncated;
         let whole = self.is_whole(listing);
-        if whole && self.unlisted.swap_remove(&key) && self.unlisted.is_empty() {
+        if whole && self.unlisted.swap_remove(&key).is_some() && self.unlisted.is_empty() {
             log::info!(token = self.token, now = now.as_micros(); "board: takeover of all targets is complete");
         }
         self.process_ends(now, key, &listing.ended);
@@ -390,7 +402,14 @@
     /// Updates the progress and checkpoint of a run, and stops a run that its job no longer needs.
     fn update_run(&mut self, now: Time, key: TargetKey, running: &ActiveRun) {
         let id = running.task;
-        if let Some(run) = self.targets[key].runs.get_mut(&id) {
+        let expires = now + self.settings.lease_expiry();
+        let target = &mut self.targets[key];
+        if let Some(run) = target.runs.get_mut(&id) {
+            run.confirmed = true;
+            if run.moved_at.take().is_some() {
+                run.lease_end = 0;
+                target.expires = target.expires.max(expires);
+            }
             if matches!(run.state, RunState::Starting | RunState::Unsure) {
                 run.state = RunState::Running;
                 run.started_at.get_or_insert(now);
@@ -428,14 +447,13 @@
     fn drop_missing_runs(&mut self, now: Time, key: TargetKey, sent_at: Time, listing: &Listing) {
         let listed = |task: &TaskId| listing.running.iter().any(|running| running.task == *task);
         let target = &self.targets[key];
-        let missing: Vec<_> = target
-            .runs
-            .iter()
-            .filter(|(task, _)| !listed(task))
-            .map(|(task, run)| (*task, run.state, run.sent, run.started_at, run.lease_end))
-            .collect();
-        for (task, state, order_sent, started_at, lease_end) in missing {
+        let missing: Vec<_> =
+            target.runs.iter().filter(|(task, _)| !listed(task)).map(|(task, run)| (*task, run.clone())).collect();
+        for (task, run) in missing {
+            let Run { state, sent: order_sent, started_at, lease_end, moved_at, .. } = run;
             let over = match state {
+                // The start can't arrive any more.
+                _ if moved_at.is_some_and(|at| sent_at >= at + ORDER_TIMEOUT) => true,
                 RunState::Starting => false,
                 // The order was answered before the renewal was sent, so the listing would show the run.
                 RunState::Running | RunState::Stopping => started_at.is_some_and(|started_at| started_at < sent_at),
--- a/crates/jobs/src/board/renewal.rs
+++ b/crates/jobs/src/board/renewal.rs
@@ -61,7 +61,7 @@
 
     /// Sets the time of the next renewal of a target, after a renewal has ended.
     pub(super) fn schedule_renewal(&mut self, now: Time, key: TargetKey) {
-        let awaited = self.unlisted.contains(&key);
+        let awaited = self.unlisted.contains_key(&key);
         let target = &mut self.targets[key];
         target.next_renewal = match target {
             // The rest of a truncated list comes only after the ends in it are recorded.
--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -22,10 +22,11 @@
         self.order(key, kind);
     }
 
-    /// Moves a run that may be active to a later incarnation of its target.
-    pub(super) fn move_run(&mut self, from: TargetKey, to: TargetKey, task: TaskId, run: &Run) {
-        // Its lease was given on the clock of the earlier incarnation, so only a stop can tell that it will not start.
-        let run = Run { state: RunState::Unsure, started_at: None, lease_end: u64::MAX, ..run.clone() };
+    /// Moves a run that may be active to a later incarnation of its target. Its lease was given on the clock of the earlier
+    /// one, so the later one does not refuse its start as late.
+    pub(super) fn move_run(&mut self, now: Time, from: TargetKey, to: TargetKey, task: TaskId, run: &Run) {
+        let moved_at = run.moved_at.or(Some(now));
+        let run = Run { state: RunState::Unsure, started_at: None, lease_end: u64::MAX, moved_at, ..run.clone() };
         self.targets[to].insert_run(task, run);
         let job = self.by_job.get(&task.job).copied();
         if let Some(placed) = job.and_then(|key| self.jobs[key].task_mut(task))
@@ -110,6 +111,8 @@
             need: required_resources(&step),
             state: RunState::Running,
             sent: now,
+            confirmed: true,
+            moved_at: None,
             started_at: None,
             lease_end: 0,
             percent,
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -278,6 +278,8 @@
             need: required_resources(step),
             state: RunState::Starting,
             sent: now,
+            confirmed: false,
+            moved_at: None,
             started_at: None,
             lease_end: until,
             percent: 0,
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -39,7 +39,9 @@
         let expired: Vec<TargetKey> = self
             .targets
             .iter()
-            .filter(|(key, target)| now >= target.expires && (!target.runs.is_empty() || self.unlisted.contains(key)))
+            .filter(|(key, target)| {
+                now >= target.expires && (!target.runs.is_empty() || self.unlisted.contains_key(key))
+            })
             .map(|(key, _)| key)
             .collect();
         for key in expired {
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -220,7 +220,7 @@
             Command::TargetLeft { id, incarnation } => match self.targets.get_mut(id) {
                 // The later incarnation may still work on an order that was meant for the earlier one.
                 Some(known) if known.incarnation < *incarnation => {
-                    *known = known.successor(*incarnation, TargetState::Left);
+                    *known = known.left_unreported(*incarnation);
                     self.absent_targets.swap_remove(id);
                     ApplyStatus::Changed
                 }
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -79,10 +79,16 @@
         !repeats && (self.incarnation, self.sequence) > (known.incarnation, known.sequence)
     }
 
-    /// Returns what is known of a later incarnation before it has reported: it may be of another kind, so it accepts no
-    /// runs in either `state`, draining or left.
-    pub(crate) fn successor(&self, incarnation: u64, state: TargetState) -> Self {
-        Self { incarnation, sequence: 0, state, ..self.clone() }
+    /// Returns what is known of a later incarnation from its answers alone. It may be of another kind, so it is draining
+    /// until its first report.
+    pub(crate) fn unreported(&self, incarnation: u64) -> Self {
+        Self { incarnation, sequence: 0, state: TargetState::Draining, ..self.clone() }
+    }
+
+    /// Returns what is known of a later incarnation that has left and has not reported before; reports that arrive after
+    /// that are late.
+    pub(crate) fn left_unreported(&self, incarnation: u64) -> Self {
+        Self { incarnation, sequence: u64::MAX, state: TargetState::Left, ..self.clone() }
     }
 
     /// Returns true if the two reports differ in more than their sequence numbers.
@@ -201,14 +207,14 @@
     Unreadable,
     /// No byte of the order reached the target.
     Unreached,
+    /// The target did not identify itself in time, so no byte of the order was sent.
+    Unidentified,
 }
 
 /// List of the runs of a target.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
     /// Incarnation of the target; `None` if the target did not report it.
-    /// The target did not identify itself in time, so no byte of the order was sent.
-    Unidentified,
     pub incarnation: Option<u64>,
     /// Clock of the target, in milliseconds.
     pub clock: u64,
@@ -273,6 +279,10 @@
     pub(crate) state: RunState,
     /// Time at which the last order for the run was sent.
     pub(crate) sent: Time,
+    /// True if this incarnation of the target has confirmed the run.
+    pub(crate) confirmed: bool,
+    /// Time at which the run was first moved to a later incarnation, on which it may be active.
+    pub(crate) moved_at: Option<Time>,
     /// Time at which the target answered the last order for the run.
     pub(crate) started_at: Option<Time>,
     /// End of the lease that the start carried, on the clock of the target in milliseconds.
@@ -408,6 +418,12 @@
         Some(run)
     }
 
+    /// Removes a run if it has this number, and returns its task.
+    pub(crate) fn take_run(&mut self, task: &TaskId, number: RunNumber) -> Option<TaskId> {
+        self.runs.get(task).filter(|run| run.number == number)?;
+        self.remove_run(task).map(|_| *task)
+    }
+
     pub(crate) fn insert_run(&mut self, task: TaskId, run: Run) {
         self.used += run.need;
         self.runs.insert(task, run);
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1005,3 +1005,213 @@
     harness.answer_listing(&renewal, Listing { running: vec![running], ..later_listing(10) });
     assert!(harness.starts().is_empty() && !harness.board.is_taking_over(), "the run is adopted");
 }
+
+fn run_until_start(
+    harness: &mut Harness,
+    id: &str,
+    limit: Duration,
+    mut each: impl FnMut(&mut Harness, Duration),
+) -> Duration {
+    let mut waited = Duration::ZERO;
+    loop {
+        let orders = harness.orders();
+        if orders.iter().any(is_start) {
+            return waited;
+        }
+        for order in orders {
+            let silent = order.id == id;
+            harness.finish(&order, if silent { Outcome::Unsure } else { Outcome::Listed(listing(500)) });
+        }
+        harness.advance(10);
+        waited += Duration::from_millis(10);
+        each(harness, waited);
+        if waited > limit {
+            return waited;
+        }
+    }
+}
+
+/// Guards against a second run while a start that arrived after the report of a later incarnation, which is then cut off,
+/// holds its lease.
+#[test]
+fn a_start_on_the_way_is_waited_for_from_its_arrival() {
+    let (mut harness, start) = Harness::start_one();
+    harness.board.on_report(harness.now, &later(&start.id));
+    let arrival = Duration::from_millis(100);
+    let waited = run_until_start(&mut harness, &start.id, Duration::from_secs(4), |_, _| {});
+    let settings = Settings::default();
+    let over = arrival + settings.lease + settings.lease / 50;
+    assert!(waited >= over, "started elsewhere after {waited:?}; the first run goes on until {over:?}");
+}
+
+/// Guards against a task that waits for a later incarnation on which its run can't be.
+#[test]
+fn a_stopped_run_that_was_confirmed_holds_no_task() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Done { clock: 500 });
+    harness.orders();
+    let mut stop = None;
+    for _ in 0..300 {
+        harness.advance(10);
+        for order in harness.orders() {
+            match order.kind {
+                OrderKind::Stop { .. } => stop = Some(order),
+                OrderKind::Renew { .. } if order.id == start.id => {
+                    let (task, run) = run_of(&start);
+                    let running = ActiveRun { task, run, ..ActiveRun::default() };
+                    harness.answer_listing(
+                        &order,
+                        Listing { running: vec![running], ..listing(500 + (harness.now.as_micros() / 1000 - 1000)) },
+                    );
+                }
+                _ => harness.finish(&order, Outcome::Listed(listing(500))),
+            }
+        }
+        if stop.is_some() {
+            break;
+        }
+    }
+    let stop = stop.expect("stalled");
+    harness.finish(&stop, Outcome::Done { clock: 2000 });
+    harness.board.on_report(harness.now, &later(&start.id));
+    let waited = run_until_start(&mut harness, &start.id, Duration::from_secs(4), |_, _| {});
+    assert_eq!(waited, Duration::ZERO);
+}
+
+/// Guards against a task that waits for as long as its target starts again every second, silent to orders.
+#[test]
+fn a_target_that_restarts_again_and_again_does_not_hold_a_task() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Replaced { incarnation: Some(2), received: true });
+    let id = start.id.clone();
+    let mut next = 3;
+    let waited = run_until_start(&mut harness, &id.clone(), Duration::from_secs(10), |harness, waited| {
+        if waited.as_millis() % 1000 == 0 && waited < Duration::from_secs(8) {
+            harness.board.on_report(harness.now, &TargetReport { incarnation: next, ..report(&id) });
+            next += 1;
+        }
+    });
+    assert!(waited < Duration::from_secs(3), "{waited:?}");
+}
+
+/// Guards against a takeover that lasts as long as one target starts again every second, silent to orders.
+#[test]
+fn a_takeover_ends_beside_a_target_that_restarts_again_and_again() {
+    let queues = Harness::open(&[]).queue;
+    let set = QueueSet { queues: vec![queues.clone()], ..QueueSet::default() };
+    let targets = ["w1", "w2"].into_iter().map(|id| (id.to_owned(), report(id))).collect();
+    let ledger = Ledger { queue_set: Some(Arc::new(set)), targets, ..Ledger::default() };
+    let now = Time::from_millis(1000);
+    let mut harness = Harness { board: Board::open(Settings::default(), 4, &ledger, now), queue: queues, now };
+    harness.queue.slack = 60_000;
+    harness.resubmit(1, 1, 6000, 60_000);
+    let mut next = 2;
+    let waited = run_until_start(&mut harness, "w1", Duration::from_secs(10), |harness, waited| {
+        if waited.as_millis() % 1000 == 0 && waited < Duration::from_secs(8) {
+            harness.board.on_report(harness.now, &TargetReport { incarnation: next, ..report("w1") });
+            next += 1;
+        }
+    });
+    assert!(waited < Duration::from_secs(3), "{waited:?}");
+}
+
+/// Guards against a target that stays unused after the first report of a later incarnation that has answered before.
+#[test]
+fn a_first_report_with_the_number_0_makes_the_target_usable() {
+    let (mut harness, start) = Harness::start_one();
+    harness.finish(&start, Outcome::Replaced { incarnation: Some(2), received: false });
+    for order in harness.orders() {
+        if order.id == start.id && !is_start(&order) {
+            harness.answer_listing(&order, later_listing(10));
+        }
+    }
+    harness.board.on_report(harness.now, &TargetReport { sequence: 0, ..later(&start.id) });
+    harness.advance(500);
+    for order in harness.orders() {
+        if order.id == start.id && !is_start(&order) {
+            harness.answer_listing(&order, later_listing(510));
+        }
+    }
+    harness.submit(2, 1, 16_000, 60_000);
+    assert_eq!(harness.starts().len(), 1);
+}
+
+/// Guards against a gang that waits for a later incarnation on which none of its runs can be.
+#[test]
+fn a_gang_of_which_one_start_was_not_sent_starts_again_at_once() {
+    let mut harness = Harness::open(&["w1", "w2"]);
+    let step = Step {
+        count: 2,
+        gang: true,
+        need: Resources { cpu: 1000, memory: 1, accelerators: 0 },
+        estimate: 100,
+        ..Step::default()
+    };
+    let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
+    let deadline = Some(harness.now + Duration::from_mins(1));
+    let submission = Submission { id: JobId(1), spec, deadline, reply_to: 1, first_attempt: true };
+    let queue = harness.queue.clone();
+    harness.board.admit(harness.now, submission, &queue);
+    let starts = harness.starts();
+    assert_eq!(starts.len(), 2);
+    assert_eq!(starts[0].id, starts[1].id);
+    harness.finish(&starts[0], Outcome::Done { clock: 500 });
+    harness.finish(&starts[1], Outcome::Replaced { incarnation: Some(2), received: false });
+    let waited = run_until_start(&mut harness, &starts[0].id, Duration::from_secs(4), |_, _| {});
+    assert_eq!(waited, Duration::ZERO);
+}
+
+/// Returns the milliseconds until the next start, after two starts had `outcome` at a target that then lists at once.
+fn wait_after_two(outcome: &Outcome) -> u64 {
+    let mut harness = Harness::open(&["w1"]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 2, 1000, 60_000);
+    for order in harness.orders() {
+        if is_start(&order) {
+            harness.finish(&order, outcome.clone());
+        } else {
+            harness.answer_listing(&order, listing(500));
+        }
+    }
+    let mut waited = 0;
+    while waited < 9000 {
+        let orders = harness.orders();
+        if orders.iter().any(is_start) {
+            break;
+        }
+        for order in orders {
+            let clock = 500 + harness.now.as_micros() / 1000 - 1000;
+            match order.kind {
+                OrderKind::Renew { .. } => {
+                    harness.board.on_outcome(harness.now, &order, harness.now, Outcome::Listed(listing(clock)));
+                }
+                _ => harness.finish(&order, Outcome::Done { clock }),
+            }
+        }
+        harness.advance(10);
+        waited += 10;
+    }
+    waited
+}
+
+/// Guards against targets that get no runs for seconds because they were slow to identify themselves.
+#[test]
+fn two_starts_not_written_in_time_do_not_eject_a_target() {
+    let unidentified = wait_after_two(&Outcome::Denied { why: mangogw_jobs::Denial::Unidentified, clock: None });
+    let unsure = wait_after_two(&Outcome::Unsure);
+    assert!(unidentified <= unsure, "{unidentified} ms, {unsure} ms when the outcome is unknown");
+}
+
+/// Guards against work that waits for nothing: the first of several starts that were not sent replaces their target.
+#[test]
+fn starts_that_were_not_sent_hold_no_tasks() {
+    let mut harness = Harness::open(&["w1", "w2"]);
+    harness.submit(1, 3, 4000, 60_000);
+    let starts = harness.starts();
+    assert!(starts.len() == 3 && starts.iter().all(|start| start.id == starts[0].id));
+    for start in &starts {
+        harness.finish(start, Outcome::Replaced { incarnation: Some(2), received: false });
+    }
+    let again = harness.starts();
+    assert_eq!(again.len(), 3, "tasks start elsewhere at once");
+}
--- a/crates/jobs/tests/ledger.rs
+++ b/crates/jobs/tests/ledger.rs
@@ -119,3 +119,13 @@
     ledger.apply(&report(6, 1, TargetState::Ready));
     assert!(ledger.absent_targets.is_empty());
 }
+
+/// Guards against a target that is in use again after it has left, because its only report was late.
+#[test]
+fn a_late_report_does_not_bring_back_a_target_that_has_left() {
+    let mut ledger = Ledger::default();
+    ledger.apply(&report(5, 3, TargetState::Ready));
+    ledger.apply(&Command::TargetLeft { id: "w1".to_owned(), incarnation: 6 });
+    ledger.apply(&report(6, 1, TargetState::Ready));
+    assert_eq!(ledger.targets["w1"].state, TargetState::Left);
+}
