An orphan run on a silent target holds its task no longer than its lease

Such a run keeps its task from starting, and only a list of the target ended that: the end of the lease concerned known runs only. With a target that is lost for good it was two hours (LOST).

Now an orphan run is forgotten once the lease is surely over that it had when it was last listed, or that this board has renewed since.

Ruled out: adoption (it takes place only before the stop). a_stopped_orphan_run_holds_its_task_no_longer_than_its_lease fails without the change (no start within 5 s) and passes with it. Not seen on whole processes.

--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -65,9 +65,11 @@
 
     pub(super) fn add_orphan(&mut self, key: TargetKey, task: TaskId, run: RunNumber, now: Time) {
         let target = &mut self.targets[key];
-        let orphan = target.orphans.entry(task).or_insert(OrphanRun { run, found: now, stop_sent: None });
+        let new = OrphanRun { run, found: now, listed: now, stop_sent: None };
+        let orphan = target.orphans.entry(task).or_insert_with(|| new.clone());
+        orphan.listed = now;
         if orphan.run < run {
-            *orphan = OrphanRun { run, found: now, stop_sent: None };
+            *orphan = new;
         }
     }
 
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -24,6 +24,7 @@
     /// Handles everything that depends on time alone; to be called every 10 ms.
     pub fn on_tick(&mut self, now: Time) {
         self.expire_targets(now);
+        self.expire_orphans(now);
         self.mark_absent(now);
         self.stop_stalled(now);
         self.update_fastest(now);
@@ -58,6 +59,15 @@
         }
     }
 
+    /// Forgets orphan runs whose lease has surely expired. Only this board can have renewed it since they were listed.
+    fn expire_orphans(&mut self, now: Time) {
+        let lease = self.settings.lease_expiry();
+        for target in self.targets.values_mut() {
+            let expires = target.expires;
+            target.orphans.retain(|_, orphan| now < expires.max(orphan.listed + lease));
+        }
+    }
+
     /// Marks targets as absent that can't run anything any more, so that a later leader does not wait for them: those that
     /// neither report nor answer, and those that have left. They stay in the ledger for a while, since an isolated zone
     /// may use silent ones, and late reports of those that have left must meet a record of that.
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -357,6 +357,8 @@
 pub(crate) struct OrphanRun {
     pub(crate) run: RunNumber,
     pub(crate) found: Time,
+    /// Time at which the target last listed it.
+    pub(crate) listed: Time,
     pub(crate) stop_sent: Option<Time>,
 }
 
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1215,3 +1215,31 @@
     let again = harness.starts();
     assert_eq!(again.len(), 3, "tasks start elsewhere at once");
 }
+
+/// Guards against a task that waits for as long as a target is silent on which a run of it was found and stopped.
+#[test]
+fn a_stopped_orphan_run_holds_its_task_no_longer_than_its_lease() {
+    let mut harness = Harness::open(&["w1", "w2"]);
+    harness.queue.slack = 60_000;
+    let task = TaskId { job: JobId(1), occurrence: 0, step: 0, index: 0 };
+    let running = ActiveRun { task, run: RunNumber::new(2, 1), ..ActiveRun::default() };
+    harness.board.reclaim_zone(harness.now, &Zone::from("a"));
+    for order in harness.orders() {
+        let running = if order.id == "w1" { vec![running.clone()] } else { Vec::new() };
+        harness.answer_listing(&order, Listing { running, ..listing(500) });
+    }
+    for _ in 0..70 {
+        harness.advance(10);
+        for order in harness.orders() {
+            let listed = |running| Outcome::Listed(Listing { running, ..listing(500) });
+            match order.kind {
+                OrderKind::Renew { .. } if order.id == "w1" => harness.finish(&order, listed(vec![running.clone()])),
+                OrderKind::Renew { .. } => harness.finish(&order, listed(Vec::new())),
+                _ => harness.finish(&order, Outcome::Unsure),
+            }
+        }
+    }
+    harness.resubmit(1, 1, 16_000, 60_000);
+    let waited = run_until_start(&mut harness, "w1", Duration::from_secs(5), |_, _| {});
+    assert!(waited < Duration::from_secs(3), "{waited:?}");
+}
