--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -165,19 +165,26 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
+/// Returns a simulation with long jobs whose clients use an entry host of another zone than the leader's, the leader, and
+/// the entry hosts of the other zones, that one first.
+fn serving_through_another_zone(seed: u64) -> (Simulation, usize, [usize; 2]) {
+    let mut sim = Simulation::new(seed, Faults { hang: 0.7, ..Faults::default() }, 36, 100, 0.0);
+    sim.job_timeout = Duration::from_secs(8);
+    sim.run_for(Duration::from_secs(3));
+    let leader = sim.leader().expect("the group has a leader without faults");
+    let entries = [1, 2].map(|other| CONTROL_HOSTS + (leader + other) % CONTROL_HOSTS);
+    sim.entry = Some(entries[0]);
+    sim.run_for(Duration::from_secs(3));
+    (sim, leader, entries)
+}
+
 /// Guards against two runs of one job: an entry host dies, its clients send again through another one, and the leader
 /// that gets their jobs by then can't reach the targets of the earlier leader.
 #[test]
 fn jobs_of_a_dead_entry_host_start_after_the_takeover() {
     trace();
     for (seed, delay) in (200..206).flat_map(|seed| [50, 150, 250].map(|delay| (seed, delay))) {
-        let mut sim = Simulation::new(seed, Faults { hang: 0.7, ..Faults::default() }, 36, 100, 0.0);
-        sim.job_timeout = Duration::from_secs(8);
-        sim.run_for(Duration::from_secs(3));
-        let leader = sim.leader().expect("the group has a leader without faults");
-        let entries = [1, 2].map(|other| CONTROL_HOSTS + (leader + other) % CONTROL_HOSTS);
-        sim.entry = Some(entries[0]);
-        sim.run_for(Duration::from_secs(3));
+        let (mut sim, leader, entries) = serving_through_another_zone(seed);
         sim.kill(entries[0], true, 5000);
         sim.entry = Some(entries[1]);
         sim.run_for(Duration::from_millis(delay));
@@ -209,13 +216,7 @@
 fn jobs_of_broken_connections_start_after_the_takeover() {
     trace();
     for (seed, delay) in (200..203).flat_map(|seed| [0, 3].map(|delay| (seed, delay))) {
-        let mut sim = Simulation::new(seed, Faults { hang: 0.7, ..Faults::default() }, 36, 100, 0.0);
-        sim.job_timeout = Duration::from_secs(8);
-        sim.run_for(Duration::from_secs(3));
-        let leader = sim.leader().expect("the group has a leader without faults");
-        let entry = CONTROL_HOSTS + (leader + 1) % CONTROL_HOSTS;
-        sim.entry = Some(entry);
-        sim.run_for(Duration::from_secs(3));
+        let (mut sim, leader, [entry, _]) = serving_through_another_zone(seed);
         sim.set_isolated(Some(leader));
         sim.run_for(Duration::from_millis(delay));
         sim.reset_connections(entry);
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -855,6 +855,15 @@
         (harness, start)
     }
 
+    /// Opens a board that takes targets `w1` and `w2` over from an earlier leader.
+    fn take_over_two() -> Self {
+        let Self { queue, now, .. } = Self::open(&[]);
+        let set = QueueSet { queues: vec![queue.clone()], ..QueueSet::default() };
+        let targets = ["w1", "w2"].into_iter().map(|id| (id.to_owned(), report(id))).collect();
+        let ledger = Ledger { queue_set: Some(Arc::new(set)), targets, ..Ledger::default() };
+        Self { board: Board::open(Settings::default(), 4, &ledger, now), queue, now }
+    }
+
     fn finish(&mut self, order: &Order, outcome: Outcome) {
         self.board.on_outcome(self.now, order, self.now, outcome);
     }
@@ -986,12 +995,7 @@
 /// Guards against a next leader that takes an answer of a later incarnation for a list of what runs there.
 #[test]
 fn a_takeover_waits_for_the_list_of_a_later_incarnation() {
-    let queues = Harness::open(&[]).queue;
-    let set = QueueSet { queues: vec![queues.clone()], ..QueueSet::default() };
-    let targets = ["w1", "w2"].into_iter().map(|id| (id.to_owned(), report(id))).collect();
-    let ledger = Ledger { queue_set: Some(Arc::new(set)), targets, ..Ledger::default() };
-    let now = Time::from_millis(1000);
-    let mut harness = Harness { board: Board::open(Settings::default(), 4, &ledger, now), queue: queues, now };
+    let mut harness = Harness::take_over_two();
     harness.resubmit(1, 1, 6000, 60_000);
     let orders = harness.orders();
     let (one, two) = (Harness::renewal_of(&orders, "w1", 1).unwrap(), Harness::renewal_of(&orders, "w2", 1).unwrap());
@@ -1097,12 +1101,7 @@
 /// Guards against a takeover that lasts as long as one target starts again every second, silent to orders.
 #[test]
 fn a_takeover_ends_beside_a_target_that_restarts_again_and_again() {
-    let queues = Harness::open(&[]).queue;
-    let set = QueueSet { queues: vec![queues.clone()], ..QueueSet::default() };
-    let targets = ["w1", "w2"].into_iter().map(|id| (id.to_owned(), report(id))).collect();
-    let ledger = Ledger { queue_set: Some(Arc::new(set)), targets, ..Ledger::default() };
-    let now = Time::from_millis(1000);
-    let mut harness = Harness { board: Board::open(Settings::default(), 4, &ledger, now), queue: queues, now };
+    let mut harness = Harness::take_over_two();
     harness.queue.slack = 60_000;
     harness.resubmit(1, 1, 6000, 60_000);
     let mut next = 2;
