The leader drops the calls of a host that has started again

What callers saw: the runs for clients of a killed entry host went on when its process was back within the host timeout (0.8 s), though these clients send again elsewhere after 1.3 s, possibly to a leader or an isolated zone that doesn't know the runs.

Cause: the leader tells a lost host by its silence, under an id that both lives share, and the new life's messages end the silence.

Ruled out: slow stops. With the host down for 5 s the same runs end within a second (runs_for_a_dead_host_end_within_a_second).

Change: a host names its incarnation in leader queries; a leader that hears of another one drops the calls of the earlier.

Tests of mangogw-control and mangogw-jobs pass.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -80,6 +80,7 @@
 pub(crate) struct Calls {
     zone: Zone,
     cpu_millicores: u32,
+    incarnation: u64,
     serial: u64,
     open: IndexMap<u64, OpenCall>,
     by_caller: IndexMap<Caller, u64>,
@@ -114,6 +115,7 @@
         Self {
             zone: settings.zone.clone(),
             cpu_millicores: settings.cpu_millicores,
+            incarnation: settings.seed,
             serial: settings.seed << 24,
             open: IndexMap::new(),
             by_caller: IndexMap::new(),
@@ -142,6 +144,7 @@
     /// Returns the message that asks who leads and describes this host.
     pub(crate) fn leader_query(&self, now: Time) -> Message {
         Message::FindLeader(HostInfo {
+            incarnation: self.incarnation,
             zone: self.zone.clone(),
             cpu_millicores: self.cpu_millicores,
             leaderless_for: now - self.group_seen,
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -305,6 +305,7 @@
         let Some(member) = &mut self.member else { return };
         self.forwarders.on_host_info(now, from, info);
         self.listeners.insert(from, now);
+        member.on_host_info(now, from, info);
         if member.raft.leader().is_none() {
             let is_member = member.status().members.folder_id(from).is_some();
             self.isolation.on_host_info(now, from, info, is_member);
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -4,7 +4,7 @@
 mod isolated;
 
 use crate::membership::Membership;
-use crate::{Call, HostMetrics, Message, Reply, Settings};
+use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
 use mangogw_jobs::{
@@ -84,6 +84,8 @@
     /// Open calls by the number under which the board replies.
     by_reply_to: IndexMap<u64, CallId>,
     by_call_id: IndexMap<CallId, u64>,
+    /// Last incarnation of each host that has asked for the leader.
+    incarnations: IndexMap<HostId, u64>,
     /// Calls received before the board was open.
     early_calls: Vec<EarlyCall>,
     /// Commands that the log refused for now; they are proposed again at the next tick.
@@ -113,6 +115,7 @@
             serial: settings.seed << 24,
             by_reply_to: IndexMap::new(),
             by_call_id: IndexMap::new(),
+            incarnations: IndexMap::new(),
             early_calls: Vec::new(),
             retries: Vec::new(),
             waiting_reads: Vec::new(),
@@ -303,6 +306,14 @@
         self.process_outputs(now);
     }
 
+    /// Records the leader query of a host, and drops the calls of its earlier incarnation.
+    pub(crate) fn on_host_info(&mut self, now: Time, host: HostId, info: &HostInfo) {
+        if self.incarnations.insert(host, info.incarnation).is_some_and(|known| known != info.incarnation) {
+            log::info!(host = host.0; "member: host has started again");
+            self.on_host_lost(now, host);
+        }
+    }
+
     /// Drops all calls of a lost host.
     pub(crate) fn on_host_lost(&mut self, now: Time, host: HostId) {
         let call_ids: Vec<CallId> = self.by_call_id.keys().copied().filter(|call_id| call_id.host == host).collect();
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -115,6 +115,8 @@
 /// State of a host, sent with its leader queries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostInfo {
+    /// Incarnation of the host: a random number of its process.
+    pub incarnation: u64,
     /// Availability zone of the host.
     pub zone: Zone,
     /// Processor of the host, in thousandths of a core.
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -157,6 +157,22 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
+/// Guards against runs that go on for clients that are gone: the host is back before the leader misses it.
+#[test]
+fn runs_for_a_host_that_starts_again_end_within_a_second() {
+    trace();
+    let mut sim = Simulation::new(3, Faults::default(), 36, 100, 0.0);
+    sim.entry = Some(CONTROL_HOSTS);
+    sim.run_for(Duration::from_secs(6));
+    while sim.oracle.running() < 4 {
+        sim.run_for(Duration::from_millis(10));
+    }
+    sim.kill(CONTROL_HOSTS, true, 300);
+    sim.stop_load();
+    sim.run_for(Duration::from_millis(850));
+    assert_eq!(sim.oracle.running(), 0);
+}
+
 /// Guards against a group that loses a voter for good with each disk that is full for a moment: after two of them, one
 /// after the other, there would be no majority.
 #[test]
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -32,6 +32,11 @@
         self.after(down, Event::Restart { host });
     }
 
+    /// Ends the load: no new jobs come.
+    pub fn stop_load(&mut self) {
+        self.load_end = self.now;
+    }
+
     /// Makes the disk of a control host refuse writes for a while.
     pub fn fill_disk(&mut self, host: usize, span: Duration) {
         self.nodes[host].full_until = self.now + span;
