A job counts as a first attempt only while no entry host may have been lost with it

Cause: `first_attempt` says that this entry host hasn't sent the call before; the leader took it to say that no earlier leader had the job.

Read only: the entry host counts its own sends rightly (`uncertain_sends`).

Change: a rule for every deployment. The ledger holds each entry host with its incarnation, before a leader runs a job that isn't stored for its clients (`HostJoined`), until nothing can run for them any more (`HostLost`, `isolation_timeout` after its last word). A new leader tells these hosts of itself; a leader query names the term that its sender follows, so that a late one proves nothing. During a takeover a first attempt is believed only if all hosts of the ledger have been heard in this term, in their incarnation, within the host timeout, which is less than the resend delay. Until then it is held, for at most 0.2 s; after that it waits for the takeover like any job that is sent again. A call of an incarnation that is gone is ignored.

Alternatives: each control host's own record of whom it heard (misses a host that only the earlier leader could hear); the start time of the entry host in its calls (the host that gets the second send has run all along); holding all jobs in each takeover.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -145,6 +145,7 @@
     pub(crate) fn leader_query(&self, now: Time) -> Message {
         Message::FindLeader(HostInfo {
             incarnation: self.incarnation,
+            term: self.term,
             zone: self.zone.clone(),
             cpu_millicores: self.cpu_millicores,
             leaderless_for: now - self.group_seen,
@@ -266,10 +267,8 @@
         }
         self.leader = leader;
         self.fenced_leader = None;
-        // A leader must learn the token of the isolated zone before it gets calls.
-        if self.isolated_token > 0 && from.is_some() {
-            self.sends.extend(leader.map(|leader| (leader, self.leader_query(now))));
-        }
+        // A leader must know this incarnation, and the token of the isolated zone, before it gets calls.
+        self.sends.extend(leader.map(|leader| (leader, self.leader_query(now))));
         self.resend(now);
     }
 
@@ -314,7 +313,7 @@
         let first_attempt = open.uncertain_sends == 0;
         open.sent = Some((leader, now));
         open.uncertain_sends += 1;
-        self.sends.push((leader, Message::Call { serial, first_attempt, call }));
+        self.sends.push((leader, Message::Call { serial, incarnation: self.incarnation, first_attempt, call }));
     }
 
     pub(crate) fn on_tick(&mut self, now: Time, member: bool) {
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -4,7 +4,7 @@
 use crate::forwarders::Forwarders;
 use crate::identity::{address_of, hosts_at, ip_of};
 use crate::isolated_zone::{IsolationMonitor, isolated_token_of};
-use crate::member::{CallId, Member, MemberOutput};
+use crate::member::{CallId, Member, MemberOutput, ReceivedCall};
 use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
 use indexmap::IndexMap;
 use mangogw_jobs::{Order, Outcome};
@@ -174,6 +174,9 @@
     pub fn on_tick(&mut self, now: Time) {
         if now - self.last_tick >= PAUSE_THRESHOLD {
             self.forwarders.reset_timeouts(now);
+            if let Some(member) = &mut self.member {
+                member.on_resumed(now);
+            }
         }
         self.last_tick = now;
         if let Some(member) = &mut self.member {
@@ -251,8 +254,9 @@
         match (message, &mut self.member) {
             (Message::Raft(message), Some(member)) => member.on_raft(now, from, message),
             (Message::Join { folder_id }, Some(member)) => member.on_join(now, from, folder_id),
-            (Message::Call { serial, first_attempt, call }, Some(member)) => {
-                if !member.on_call(now, CallId { host: from, serial }, call, first_attempt) {
+            (Message::Call { serial, incarnation, first_attempt, call }, Some(member)) => {
+                let call_id = CallId { host: from, serial };
+                if !member.on_call(now, ReceivedCall { call_id, incarnation, call, first_attempt }) {
                     self.send(from, Message::NotLeader { serial });
                     self.send_leader(from);
                 }
@@ -414,7 +418,11 @@
         }
         self.announced = Some(current);
         self.listeners.retain(|_, at| now - *at < LISTENER_TIMEOUT);
-        let listeners: Vec<HostId> = self.listeners.keys().copied().collect();
+        let entry_hosts =
+            member.ledger.hosts.iter().map(|(host, _)| *host).filter(|_| member.raft.role() == Role::Leader);
+        let mut listeners: Vec<HostId> = self.listeners.keys().copied().chain(entry_hosts).collect();
+        listeners.sort_unstable();
+        listeners.dedup();
         for host in listeners {
             self.send_leader(host);
         }
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -2,9 +2,10 @@
 
 mod entries;
 mod isolated;
+mod presence;
 
 use crate::membership::Membership;
-use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
+use crate::{Call, HostMetrics, Message, Reply, Settings};
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
 use mangogw_jobs::{
@@ -12,6 +13,7 @@
 };
 use mangogw_model::{HostId, Time, Zone};
 use mangogw_store::{DurableState, Index, Raft, Role, Status, Tag, Write, WriteId};
+use presence::Presence;
 use std::time::Duration;
 
 /// Interval at which the leader removes stored jobs whose retention time is over.
@@ -31,13 +33,15 @@
     pub(crate) serial: u64,
 }
 
-/// A call received by a new leader before its board was open.
+/// A call as it was received.
 #[derive(Debug)]
-struct EarlyCall {
-    call_id: CallId,
-    call: Call,
-    /// The call has not been sent before to any host that may have led.
-    first_attempt: bool,
+pub(crate) struct ReceivedCall {
+    pub(crate) call_id: CallId,
+    /// Incarnation of the sender.
+    pub(crate) incarnation: u64,
+    pub(crate) call: Call,
+    /// The sender has not sent the call before to any host that may have led.
+    pub(crate) first_attempt: bool,
 }
 
 /// An operation that waits for the replicated log.
@@ -84,10 +88,9 @@
     /// Open calls by the number under which the board replies.
     by_reply_to: IndexMap<u64, CallId>,
     by_call_id: IndexMap<CallId, u64>,
-    /// Last incarnation of each host that has asked for the leader.
-    incarnations: IndexMap<HostId, u64>,
-    /// Calls received before the board was open.
-    early_calls: Vec<EarlyCall>,
+    /// Calls that wait for the board to open, for their host to be in the ledger, or for the presence of other hosts.
+    early_calls: Vec<ReceivedCall>,
+    presence: Presence,
     /// Commands that the log refused for now; they are proposed again at the next tick.
     retries: Vec<PendingOp>,
     /// Reads that wait for the end of a job, each with its deadline.
@@ -115,8 +118,8 @@
             serial: settings.seed << 24,
             by_reply_to: IndexMap::new(),
             by_call_id: IndexMap::new(),
-            incarnations: IndexMap::new(),
             early_calls: Vec::new(),
+            presence: Presence::new(now),
             retries: Vec::new(),
             waiting_reads: Vec::new(),
             membership: Membership::new(settings.voters, now),
@@ -239,6 +242,8 @@
             self.last_expiry = now;
             self.expire(now);
         }
+        self.forget_lost_hosts(now);
+        self.take_early_calls(now);
         self.answer_reads(|_, until| now >= until);
         for pending in std::mem::take(&mut self.retries) {
             self.propose_pending(now, pending);
@@ -286,10 +291,10 @@
     }
 
     /// Handles a call, or holds it until the board is open. Returns false if this member does not lead.
-    pub(crate) fn on_call(&mut self, now: Time, call_id: CallId, call: Call, first_attempt: bool) -> bool {
+    pub(crate) fn on_call(&mut self, now: Time, received: ReceivedCall) -> bool {
         match (&self.board, self.raft.role()) {
-            (Some(_), _) => self.handle_call(now, call_id, call, first_attempt),
-            (None, Role::Leader) => self.early_calls.push(EarlyCall { call_id, call, first_attempt }),
+            (Some(_), _) => self.admit_call(now, received),
+            (None, Role::Leader) => self.early_calls.push(received),
             _ => return false,
         }
         self.process_outputs(now);
@@ -306,14 +311,6 @@
         self.process_outputs(now);
     }
 
-    /// Records the leader query of a host, and drops the calls of its earlier incarnation.
-    pub(crate) fn on_host_info(&mut self, now: Time, host: HostId, info: &HostInfo) {
-        if self.incarnations.insert(host, info.incarnation).is_some_and(|known| known != info.incarnation) {
-            log::info!(host = host.0; "member: host has started again");
-            self.on_host_lost(now, host);
-        }
-    }
-
     /// Drops all calls of a lost host.
     pub(crate) fn on_host_lost(&mut self, now: Time, host: HostId) {
         let call_ids: Vec<CallId> = self.by_call_id.keys().copied().filter(|call_id| call_id.host == host).collect();
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -1,6 +1,6 @@
 //! Handles the outputs of the replicated log (entries, confirmed reads, refusals, role changes) and of the board.
 
-use super::{EarlyCall, Member, MemberOutput, PendingOp, READ_WAIT, refusal};
+use super::{Member, MemberOutput, PendingOp, READ_WAIT, ReceivedCall, refusal};
 use crate::isolated_zone::token_of;
 use crate::membership::Membership;
 use crate::{Call, Message, Reply};
@@ -99,7 +99,7 @@
             }
         }
         if role != Role::Leader {
-            for EarlyCall { call_id, .. } in std::mem::take(&mut self.early_calls) {
+            for ReceivedCall { call_id, .. } in std::mem::take(&mut self.early_calls) {
                 self.outputs.push(MemberOutput::Send(call_id.host, Message::NotLeader { serial: call_id.serial }));
             }
         }
@@ -117,9 +117,7 @@
         self.board = Some(Board::open(self.settings.jobs.clone(), token, &self.ledger, now));
         self.reclaim_zones(now);
         self.membership = Membership::new(self.settings.voters, now);
-        for EarlyCall { call_id, call, first_attempt } in std::mem::take(&mut self.early_calls) {
-            self.handle_call(now, call_id, call, first_attempt);
-        }
+        self.on_board_opened(now);
     }
 
     fn apply(&mut self, now: Time, entry: &AppliedEntry) {
@@ -167,6 +165,9 @@
                 self.answer_reads(|id, _| applied.ended_jobs.iter().any(|(ended, _)| *ended == id));
             }
         }
+        if let Command::HostJoined { host, incarnation } | Command::HostLost { host, incarnation } = &command {
+            self.on_host_changed(now, *host, *incarnation);
+        }
         if let Some(PendingOp::Change(call_id, command)) = pending {
             let reply = match (command, applied.status) {
                 (Command::StoreJob { .. }, _) => Reply::Accepted,
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -117,6 +117,8 @@
 pub struct HostInfo {
     /// Incarnation of the host: a random number of its process.
     pub incarnation: u64,
+    /// Term of the leader that the host follows.
+    pub term: Term,
     /// Availability zone of the host.
     pub zone: Zone,
     /// Processor of the host, in thousandths of a core.
@@ -143,6 +145,8 @@
     Call {
         /// The sender's number for the call.
         serial: u64,
+        /// Incarnation of the sender.
+        incarnation: u64,
         /// True if the call has not been sent before to any host that may have led.
         first_attempt: bool,
         /// Client's call.
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -157,6 +157,28 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
+/// Guards against two runs of one job: an entry host dies, its clients send again through another one, and the leader
+/// that gets their jobs by then can't reach the targets of the earlier leader.
+#[test]
+fn jobs_of_a_dead_entry_host_start_after_the_takeover() {
+    trace();
+    for (seed, delay) in (200..206).flat_map(|seed| [50, 150, 250].map(|delay| (seed, delay))) {
+        let mut sim = Simulation::new(seed, Faults { hang: 0.7, ..Faults::default() }, 36, 100, 0.0);
+        sim.job_timeout = Duration::from_secs(8);
+        sim.run_for(Duration::from_secs(3));
+        let leader = sim.leader().expect("the group has a leader without faults");
+        let entries = [1, 2].map(|other| CONTROL_HOSTS + (leader + other) % CONTROL_HOSTS);
+        sim.entry = Some(entries[0]);
+        sim.run_for(Duration::from_secs(3));
+        sim.kill(entries[0], true, 5000);
+        sim.entry = Some(entries[1]);
+        sim.run_for(Duration::from_millis(delay));
+        sim.set_isolated(Some(leader));
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}, {delay} ms: {:#?}", sim.oracle.violations);
+    }
+}
+
 /// Guards against runs that go on for clients that are gone: the host is back before the leader misses it.
 #[test]
 fn runs_for_a_host_that_starts_again_end_within_a_second() {
@@ -173,6 +195,38 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
+/// Guards against a mend of the former that holds up jobs where no entry host is lost, or for longer than the takeover.
+#[test]
+fn jobs_are_served_around_the_loss_of_a_leader() {
+    trace();
+    let opened = |entry_killed: bool| {
+        let mut sim = Simulation::new(300, Faults::default(), 36, 100, 0.0);
+        sim.run_for(Duration::from_secs(6));
+        let leader = sim.leader().expect("the group has a leader without faults");
+        // The next leader waits for the list of this target for one lease.
+        sim.lose_target(5);
+        if entry_killed {
+            sim.kill(CONTROL_HOSTS, true, 5000);
+        }
+        sim.kill(leader, true, 5000);
+        while sim.leader().is_none() {
+            sim.run_for(Duration::from_millis(10));
+        }
+        sim
+    };
+    let mut sim = opened(false);
+    let before = sim.oracle.starts;
+    sim.run_for(Duration::from_millis(200));
+    assert!(sim.oracle.starts > before, "first attempts wait for the takeover");
+    let mut sim = opened(true);
+    let before = sim.oracle.starts;
+    sim.run_for(Duration::from_millis(1500));
+    assert!(sim.oracle.starts > before, "jobs wait for longer than the takeover");
+    let (ended, sent) = served(&mut sim, 4);
+    assert!(ended * 10 >= sent * 9, "{ended} of {sent}");
+    assert!(sim.oracle.violations.is_empty(), "{:#?}", sim.oracle.violations);
+}
+
 /// Guards against a group that loses a voter for good with each disk that is full for a moment: after two of them, one
 /// after the other, there would be no majority.
 #[test]
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -32,6 +32,12 @@
         self.after(down, Event::Restart { host });
     }
 
+    /// Crashes a target for good.
+    pub fn lose_target(&mut self, target: usize) {
+        self.oracle.on_crash((target, self.targets[target].report.incarnation));
+        self.targets[target].alive = false;
+    }
+
     /// Ends the load: no new jobs come.
     pub fn stop_load(&mut self) {
         self.load_end = self.now;
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -2,7 +2,7 @@
 
 use crate::{JobId, JobSpec, Phase, QueueSet, RunNumber, TargetReport, TargetState, TaskId};
 use indexmap::{IndexMap, IndexSet};
-use mangogw_model::Version;
+use mangogw_model::{HostId, Version};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -59,6 +59,20 @@
         /// Incarnation that has left.
         incarnation: u64,
     },
+    /// Note that a leader may run jobs for the clients of an incarnation of a host.
+    HostJoined {
+        /// Id of the host.
+        host: HostId,
+        /// Incarnation of the host.
+        incarnation: u64,
+    },
+    /// Note that an incarnation of a host is lost, and that nothing runs for its clients any more.
+    HostLost {
+        /// Id of the host.
+        host: HostId,
+        /// Incarnation of the host.
+        incarnation: u64,
+    },
 }
 
 /// Record of the end of one run that was done or failed.
@@ -124,6 +138,8 @@
     pub jobs: IndexMap<JobId, StoredJob>,
     /// Ids of absent targets: they are silent, and nothing that this group has started runs there.
     pub absent_targets: IndexSet<String>,
+    /// Hosts, each with its incarnation, for whose clients jobs that are not stored may run.
+    pub hosts: IndexSet<(HostId, u64)>,
 }
 
 impl StoredJob {
@@ -256,6 +272,14 @@
                 Some(_) => ApplyStatus::Unchanged,
                 None => ApplyStatus::Unknown,
             },
+            Command::HostJoined { host, incarnation } => match self.hosts.insert((*host, *incarnation)) {
+                true => ApplyStatus::Changed,
+                false => ApplyStatus::Unchanged,
+            },
+            Command::HostLost { host, incarnation } => match self.hosts.swap_remove(&(*host, *incarnation)) {
+                true => ApplyStatus::Changed,
+                false => ApplyStatus::Unchanged,
+            },
             Command::Expire(before) => {
                 self.jobs.retain(|_, stored_job| stored_job.ended.is_none_or(|(_, at)| at >= *before));
                 ApplyStatus::Changed
