Test that fails: a job of a broken connection starts beside its earlier run

What callers see: two runs of one task for a few milliseconds: the connection of a client breaks at the moment at which the leader is cut off. Its entry host drops the call and tells the leader, which doesn't get the message. The client sends again after 1.3 s through the same entry host, which says that it is a first attempt; the next leader starts it while the earlier leader's lease still runs.

Cause: `Calls` forgets a call with its connection, and then counts the next send of the job as the first.

--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -195,7 +195,28 @@
     assert_eq!(sim.oracle.running(), 0);
 }
 
-/// Guards against a mend of the former that holds up jobs where no entry host is lost, or for longer than the takeover.
+/// Guards against two runs of one job: the connection of its client breaks when the leader is cut off, which doesn't learn
+/// of it, and the client sends again through the same entry host.
+#[test]
+fn jobs_of_broken_connections_start_after_the_takeover() {
+    trace();
+    for (seed, delay) in (200..203).flat_map(|seed| [0, 3].map(|delay| (seed, delay))) {
+        let mut sim = Simulation::new(seed, Faults { hang: 0.7, ..Faults::default() }, 36, 100, 0.0);
+        sim.job_timeout = Duration::from_secs(8);
+        sim.run_for(Duration::from_secs(3));
+        let leader = sim.leader().expect("the group has a leader without faults");
+        let entry = CONTROL_HOSTS + (leader + 1) % CONTROL_HOSTS;
+        sim.entry = Some(entry);
+        sim.run_for(Duration::from_secs(3));
+        sim.set_isolated(Some(leader));
+        sim.run_for(Duration::from_millis(delay));
+        sim.reset_connections(entry);
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}, {delay} ms: {:#?}", sim.oracle.violations);
+    }
+}
+
+/// Guards against a mend of these that holds up jobs where no entry host is lost, or for longer than the takeover.
 #[test]
 fn jobs_are_served_around_the_loss_of_a_leader() {
     trace();
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -3,7 +3,7 @@
 use super::{
     CONNECTED_HOSTS, CONTROL_HOSTS, Event, Faults, HOSTS, PendingCall, RESEND_DELAY, Simulation, ZONES, apply_op, ip,
 };
-use mangogw_control::{ControlHost, joining_state};
+use mangogw_control::{Caller, ControlHost, joining_state};
 use mangogw_jobs::{JobId, TargetState};
 use mangogw_model::Time;
 use rand::RngExt;
@@ -32,6 +32,21 @@
         self.after(down, Event::Restart { host });
     }
 
+    /// Breaks the connections of all clients of a host, which send their jobs again.
+    pub fn reset_connections(&mut self, host: usize) {
+        let is_job = |pending: &PendingCall| matches!(pending, PendingCall::Job { .. });
+        let broken = self.pending_calls.extract_if(.., |_, (at, _, pending)| *at == host && is_job(pending));
+        for (caller, (.., pending)) in broken.collect::<Vec<_>>() {
+            if let Some(control_host) = &mut self.nodes[host].control_host {
+                control_host.on_disconnected(Caller(caller));
+            }
+            if let PendingCall::Job { id } = pending {
+                self.at(self.now + RESEND_DELAY, Event::SendJob(id));
+            }
+        }
+        self.process_effects(host);
+    }
+
     /// Crashes a target for good.
     pub fn lose_target(&mut self, target: usize) {
         self.oracle.on_crash((target, self.targets[target].report.incarnation));
