Orders reach a target that ends its connections with its answers and does not announce it

Callers saw 504, it is not known whether this was done, for each job on such targets, though nothing had started. Cause: a new connection carries an identifying request first; the target closed it with its answer, and an identified connection that turned out closed was the end of the order (Unidentified), each time. Ruled out: the announced end (Connection: close), which is followed on the next connection; lost answers, since hyper hands the request back unwritten.

Now an order that was not written goes to another connection, identified anew, within the time of the order: a target that restarted at that moment names its later incarnation there. A target that closes two connections in a row right after it has identified itself counts as one that ends each, like one that announces it, until a connection of it stays open. A target that closes a moment later may have read the order, which stays unsure; from its third order on it is known.

--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -30,13 +30,24 @@
 const DEADLINE_GRACE: Duration = Duration::from_millis(100);
 /// Size of the longest reply to a command that is read.
 const MAX_COMMAND_REPLY_BYTES: u64 = 4096;
+/// Connections in a row that a target closes right after it has identified itself, from which on it counts as one that
+/// ends each connection with its answer. A target that ends by itself closes one.
+const MAX_CLOSED_CONNECTIONS: u32 = 2;
 /// Most idle connections that are kept for one target.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
 /// Idle connections to all targets.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: Mutex<IndexMap<SocketAddr, Vec<Connection>>>,
+    targets: Mutex<IndexMap<SocketAddr, Connections>>,
+}
+
+/// Connections to one target.
+#[derive(Debug, Default)]
+struct Connections {
+    idle: Vec<Connection>,
+    /// Peer that has closed connections right after it had identified itself, and how many in a row.
+    closed: Option<(Peer, u32)>,
 }
 
 #[derive(Debug)]
@@ -44,6 +55,8 @@
     sender: SendRequest<Full<Bytes>>,
     last_used: Instant,
     peer: Peer,
+    /// Number of responses that have arrived on the connection.
+    responses: u32,
 }
 
 /// What the peer of a connection has said of its incarnation. A connection leads to one life of a process, so this holds
@@ -112,15 +125,22 @@
 /// Connection for a call.
 enum Route<A> {
     /// The connection leads to the incarnation that the call is meant for, or need not.
-    Open {
-        connection: Connection,
-        /// False if the connection may have been closed while it was idle.
-        is_new: bool,
-    },
+    Open(Connection, Stage),
     /// The peer gave this answer to the identifying request, which doesn't name the incarnation that the call is meant for.
     Mismatched(A),
 }
 
+/// State of a connection before a call, which tells why it may turn out to be closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// The connection is new.
+    New,
+    /// The peer has answered the identifying request: it may end its connections with each answer, or have ended itself.
+    Identified,
+    /// The connection was idle.
+    Idle,
+}
+
 /// Command about an attempt that a target runs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptCommand {
@@ -206,7 +226,8 @@
     /// the time until it is written, and again that until the response is there.
     ///
     /// A call that needs it is written only to a connection whose peer has identified itself as the incarnation that the
-    /// call is meant for, or as one that names none. A new connection carries the identifying request first.
+    /// call is meant for, or as one that names none. A new connection carries the identifying request first. If it turns
+    /// out to be closed before the call is written, the next one does so again.
     ///
     /// # Errors
     /// [`CallError`], which tells whether a byte of the call may have reached the target.
@@ -227,17 +248,21 @@
                     return Err(CallError::Unidentified);
                 }
             };
-            let (mut connection, is_new) = match route {
-                Route::Open { connection, is_new } => (connection, is_new),
+            let (mut connection, stage) = match route {
+                Route::Open(connection, stage) => (connection, stage),
                 Route::Mismatched(answer) => return Ok(Reply::Mismatched(answer)),
             };
-            match timeout(time_limit, connection.exchange(request, max_bytes)).await {
+            let exchange = timeout(time_limit, connection.exchange(request, max_bytes)).await;
+            if stage == Stage::Identified && matches!(exchange, Ok(Exchange::Unsent(_) | Exchange::Lost)) {
+                self.note_closed(address, connection.peer);
+            }
+            match exchange {
                 Ok(Exchange::Answered(response)) => {
                     let answer = connection.decode(call, &response);
                     self.put_back(address, connection);
                     return Ok(Reply::Answered(answer));
                 }
-                Ok(Exchange::Unsent(unsent)) if !is_new => request = unsent,
+                Ok(Exchange::Unsent(unsent)) if stage != Stage::New => request = unsent,
                 Ok(Exchange::Unsent(_)) if call.needs_identification() => return Err(CallError::Unidentified),
                 Ok(Exchange::Unsent(_)) => return Err(CallError::Unsent),
                 Ok(Exchange::Lost) => return Err(CallError::MaybeSent),
@@ -257,12 +282,12 @@
         max_bytes: u64,
     ) -> Result<Route<C::Answer>, CallError> {
         loop {
-            let (mut connection, is_new) = match self.take_idle(address, Some(call.incarnation())) {
-                Some(connection) => (connection, false),
-                None => (connect(address).await.ok_or(CallError::Unsent)?, true),
+            let (mut connection, stage) = match self.take_idle(address, Some(call.incarnation())) {
+                Some(connection) => (connection, Stage::Idle),
+                None => (connect(address).await.ok_or(CallError::Unsent)?, Stage::New),
             };
             if connection.peer != Peer::Unknown || !call.needs_identification() {
-                return Ok(Route::Open { connection, is_new });
+                return Ok(Route::Open(connection, stage));
             }
             let request = call.identification().ok_or(CallError::Unidentified)?;
             match connection.exchange(request, max_bytes).await {
@@ -273,14 +298,14 @@
                         self.put_back(address, connection);
                         return Ok(Route::Mismatched(answer));
                     }
-                    if closes_connection(&response) {
+                    if closes_connection(&response) || self.closes_connections(address, peer) {
                         // Such a target can only be called on another connection than the one that identified it.
                         let connection = connect(address).await.ok_or(CallError::Unidentified)?;
-                        return Ok(Route::Open { connection: Connection { peer, ..connection }, is_new: true });
+                        return Ok(Route::Open(Connection { peer, ..connection }, Stage::New));
                     }
-                    return Ok(Route::Open { connection, is_new });
+                    return Ok(Route::Open(connection, Stage::Identified));
                 }
-                Exchange::Unsent(_) if is_new => return Err(CallError::Unsent),
+                Exchange::Unsent(_) if stage == Stage::New => return Err(CallError::Unsent),
                 Exchange::Unsent(_) => {}
                 Exchange::Lost => return Err(CallError::Unidentified),
             }
@@ -340,34 +365,60 @@
         }
     }
 
-    /// Takes an idle connection, and closes those to other incarnations than the wanted one.
+    /// Takes an idle connection, and closes those to other incarnations than the wanted one. One of a target that closes
+    /// its connections is only taken if it has stayed open for a while.
     fn take_idle(&self, address: SocketAddr, wanted: Option<u64>) -> Option<Connection> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.get_mut(&address)?;
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let Connections { idle, closed } = targets.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|connection| {
+        idle.retain(|connection| {
             !connection.sender.is_closed()
                 && now - connection.last_used < IDLE_TIMEOUT
                 && !wanted.is_some_and(|wanted| connection.peer.differs_from(wanted))
         });
-        let ready = connections.iter().rposition(|connection| connection.sender.is_ready())?;
-        Some(connections.swap_remove(ready))
+        let min_idle =
+            if closed.is_some_and(|(_, count)| count >= MAX_CLOSED_CONNECTIONS) { ACK_TIMEOUT } else { Duration::ZERO };
+        let is_usable =
+            |connection: &Connection| connection.sender.is_ready() && now - connection.last_used >= min_idle;
+        let usable = idle.iter().rposition(is_usable)?;
+        Some(idle.swap_remove(usable))
     }
 
     fn put_back(&self, address: SocketAddr, mut connection: Connection) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let connections = idle.entry(address).or_default();
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = targets.entry(address).or_default();
         connection.last_used = Instant::now();
-        if connections.len() < MAX_IDLE_CONNECTIONS {
-            connections.push(connection);
+        if connection.responses > 1 {
+            connections.closed = None;
+        }
+        if connections.idle.len() < MAX_IDLE_CONNECTIONS {
+            connections.idle.push(connection);
         }
     }
 
-    /// Drops all idle connections of a target after one of its connections timed out. Whatever lost the state of one
+    /// Notes that a peer has closed a connection right after it had identified itself.
+    fn note_closed(&self, address: SocketAddr, peer: Peer) {
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let closed = &mut targets.entry(address).or_default().closed;
+        let count = closed.filter(|(known, _)| *known == peer).map_or(0, |(_, count)| count);
+        *closed = Some((peer, count + 1));
+        if count + 1 == MAX_CLOSED_CONNECTIONS {
+            log::info!(address:%, peer:?; "pool: target closes its connections; each order goes to a further one");
+        }
+    }
+
+    /// Returns true if the peer ends each connection with its answer, without announcing that.
+    fn closes_connections(&self, address: SocketAddr, peer: Peer) -> bool {
+        let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        let closed = targets.get(&address).and_then(|connections| connections.closed);
+        closed.is_some_and(|(known, count)| known == peer && count >= MAX_CLOSED_CONNECTIONS)
+    }
+
+    /// Drops all that is known of the connections of a target after one of its connections timed out. Whatever lost the state of one
     /// connection may have lost that of all, while new connections work.
     fn drop_idle(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.swap_remove(&address);
+        let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
+        targets.swap_remove(&address);
     }
 }
 
@@ -376,6 +427,7 @@
     async fn exchange(&mut self, request: Request<Full<Bytes>>, max_bytes: u64) -> Exchange {
         match self.sender.try_send_request(request).await {
             Ok(response) => {
+                self.responses = self.responses.saturating_add(1);
                 let (head, body) = response.into_parts();
                 let body = collect(body, max_bytes).await;
                 body.map_or(Exchange::Lost, |body| Exchange::Answered(Response::from_parts(head, body)))
@@ -426,7 +478,7 @@
             log::debug!(address:%, error:%; "pool: connection to a target ended with an error");
         }
     });
-    Some(Connection { sender, last_used: Instant::now(), peer: Peer::Unknown })
+    Some(Connection { sender, last_used: Instant::now(), peer: Peer::Unknown, responses: 0 })
 }
 
 /// Reads a whole body; [`AttemptReport::TooLarge`] if it is longer than `max_bytes`, [`AttemptReport::Truncated`] if
