A job of which no start was taken is refused, not given up as unknown

Callers saw 504, it is not known whether this was done, at their deadline, for jobs whose starts the targets had all refused or never got: a job counted as started from its first order on, so that neither its end nor a lack of room refused it.

A job now counts the runs that have started or may have. A refused start takes its run off, unless the target calls the run old (it may have ended or stopped it itself), or the run is of an earlier submission of the job. Such a job is refused like one that waits: 503 with Retry-After, nothing has run. Ruled out as a source of false refusals: starts without an answer, moved runs and adopted runs, which all keep counting; a job that an earlier leader may have had is still answered as unclear by its entry host.

a_job_of_which_no_start_was_taken_is_refused failed before (no answer within the client's 600 ms after Denied Unidentified). a_late_refusal_of_an_earlier_submission_leaves_the_job_started guards the other side: it fails without the check that the run is the job's own.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -356,7 +356,7 @@
         let job = &mut self.jobs[key];
         job.recipients.retain(|other| *other != reply_to);
         if job.recipients.is_empty() && !job.stored {
-            log::info!(job:% = job.id, started = job.started; "board: job dropped; its client disconnected");
+            log::info!(job:% = job.id, started = job.is_started(); "board: job dropped; its client disconnected");
             self.counts.dropped += 1;
             self.drop_job(now, key);
         }
@@ -370,12 +370,12 @@
     /// Returns the phase of an active job; `None` if the job is not active.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         let job = &self.jobs[*self.by_job.get(&id)?];
-        Some(if job.started { Phase::Running } else { Phase::Pending })
+        Some(if job.is_started() { Phase::Running } else { Phase::Pending })
     }
 
     /// Returns the number of jobs of a queue that have started no task yet.
     pub fn pending_jobs(&self, queue: &str) -> usize {
-        self.jobs.values().filter(|job| !job.started && job.queue == queue).count()
+        self.jobs.values().filter(|job| !job.is_started() && job.queue == queue).count()
     }
 
     /// Starts waiting tasks, renews leases that are due, and returns the actions since the last call.
--- a/crates/jobs/src/board/forecast.rs
+++ b/crates/jobs/src/board/forecast.rs
@@ -69,7 +69,7 @@
             let job = &self.jobs[key];
             let Some(load) = loads.get_mut(job.pool.as_str()).filter(|load| load.is_full()) else { continue };
             let spare = (rank.latest_start() - now).as_secs_f64() * 1000.0;
-            let refusable = !job.stored && !job.started && rank.class() == PriorityClass::Timely;
+            let refusable = !job.stored && !job.is_started() && rank.class() == PriorityClass::Timely;
             match WAIT_MARGIN * load.ahead / load.rate > spare {
                 true if refusable => drop(without_room.insert(key)),
                 _ => load.ahead += waiting_work(job, load),
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -73,7 +73,8 @@
         let report = self.targets[key].report.unreported(later);
         self.replace_target(now, key, report, "a later incarnation listens at its address");
         if let Some(task) = unsent {
-            self.requeue_task(now, key, task);
+            let refusal = Outcome::Replaced { incarnation: Some(later), received };
+            self.requeue_refused(now, key, task, &refusal);
         }
     }
 
@@ -84,7 +85,7 @@
         let OrderKind::Start { task, run, .. } = &order.kind else { return };
         let Some(key) = self.by_id.get(&order.id).copied().filter(|_| refused) else { return };
         if let Some(task) = self.targets[key].take_run(task, *run) {
-            self.requeue_task(now, key, task);
+            self.requeue_refused(now, key, task, outcome);
         }
     }
 
@@ -138,7 +139,7 @@
                 if matches!(why, Denial::Room | Denial::Late | Denial::Unreached | Denial::Unidentified) {
                     self.suspect_target(now, key, "start refused");
                 }
-                self.requeue_task(now, key, task);
+                self.requeue_refused(now, key, task, outcome);
             }
         }
     }
@@ -279,7 +280,7 @@
                 if matches!(task.state, TaskState::Waiting) {
                     job.remove_waiting(end.task);
                 }
-                job.started = true;
+                job.runs = job.runs.max(1);
                 job.task_mut(end.task)?.state = TaskState::RecordingDone;
                 Some(EndRecord { task: end.task, run: end.run, done: true, recorded_ms })
             }
--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -3,7 +3,7 @@
 use super::Board;
 use super::table::{JobKey, TaskState};
 use crate::placement::{expected_millis, required_resources, stall_timeout};
-use crate::target::{OrderKind, OrphanRun, Run, RunState};
+use crate::target::{Denial, OrderKind, OrphanRun, Outcome, Run, RunState};
 use crate::{RunEnd, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 
@@ -51,6 +51,19 @@
         }
     }
 
+    /// Returns a task to the waiting tasks, after the order to start its run on the target had this outcome, a refusal.
+    pub(super) fn requeue_refused(&mut self, now: Time, target: TargetKey, id: TaskId, outcome: &Outcome) {
+        let Some(key) = self.by_job.get(&id.job).copied() else { return };
+        let job = &mut self.jobs[key];
+        // The run may be of an earlier submission of the job.
+        let placed = job.task_mut(id).is_some_and(|task| task.state == TaskState::Placed(target));
+        // A target that calls a run old may have ended or stopped it itself.
+        if placed && !matches!(outcome, Outcome::Denied { why: Denial::Old, .. }) {
+            job.runs = job.runs.saturating_sub(1);
+        }
+        self.requeue_task(now, target, id);
+    }
+
     /// Stops the other members of a gang, which work only together and restart together.
     pub(super) fn stop_gang(&mut self, now: Time, key: JobKey, id: TaskId) {
         let job = &self.jobs[key];
@@ -105,7 +118,7 @@
         if !job.remove_waiting(id) {
             return false;
         }
-        job.started = true;
+        job.runs += 1;
         job.task_mut(id).expect("a waiting task is in the table of its job").state = TaskState::Placed(at);
         let expected = expected_millis(&self.targets[at], &step, self.settings.remote_factor);
         let run = Run {
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -290,7 +290,7 @@
         target.insert_run(id, run);
         target.next_renewal = target.next_renewal.min(now);
         job.remove_waiting(id);
-        job.started = true;
+        job.runs += 1;
         job.first_start.get_or_insert(now);
         let payload = Arc::clone(&job.payload);
         let task = job.task_mut(id).expect("a waiting task is in the table of its job");
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -29,7 +29,8 @@
     pub(crate) stored: bool,
     /// True if no earlier leader received the job, so that none of its tasks can be running.
     pub(crate) first_attempt: bool,
-    pub(crate) started: bool,
+    /// Number of runs of its tasks that have started or may have; those that were surely refused don't count.
+    pub(crate) runs: u32,
     /// Time of the first start of a task by this leader.
     pub(crate) first_start: Option<Time>,
     /// Numbers under which answers to clients are due.
@@ -99,7 +100,7 @@
             deadline: None,
             stored,
             first_attempt: false,
-            started: false,
+            runs: 0,
             first_start: None,
             recipients: SmallVec::new(),
             occurrences: IndexMap::new(),
@@ -114,7 +115,7 @@
         {
             let spec = Arc::clone(&self.spec);
             self.occurrences.entry(occurrence).or_insert_with(|| Occurrence::new(&spec));
-            self.started = true;
+            self.runs = self.runs.max(1);
         }
         for ((occurrence, step), done) in &stored_job.done {
             for index in done {
@@ -160,6 +161,11 @@
         Time::ZERO + Duration::from_millis(self.spec.due(occurrence).saturating_sub(wall_offset))
     }
 
+    /// Returns true if a task of the job has run or may have.
+    pub(crate) const fn is_started(&self) -> bool {
+        self.runs > 0
+    }
+
     pub(crate) fn step_mut(&mut self, id: TaskId) -> Option<&mut StepTasks> {
         self.occurrences.get_mut(&id.occurrence)?.steps.get_mut(id.step as usize)
     }
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -126,12 +126,12 @@
             .filter_map(|(key, job)| {
                 let left = Duration::from_millis(job.remaining_path());
                 let class = job.deadlines.rank(now, left).class();
-                let refused = !job.started
+                let refused = !job.is_started()
                     && (class == PriorityClass::Expired
                         || crowded && class == PriorityClass::Late
                         || without_room.contains(&key));
                 let timed_out = job.deadline.is_some_and(|deadline| now >= deadline);
-                (refused || timed_out).then_some((key, job.started))
+                (refused || timed_out).then_some((key, job.is_started()))
             })
             .collect();
         for (key, started) in over {
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1242,3 +1242,64 @@
     let waited = run_until_start(&mut harness, "w1", Duration::from_secs(5), |_, _| {});
     assert!(waited < Duration::from_secs(3), "{waited:?}");
 }
+
+/// Submits a job whose starts all have the given outcome, and returns whether it is refused before its client leaves.
+fn is_refused_after(outcome: &Outcome) -> bool {
+    let mut harness = Harness::open(&["w1"]);
+    harness.submit(1, 2, 6000, 600);
+    for _ in 0..59 {
+        for output in harness.board.drain(harness.now) {
+            match output {
+                Output::Answer { reply_to: 1, end } => return matches!(end, JobEnd::Refused(_)),
+                Output::Order(order) if is_start(&order) => harness.finish(&order, outcome.clone()),
+                Output::Order(order) => harness.finish(&order, Outcome::Listed(listing(500))),
+                _ => {}
+            }
+        }
+        harness.advance(10);
+    }
+    false
+}
+
+/// Guards against a client that is told that its job may have run, though its targets took none of the starts.
+#[test]
+fn a_job_of_which_no_start_was_taken_is_refused() {
+    use mangogw_jobs::Denial;
+    for why in [Denial::Unidentified, Denial::Unreached, Denial::Room, Denial::Late, Denial::Unwell] {
+        assert!(is_refused_after(&Outcome::Denied { why, clock: None }), "{why:?}");
+    }
+    assert!(!is_refused_after(&Outcome::Unsure), "a start without an answer may have been carried out");
+    assert!(!is_refused_after(&Outcome::Denied { why: Denial::Old, clock: None }), "the target knows the run");
+}
+
+/// Guards against a refusal of a job that runs: a start for an earlier submission of it was refused late.
+#[test]
+fn a_late_refusal_of_an_earlier_submission_leaves_the_job_started() {
+    let refusal = Outcome::Denied { why: mangogw_jobs::Denial::Unidentified, clock: None };
+    let mut harness = Harness::open(&["w1"]);
+    harness.submit(1, 2, 6000, 600);
+    let starts = harness.starts();
+    harness.finish(&starts[0], Outcome::Done { clock: 500 });
+    harness.board.on_disconnected(harness.now, 1);
+    let stopped = run_of(&starts[0]);
+    let ended =
+        EndedRun { number: 1, task: stopped.0, run: stopped.1, run_end: RunEnd::Stopped, checkpoint: String::new() };
+    let renewal = Order { kind: OrderKind::Renew { until: None, seen: 0, wait: Duration::ZERO }, ..starts[0].clone() };
+    harness.finish(&renewal, Outcome::Listed(Listing { ended: vec![ended], ..listing(500) }));
+    harness.submit(1, 2, 6000, 600);
+    let again = harness.starts();
+    assert_eq!(again.len(), 1, "the other task waits for its earlier start");
+    harness.finish(&again[0], Outcome::Unsure);
+    harness.finish(&starts[1], refusal.clone());
+    for _ in 0..59 {
+        for output in harness.board.drain(harness.now) {
+            match output {
+                Output::Answer { end, .. } => panic!("{end:?}, though a run of it may go on"),
+                Output::Order(order) if is_start(&order) => harness.finish(&order, refusal.clone()),
+                Output::Order(order) => harness.finish(&order, Outcome::Unsure),
+                _ => {}
+            }
+        }
+        harness.advance(10);
+    }
+}
