A target that is slow to answer is told from a silent one

Callers of a service whose targets answer after 200 ms saw 503 no room in time, or 504, for almost every job: each call ended after 150 ms, a target with two such renewals counted as silent, and no later answer could change that. Cause: one bound for all targets, in the adapter, which the board could not see.

The time limit of a call is now a decision of the board, part of the order: 150 ms, twice the last round trip up to 300 ms, and 300 ms once two renewals in a row had no answer. A lease of a second has room for two such calls. Targets that answer in under 75 ms are called as before; a silent one is called with the longer limit after it is suspected. The bound on an order that is on its way (ORDER_TIMEOUT) becomes 600 ms for orders that are written up to 300 ms late, as it was 450 ms for 150 ms; forwarders and board share the constant.

a_target_that_is_slow_to_answer_gets_runs: with the old limit for all (MAX_CALL_TIMEOUT at 150 ms) no start in 2 s at 200 ms. the_time_limit_of_calls_follows_the_last_answer guards targets that are fast again. Orders have a new field, so hosts of earlier sources can't be in one group with these.

--- a/crates/control/src/forwarders.rs
+++ b/crates/control/src/forwarders.rs
@@ -7,15 +7,12 @@
 
 use crate::HostInfo;
 use indexmap::IndexMap;
-use mangogw_jobs::{Order, OrderKind};
+use mangogw_jobs::{ORDER_TIMEOUT, Order, OrderKind};
 use mangogw_model::{HostId, Time, Zone};
 use std::time::Duration;
 
 /// Time without a message after which a forwarder gets no orders. Each sends a leader query every 150 ms.
 const FORWARDER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which an order without an outcome is unsure, in addition to the wait that the order allows its target. A
-/// forwarder itself gives up after 300 ms.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 
 #[derive(Debug)]
 struct Forwarder {
@@ -89,7 +86,8 @@
         lost
     }
 
-    /// Assigns an order its number and, if `forward` is true, a forwarder; `None` if this host sends the order itself.
+    /// Assigns an order its number and, if `forward` is true, a forwarder; `None` if this host sends the order itself. The
+    /// order is unsure if it has no outcome [`ORDER_TIMEOUT`] after the wait that it allows its target.
     pub(crate) fn assign(&mut self, now: Time, order: &Order, forward: bool) -> (u64, Option<HostId>) {
         let forwarder = if forward { self.choose(order) } else { None };
         self.last_number += 1;
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -10,7 +10,7 @@
 
 use crate::health::Health;
 use crate::queue::RouteIndex;
-use crate::target::{Order, OrderKind, Run, RunState, Target};
+use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
     Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
     TargetKey, TargetReport, TargetState, TaskId,
@@ -31,8 +31,6 @@
 /// Minimum time between two throttled passes, added once more per [`THROTTLE_THRESHOLD`] waiting jobs: a pass visits
 /// each of them.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(2);
-/// Longest time for which an order without an outcome may be on its way to a target: the bound of the forwarders.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
 /// Time after which the client of a refused job may retry: 1 s, the shortest time that the header can express.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -460,7 +458,7 @@
         if self.fenced {
             return;
         }
-        let report = &self.targets[key].report;
+        let Target { report, call_timeout, .. } = &self.targets[key];
         let order = Order {
             target: key,
             id: report.id.clone(),
@@ -468,6 +466,7 @@
             address: report.address,
             zone: report.zone.clone(),
             token: self.token,
+            time_limit: call_timeout.as_millis() as u64,
             kind,
         };
         self.outputs.push(Output::Order(order));
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -1,8 +1,8 @@
 //! Handling of the outcomes of orders, and of the runs and ends that targets list.
 
 use super::table::TaskState;
-use super::{Board, EndRecord, JobEnd, ORDER_TIMEOUT, OrderKind, Output};
-use crate::target::{ActiveRun, Denial, EndedRun, Listing, Order, Outcome, Run, RunState};
+use super::{Board, EndRecord, JobEnd, OrderKind, Output};
+use crate::target::{ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, Outcome, Run, RunState};
 use crate::{RunEnd, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 use std::time::Duration;
@@ -28,6 +28,9 @@
         let before = self.targets[key].last_answer;
         if let Some(clock) = clock {
             self.targets[key].update_clock(clock, sent_at, now);
+            if !order.kind.may_wait() {
+                self.targets[key].note_round_trip(now - sent_at);
+            }
         }
         if matches!(order.kind, OrderKind::Renew { .. }) {
             self.targets[key].renewal_sent = None;
@@ -96,6 +99,7 @@
         target.missed_renewals += 1;
         self.counts.missed_renewals += 1;
         if *outcome != Outcome::Unsure || target.missed_renewals >= MISSES_BEFORE_SUSPECTED {
+            target.allow_slow_answer();
             self.suspect_target(now, key, &format!("renewal {outcome:?}"));
         }
         self.schedule_renewal(now, key);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,5 +37,6 @@
 pub use resources::Resources;
 pub use settings::Settings;
 pub use target::{
-    ActiveRun, Denial, EndedRun, Listing, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport, TargetState,
+    ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport,
+    TargetState,
 };
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -12,6 +12,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Shortest time limit of a call: a round trip takes under 10 ms, and a host whose CPU quota is used up is throttled for
+/// up to 100 ms.
+const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
+/// Longest time limit of a call, by which a target that is slow to answer is told from a silent one: a lease has room
+/// for two such calls and the wait of a renewal.
+const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Factor on the last round trip to a target, so that its next answer may take longer.
+const ROUND_TRIP_MARGIN: u32 = 2;
+/// Longest time for which an order without an outcome may be on its way to a target: it is written within the time limit
+/// of a call, on a host that the order has to reach first.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
+
 slotmap::new_key_type! {
     /// Key of one incarnation of a target on the board.
     pub struct TargetKey;
@@ -113,6 +125,9 @@
     pub zone: Zone,
     /// Fencing token of the leader.
     pub token: u64,
+    /// Time within which the order is written, and again that within which it is answered, in milliseconds; beside the
+    /// wait that it allows.
+    pub time_limit: u64,
     /// Action that is ordered.
     pub kind: OrderKind,
 }
@@ -151,6 +166,13 @@
     },
 }
 
+impl OrderKind {
+    /// Returns true if the target may delay its answer.
+    pub(crate) const fn may_wait(&self) -> bool {
+        matches!(self, Self::Renew { wait, .. } if !wait.is_zero())
+    }
+}
+
 impl fmt::Display for OrderKind {
     /// Writes the action and its run, without the payload.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -321,6 +343,8 @@
     pub(crate) lease_end: u64,
     /// Consecutive renewals without a listing.
     pub(crate) missed_renewals: u32,
+    /// Time limit of the next call.
+    pub(crate) call_timeout: Duration,
     /// True if the last listing was truncated, so that the end of a run may be listed late or, in an isolated zone, never.
     pub(crate) truncated: bool,
     /// Time of the last report.
@@ -371,6 +395,7 @@
             expires,
             lease_end: 0,
             missed_renewals: 0,
+            call_timeout: MIN_CALL_TIMEOUT,
             truncated: false,
             last_report: now,
             absent_since: None,
@@ -406,6 +431,16 @@
         self.last_answer = Some(now);
     }
 
+    /// Adapts the time limit of calls to the time that a target took to answer one without a wait.
+    pub(crate) fn note_round_trip(&mut self, took: Duration) {
+        self.call_timeout = (ROUND_TRIP_MARGIN * took).clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT);
+    }
+
+    /// Allows the next call to a target that has not answered the longest time.
+    pub(crate) const fn allow_slow_answer(&mut self) {
+        self.call_timeout = MAX_CALL_TIMEOUT;
+    }
+
     /// Extends the lease to `until`, in milliseconds on the clock of the target; to be called when it is requested.
     pub(crate) fn extend_lease(&mut self, until: u64) {
         self.lease_end = self.lease_end.max(until);
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1303,3 +1303,64 @@
         harness.advance(10);
     }
 }
+
+/// Plays a board against one target that answers each call after `round_trip`, if its time limit allows that. Returns the
+/// time until the first start is answered; `None` after two seconds.
+fn wait_for_slow_target(round_trip: Duration) -> Option<Duration> {
+    let mut harness = Harness::open(&[]);
+    harness.queue.slack = 60_000;
+    harness.board.on_report(harness.now, &report("w1"));
+    harness.submit(1, 1, 6000, 60_000);
+    let begun = harness.now;
+    let mut open: Vec<(Time, Order, Time)> = Vec::new();
+    while harness.now - begun < Duration::from_secs(2) {
+        for order in harness.orders() {
+            let took = round_trip.min(Duration::from_millis(order.time_limit));
+            open.push((harness.now + took, order, harness.now));
+        }
+        harness.advance(10);
+        let now = harness.now;
+        let (due, rest) = open.into_iter().partition(|(at, ..)| *at <= now);
+        open = rest;
+        for (_, order, sent_at) in due {
+            let clock = 500 + (now - begun).as_millis() as u64;
+            let outcome = match order.kind {
+                _ if round_trip > Duration::from_millis(order.time_limit) => Outcome::Unsure,
+                OrderKind::Renew { .. } => Outcome::Listed(listing(clock)),
+                OrderKind::Start { .. } => return Some(now - begun),
+                OrderKind::Stop { .. } => Outcome::Done { clock },
+            };
+            harness.board.on_outcome(now, &order, sent_at, outcome);
+        }
+    }
+    None
+}
+
+/// Guards against a target that gets no runs because it is slow to answer, and so counts as silent.
+#[test]
+fn a_target_that_is_slow_to_answer_gets_runs() {
+    for millis in [5, 100, 200, 280] {
+        let waited = wait_for_slow_target(Duration::from_millis(millis));
+        assert!(waited.is_some(), "{millis} ms");
+    }
+    // Each renewal needs room in a lease beside one that is lost.
+    assert_eq!(wait_for_slow_target(Duration::from_millis(500)), None);
+}
+
+/// Guards against a fast target that is slow to be suspected because it was slow once.
+#[test]
+fn the_time_limit_of_calls_follows_the_last_answer() {
+    let mut harness = Harness::open(&["w1"]);
+    let mut limits = Vec::new();
+    for round_trip in [200, 5] {
+        harness.submit(limits.len() as u64 + 1, 1, 1, 60_000);
+        let start = harness.starts().remove(0);
+        limits.push(start.time_limit);
+        let sent_at = harness.now;
+        harness.advance(round_trip);
+        harness.board.on_outcome(harness.now, &start, sent_at, Outcome::Done { clock: 500 + round_trip });
+    }
+    harness.submit(3, 1, 1, 60_000);
+    limits.push(harness.starts()[0].time_limit);
+    assert_eq!(limits, [150, 300, 150]);
+}
