--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1364,3 +1364,72 @@
     limits.push(harness.starts()[0].time_limit);
     assert_eq!(limits, [150, 300, 150]);
 }
+
+/// Plays the load of `review/6`: an idle target has restarted and not reported yet when a job comes that fills all targets.
+/// The starts that were meant for the earlier incarnation are carried out by the later one if `received`. Returns the
+/// longest time for which a run of a task was given out beside another one that went on.
+fn overlap_after_restart(received: bool) -> Duration {
+    const WORK: Duration = Duration::from_millis(900);
+    let ids = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+    let mut harness = Harness::open(&ids);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 15, 6800, 60_000);
+    let begun = harness.now;
+    // Runs that go on, with the target and the time of their start.
+    let mut active: Vec<(TaskId, RunNumber, String, Time)> = Vec::new();
+    let (mut ended, mut overlap) = (Vec::new(), Duration::ZERO);
+    let mut restarted = None;
+    while harness.now - begun < Duration::from_secs(5) {
+        let now = harness.now;
+        let clock = 500 + (now - begun).as_millis() as u64;
+        for (task, run, id, _) in active.extract_if(.., |(.., at)| now - *at >= WORK) {
+            let number = ended.len() as u64 + 1;
+            ended.push((id, EndedRun { number, task, run, run_end: RunEnd::Done, checkpoint: String::new() }));
+        }
+        for output in harness.board.drain(now) {
+            let order = match output {
+                Output::Answer { end, .. } => {
+                    assert_eq!(end, JobEnd::Completed);
+                    return overlap;
+                }
+                Output::Order(order) => order,
+                _ => continue,
+            };
+            if is_start(&order) {
+                let (task, run) = run_of(&order);
+                let earlier = order.incarnation == 1 && *restarted.get_or_insert_with(|| order.id.clone()) == order.id;
+                if !earlier || received {
+                    let others = active.iter().filter(|(other, ..)| *other == task);
+                    overlap = others.map(|(.., at)| WORK - (now - *at)).fold(overlap, Duration::max);
+                    active.push((task, run, order.id.clone(), now));
+                }
+                let replaced = Outcome::Replaced { incarnation: Some(2), received };
+                harness.finish(&order, if earlier { replaced } else { Outcome::Done { clock } });
+            } else if matches!(order.kind, OrderKind::Renew { .. }) {
+                let of_target = active.iter().filter(|(.., id, _)| *id == order.id);
+                let running =
+                    of_target.map(|(task, run, ..)| ActiveRun { task: *task, run: *run, ..ActiveRun::default() });
+                let listing = Listing {
+                    incarnation: Some(order.incarnation),
+                    clock,
+                    running: running.collect(),
+                    ended: ended.iter().filter(|(id, _)| *id == order.id).map(|(_, end)| end.clone()).collect(),
+                    truncated: false,
+                };
+                harness.finish(&order, Outcome::Listed(listing));
+            }
+        }
+        if now - begun == Duration::from_millis(450) {
+            harness.board.on_report(now, &later(restarted.as_ref().expect("a target has got a start")));
+        }
+        harness.advance(10);
+    }
+    panic!("the job has no answer");
+}
+
+/// Guards against tasks that run twice because their target restarted under its id and its later incarnation carried out
+/// starts that were meant for the earlier one (`review/6`).
+#[test]
+fn tasks_of_a_target_that_restarts_between_two_reports_run_once() {
+    assert_eq!((overlap_after_restart(true), overlap_after_restart(false)), (Duration::ZERO, Duration::ZERO));
+}
