A leave names the incarnation of the product's own target that leaves

Callers saw no-run answers for an entry whose only target had restarted: a leave of its earlier process, delayed on its way, was taken for the later one. Cause: the grants compare incarnations, but the API had no way to name one, so every leave counted for the incarnation that was known.

POST /v1/targets/{name}/leave takes incarnation=N; without it a leave counts as before. The stand-in target sends its own. leave_of_an_earlier_incarnation_leaves_the_target_in_use failed before: the next request ended as not-run.

--- a/crates/host/src/host.rs
+++ b/crates/host/src/host.rs
@@ -165,7 +165,7 @@
             HostRequest::Read { key, wait } => self.read(now, caller, key, wait),
             HostRequest::Cancel { key } => self.cancel(now, caller, key),
             HostRequest::Announce { announcement, echo } => self.announce(now, caller, announcement, echo),
-            HostRequest::Leave { target } => self.leave(now, caller, target),
+            HostRequest::Leave { target, incarnation } => self.leave(now, caller, target, incarnation),
             HostRequest::Usage { target, usage } => {
                 self.grants.on_usage_report(now, target, usage);
                 self.reply(caller, Reply::Done);
--- a/crates/host/src/request.rs
+++ b/crates/host/src/request.rs
@@ -3,7 +3,7 @@
 use crate::operate::Call;
 use bytes::Bytes;
 use mangogw_cluster::grants::{Echo, Target};
-use mangogw_model::{Announcement, EntryName, Key, Needs, Usage};
+use mangogw_model::{Announcement, EntryName, Incarnation, Key, Needs, Usage};
 use std::time::Duration;
 
 /// One request to a host.
@@ -45,6 +45,8 @@
     Leave {
         /// Target that leaves.
         target: Target,
+        /// Incarnation that leaves; `None` for the one that is known when the request arrives.
+        incarnation: Option<Incarnation>,
     },
     /// A target reports its resource usage.
     Usage {
--- a/crates/host/src/targets.rs
+++ b/crates/host/src/targets.rs
@@ -5,7 +5,7 @@
 use crate::message::Message;
 use mangogw_cluster::Output;
 use mangogw_cluster::grants::{Answer, Echo, Event, LEASE_DURATION, Target};
-use mangogw_model::{Announcement, Code, Time};
+use mangogw_model::{Announcement, Code, Incarnation, Time};
 
 impl Host {
     pub(crate) fn announce(&mut self, now: Time, caller: Caller, announcement: Announcement, echo: Option<Echo>) {
@@ -13,8 +13,8 @@
         self.target_calls.insert(request_id, caller);
     }
 
-    pub(crate) fn leave(&mut self, now: Time, caller: Caller, target: Target) {
-        let request_id = self.grants.on_target_leave(now, target, None);
+    pub(crate) fn leave(&mut self, now: Time, caller: Caller, target: Target, incarnation: Option<Incarnation>) {
+        let request_id = self.grants.on_target_leave(now, target, incarnation);
         self.target_calls.insert(request_id, caller);
     }
 
--- a/crates/mangogw/src/target.rs
+++ b/crates/mangogw/src/target.rs
@@ -185,7 +185,8 @@
     /// [`crate::client::BadCall`] if the host did not answer.
     pub async fn leave(&self) -> Result<(), crate::client::BadCall> {
         let TargetSettings { name, zone, hosts, .. } = &self.inner.settings;
-        let path = format!("/v1/targets/{name}/leave?zone={zone}");
+        let incarnation = incarnation_at(self.address);
+        let path = format!("/v1/targets/{name}/leave?zone={zone}&incarnation={incarnation}");
         if let Some(&host) = hosts.first() {
             self.client.call(host, Method::POST, &path, &[], Bytes::new()).await?;
         }
@@ -231,6 +232,11 @@
     }
 }
 
+/// Returns the incarnation of a stand-in, which has an address of its own.
+fn incarnation_at(address: SocketAddr) -> Incarnation {
+    Incarnation(u64::from(address.port()))
+}
+
 fn announcement(settings: &TargetSettings, address: SocketAddr) -> AnnounceBody {
     AnnounceBody {
         address,
@@ -239,7 +245,7 @@
         kind: settings.kind,
         entries: settings.entries.clone(),
         capacity: settings.capacity,
-        incarnation: Incarnation(u64::from(address.port())),
+        incarnation: incarnation_at(address),
         running: Vec::new(),
         connections: 0,
         grant: None,
--- a/crates/mangogw/tests/path.rs
+++ b/crates/mangogw/tests/path.rs
@@ -173,3 +173,23 @@
         assert_eq!(call.await.unwrap().outcome(), "answered");
     }
 }
+
+/// Guards against a target that gets no more work because a leave of its earlier incarnation was delayed on its way.
+#[tokio::test]
+async fn leave_of_an_earlier_incarnation_leaves_the_target_in_use() {
+    let folder = tempfile::tempdir().unwrap();
+    let daemon = daemon(&folder).await;
+    let target = target("a", daemon.address(), Fault::None).await;
+    wait_until_served(daemon.address()).await;
+    let run = || {
+        post(daemon.address(), "/v1/run/scan", &[("mangogw-deadline-ms", "500")], TaskPayload::new(1.0, "x").to_bytes())
+    };
+    let late = post(daemon.address(), "/v1/targets/a/leave?zone=zone-1&incarnation=1", &[], Bytes::new()).await;
+    assert_eq!((late.status, run().await.outcome()), (200, "answered"));
+    let odd = post(daemon.address(), "/v1/targets/a/leave?zone=zone-1&incarnation=x", &[], Bytes::new()).await;
+    assert_eq!((odd.status, odd.code()), (400, Code::BadRequest.number()));
+    assert_eq!(run().await.outcome(), "answered");
+    target.leave().await.unwrap();
+    assert_ne!(run().await.outcome(), "answered", "its own leave counts");
+    daemon.stop().await;
+}
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use mangogw_cluster::grants::{Echo, Target};
 use mangogw_host::{Host, HostRequest, JobRequest, Refused, Reply, TaskRequest};
-use mangogw_model::{Announcement, Code, JobState, JobView, Key, Outcome, TargetName, Usage, Zone};
+use mangogw_model::{Announcement, Code, Incarnation, JobState, JobView, Key, Outcome, TargetName, Usage, Zone};
 use mangogw_wire::{AnnounceBody, JobBody, LeaseBody, Problem, header};
 use std::sync::Arc;
 use std::time::Duration;
@@ -83,7 +83,8 @@
             }
             (&Method::POST, ["v1", "targets", name, "leave"]) => {
                 self.read(body).await?;
-                Ok(respond(self.node.request(HostRequest::Leave { target: self.target(name, query) }).await))
+                let (target, incarnation) = (self.target(name, query), parse_incarnation(query)?);
+                Ok(respond(self.node.request(HostRequest::Leave { target, incarnation }).await))
             }
             (&Method::POST, ["v1", "targets", name, "usage"]) => {
                 let usage: Usage = parse_json(&self.read(body).await?)?;
@@ -190,6 +191,12 @@
     value.map_or(Ok(Duration::ZERO), |text| text.parse().map(Duration::from_millis).map_err(bad))
 }
 
+fn parse_incarnation(query: &str) -> Result<Option<Incarnation>, Refused> {
+    let value = query.split('&').find_map(|pair| pair.strip_prefix("incarnation="));
+    let bad = |_bad| Refused::new(Code::BadRequest, "incarnation is no whole number");
+    value.map(|text| text.parse().map(Incarnation).map_err(bad)).transpose()
+}
+
 fn parse_job(headers: &HeaderMap, body: &[u8]) -> Result<JobRequest, Refused> {
     let bad = |error: &dyn std::fmt::Display| Refused::new(Code::BadRequest, error.to_string());
     let job = JobBody::parse(body).map_err(|error| bad(&error))?;
