--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1400,7 +1400,7 @@
                 let earlier = order.incarnation == 1 && *restarted.get_or_insert_with(|| order.id.clone()) == order.id;
                 if !earlier || received {
                     let others = active.iter().filter(|(other, ..)| *other == task);
-                    overlap = others.map(|(.., at)| WORK - (now - *at)).fold(overlap, Duration::max);
+                    overlap = others.map(|(.., at)| WORK.saturating_sub(now - *at)).fold(overlap, Duration::max);
                     active.push((task, run, order.id.clone(), now));
                 }
                 let replaced = Outcome::Replaced { incarnation: Some(2), received };
