--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -2,13 +2,18 @@
 
 use super::table::TaskState;
 use super::{Board, EndRecord, JobEnd, OrderKind, Output};
-use crate::target::{ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, Outcome, Run, RunState};
+use crate::target::{
+    ActiveRun, Denial, EndedRun, Listing, MAX_CALL_TIMEOUT, MIN_CALL_TIMEOUT, ORDER_TIMEOUT, Order, Outcome, Run,
+    RunState,
+};
 use crate::{RunEnd, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 use std::time::Duration;
 
 /// Consecutive renewals without an answer after which a target is suspected.
 const MISSES_BEFORE_SUSPECTED: u32 = 2;
+/// Factor on the last round trip to a target, so that its next answer may take longer.
+const ROUND_TRIP_MARGIN: u32 = 2;
 /// Longest gap before a listing, as a share of the run time, at which the measured run time still counts.
 const MAX_LISTING_GAP_RATIO: f64 = 0.3;
 
@@ -29,7 +34,7 @@
         if let Some(clock) = clock {
             self.targets[key].update_clock(clock, sent_at, now);
             if !order.kind.may_wait() {
-                self.targets[key].note_round_trip(now - sent_at);
+                self.note_round_trip(key, now - sent_at);
             }
         }
         if matches!(order.kind, OrderKind::Renew { .. }) {
@@ -67,6 +72,16 @@
         self.dirty = true;
     }
 
+    /// Adapts the time limit of calls to the time that a target took to answer one without a wait.
+    fn note_round_trip(&mut self, key: TargetKey, took: Duration) {
+        let target = &mut self.targets[key];
+        if target.missed_renewals >= MISSES_BEFORE_SUSPECTED && took > MIN_CALL_TIMEOUT {
+            let (id, took) = (target.report.id.as_str(), took.as_millis() as u64);
+            log::info!(target = id, took; "board: target is slow to answer, not silent");
+        }
+        target.call_timeout = (ROUND_TRIP_MARGIN * took).clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT);
+    }
+
     /// Handles an order that has met a later incarnation of its target.
     fn on_replaced(&mut self, now: Time, key: TargetKey, kind: &OrderKind, later: u64, received: bool) {
         let unsent = match kind {
@@ -99,7 +114,7 @@
         target.missed_renewals += 1;
         self.counts.missed_renewals += 1;
         if *outcome != Outcome::Unsure || target.missed_renewals >= MISSES_BEFORE_SUSPECTED {
-            target.allow_slow_answer();
+            target.call_timeout = MAX_CALL_TIMEOUT;
             self.suspect_target(now, key, &format!("renewal {outcome:?}"));
         }
         self.schedule_renewal(now, key);
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -14,12 +14,10 @@
 
 /// Shortest time limit of a call: a round trip takes under 10 ms, and a host whose CPU quota is used up is throttled for
 /// up to 100 ms.
-const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
+pub(crate) const MIN_CALL_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest time limit of a call, by which a target that is slow to answer is told from a silent one: a lease has room
 /// for two such calls and the wait of a renewal.
-const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(300);
-/// Factor on the last round trip to a target, so that its next answer may take longer.
-const ROUND_TRIP_MARGIN: u32 = 2;
+pub(crate) const MAX_CALL_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest time for which an order without an outcome may be on its way to a target: it is written within the time limit
 /// of a call, on a host that the order has to reach first.
 pub const ORDER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -431,16 +429,6 @@
         self.last_answer = Some(now);
     }
 
-    /// Adapts the time limit of calls to the time that a target took to answer one without a wait.
-    pub(crate) fn note_round_trip(&mut self, took: Duration) {
-        self.call_timeout = (ROUND_TRIP_MARGIN * took).clamp(MIN_CALL_TIMEOUT, MAX_CALL_TIMEOUT);
-    }
-
-    /// Allows the next call to a target that has not answered the longest time.
-    pub(crate) const fn allow_slow_answer(&mut self) {
-        self.call_timeout = MAX_CALL_TIMEOUT;
-    }
-
     /// Extends the lease to `until`, in milliseconds on the clock of the target; to be called when it is requested.
     pub(crate) fn extend_lease(&mut self, until: u64) {
         self.lease_end = self.lease_end.max(until);
