--- a/crates/mangogwd/src/pool.rs
+++ b/crates/mangogwd/src/pool.rs
@@ -50,6 +50,13 @@
     closed: Option<(Peer, u32)>,
 }
 
+impl Connections {
+    /// Returns the peer, if it ends each connection with its answer, without announcing that.
+    fn closing_peer(&self) -> Option<Peer> {
+        self.closed.filter(|(_, count)| *count >= MAX_CLOSED_CONNECTIONS).map(|(peer, _)| peer)
+    }
+}
+
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -369,15 +376,15 @@
     /// its connections is only taken if it has stayed open for a while.
     fn take_idle(&self, address: SocketAddr, wanted: Option<u64>) -> Option<Connection> {
         let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
-        let Connections { idle, closed } = targets.get_mut(&address)?;
+        let connections = targets.get_mut(&address)?;
+        let min_idle = if connections.closing_peer().is_some() { ACK_TIMEOUT } else { Duration::ZERO };
+        let idle = &mut connections.idle;
         let now = Instant::now();
         idle.retain(|connection| {
             !connection.sender.is_closed()
                 && now - connection.last_used < IDLE_TIMEOUT
                 && !wanted.is_some_and(|wanted| connection.peer.differs_from(wanted))
         });
-        let min_idle =
-            if closed.is_some_and(|(_, count)| count >= MAX_CLOSED_CONNECTIONS) { ACK_TIMEOUT } else { Duration::ZERO };
         let is_usable =
             |connection: &Connection| connection.sender.is_ready() && now - connection.last_used >= min_idle;
         let usable = idle.iter().rposition(is_usable)?;
@@ -403,18 +410,17 @@
         let count = closed.filter(|(known, _)| *known == peer).map_or(0, |(_, count)| count);
         *closed = Some((peer, count + 1));
         if count + 1 == MAX_CLOSED_CONNECTIONS {
-            log::info!(address:%, peer:?; "pool: target closes its connections; each order goes to a further one");
+            log::info!(address:%, peer:?; "pool: target closes its connections; each order takes two");
         }
     }
 
     /// Returns true if the peer ends each connection with its answer, without announcing that.
     fn closes_connections(&self, address: SocketAddr, peer: Peer) -> bool {
         let targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
-        let closed = targets.get(&address).and_then(|connections| connections.closed);
-        closed.is_some_and(|(known, count)| known == peer && count >= MAX_CLOSED_CONNECTIONS)
+        targets.get(&address).is_some_and(|connections| connections.closing_peer() == Some(peer))
     }
 
-    /// Drops all that is known of the connections of a target after one of its connections timed out. Whatever lost the state of one
+    /// Drops what is known of the connections of a target after one of them timed out. Whatever lost the state of one
     /// connection may have lost that of all, while new connections work.
     fn drop_idle(&self, address: SocketAddr) {
         let mut targets = self.targets.lock().unwrap_or_else(PoisonError::into_inner);
