Test that fails: a silence with an unanswered start ejects its target

Callers: a target that was silent for a moment is back in use later. The leases of its answered and of its unanswered runs end at 1.03 and 1.7 s, expire_targets records a failure each time, and two failures in a row eject a target. No product code changes here.

--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1457,3 +1457,42 @@
 fn tasks_of_a_target_that_restarts_between_two_reports_run_once() {
     assert_eq!((overlap_after_restart(true), overlap_after_restart(false)), (Duration::ZERO, Duration::ZERO));
 }
+
+/// Returns the time from the return of a silent target, 1.9 s after two starts there, until it is given a run again.
+fn wait_after_silence(both_confirmed: bool) -> Duration {
+    let mut harness = Harness::open(&["w1"]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 2, 6000, 60_000);
+    let (starts, others): (Vec<Order>, Vec<Order>) = harness.orders().into_iter().partition(is_start);
+    harness.finish(&starts[0], Outcome::Done { clock: 500 });
+    harness.finish(&starts[1], if both_confirmed { Outcome::Done { clock: 500 } } else { Outcome::Unsure });
+    for order in others {
+        harness.finish(&order, Outcome::Unsure);
+    }
+    for _ in 0..190 {
+        for order in harness.orders() {
+            harness.finish(&order, Outcome::Unsure);
+        }
+        harness.advance(10);
+    }
+    let mut waited = Duration::ZERO;
+    while waited < Duration::from_secs(8) {
+        for order in harness.orders() {
+            if is_start(&order) {
+                return waited;
+            }
+            harness.finish(&order, Outcome::Listed(listing(500 + harness.now.as_micros() / 1000 - 1000)));
+        }
+        harness.advance(10);
+        waited += Duration::from_millis(10);
+    }
+    waited
+}
+
+/// Guards against a target that gets no runs after a silence because that counts as two failures in a row: the leases of
+/// its answered and of its unanswered runs end one after the other.
+#[test]
+fn a_silence_with_an_unanswered_start_does_not_eject_its_target() {
+    let (answered, unanswered) = (wait_after_silence(true), wait_after_silence(false));
+    assert!(unanswered <= answered, "{unanswered:?}, and {answered:?} if all starts were answered");
+}
