A learner forgets a leader that it no longer hears

What callers saw: a control host without a vote named a leader that was gone for as long as its process lived. Cause: only hosts that may vote forget their leader, when they start a pre-vote. A learner, or a host that is no member, had no such step. Change: a host that may not vote names a leader only while it hears it, for three learner heartbeats and no less than the longest election timeout; the leader counts a learner as lost after the same time. Learners of the control group that runs jobs get a heartbeat every 250 ms in place of 1 s, so that they miss a leader after 800 ms, about as soon as a voter. The default of 1 s stays for other groups. Result: the test passes; store and host tests pass.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -21,6 +21,9 @@
 /// Time that a read of a running job waits for the job's end. Clients read just after the last task has ended, but its
 /// end is known only after a commit of 15 to 25 ms, and they read again only 250 ms later.
 const READ_WAIT: Duration = Duration::from_millis(100);
+/// Interval of a leader's heartbeats to learners. Learners name the leader to callers too, so they must miss it about
+/// as soon as voters do.
+const LEARNER_HEARTBEAT: Duration = Duration::from_millis(250);
 /// Time after which an unfinished leadership transfer is started again.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -102,7 +105,11 @@
     pub(crate) fn open(settings: Settings, stored: DurableState, now: Time) -> Self {
         // The default minimum election timeout of 400 ms stays: with 300 ms, busy leaders of 350 targets lost their
         // leadership twice in 10 s.
-        let raft_settings = mangogw_store::Settings { seed: settings.seed, ..mangogw_store::Settings::default() };
+        let raft_settings = mangogw_store::Settings {
+            seed: settings.seed,
+            learner_heartbeat: LEARNER_HEARTBEAT,
+            ..mangogw_store::Settings::default()
+        };
         let mut member = Self {
             raft: Raft::open(raft_settings, stored, now),
             ledger: Ledger::default(),
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -213,7 +213,8 @@
         match self.role {
             Role::Failed => {}
             Role::Leader => self.tick_leader(),
-            _ if self.now >= self.election_deadline && self.may_vote() => self.start_pre_vote(),
+            _ if self.may_vote() && self.now >= self.election_deadline => self.start_pre_vote(),
+            _ if !self.may_vote() && self.misses_leader() => self.forget_leader(),
             _ => {}
         }
     }
--- a/crates/store/src/raft/election.rs
+++ b/crates/store/src/raft/election.rs
@@ -110,6 +110,21 @@
         self.reset_election_deadline();
     }
 
+    /// Returns true if this host, which may not vote, has heard nothing from the leader that it names for so long that
+    /// the voters may have elected another.
+    pub(super) fn misses_leader(&self) -> bool {
+        self.leader.is_some() && self.now - self.leader_contact >= self.settings.learner_timeout()
+    }
+
+    /// Names no leader any more until one sends a message. Voters do so when they start a pre-vote.
+    pub(super) fn forget_leader(&mut self) {
+        log::info!(
+            host = self.host.0, term = self.term.0, leader = self.leader.map(|host| host.0);
+            "store: the leader is silent; this host can't vote and waits for the next one"
+        );
+        self.set_role(Role::Follower, None);
+    }
+
     pub(super) fn become_follower(&mut self, term: Term, leader: Option<HostId>) {
         if term > self.term {
             self.term = term;
--- a/crates/store/src/raft/membership.rs
+++ b/crates/store/src/raft/membership.rs
@@ -6,9 +6,6 @@
 use mangogw_model::{HostId, Time};
 use std::time::Duration;
 
-/// Consecutive heartbeats that a learner may miss before it counts as dead.
-const MAX_MISSED_HEARTBEATS: u32 = 3;
-
 impl Raft {
     /// Changes the members by one step. The answer is an [`Output::Apply`](crate::Output::Apply) with `tag`, or an
     /// [`Output::Refused`](crate::Output::Refused).
@@ -56,10 +53,10 @@
 
     /// Returns how long a member counts as alive after its last message.
     pub(super) fn liveness_timeout(&self, host: HostId) -> Duration {
-        if self.members().is_voter(host) {
-            return self.settings.election;
+        match self.members().is_voter(host) {
+            true => self.settings.election,
+            false => self.settings.learner_timeout(),
         }
-        MAX_MISSED_HEARTBEATS * self.settings.learner_heartbeat
     }
 
     /// Returns the index of the last entry that changed the members.
--- a/crates/store/src/settings.rs
+++ b/crates/store/src/settings.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Consecutive heartbeats that a learner may miss.
+const MAX_MISSED_HEARTBEATS: u32 = 3;
+
 /// Settings of the Raft state machine; all but `seed` are the same on every host of the group.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
@@ -55,3 +58,19 @@
         }
     }
 }
+
+impl Settings {
+    /// Returns the time without messages after which a learner and its leader count each other as lost. In this time the
+    /// voters have elected another leader, if they could.
+    ///
+    /// ```
+    /// use mangogw_store::Settings;
+    /// use std::time::Duration;
+    ///
+    /// let settings = Settings { learner_heartbeat: Duration::from_millis(50), ..Settings::default() };
+    /// assert_eq!(settings.learner_timeout(), 2 * settings.election);
+    /// ```
+    pub fn learner_timeout(&self) -> Duration {
+        (MAX_MISSED_HEARTBEATS * self.learner_heartbeat).max(2 * self.election)
+    }
+}
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -158,6 +158,28 @@
     assert_eq!((world.leader(), world.raft(leader).status().term), (Some(leader), term));
 }
 
+/// Guards against hosts that name a leader which is gone: those that may not vote start no elections, but must forget a
+/// leader once another could have been elected.
+#[test]
+fn a_learner_that_hears_nothing_names_no_leader() {
+    let (mut world, leader) = group_with_leader(20, 3);
+    let new = world.join();
+    complete_change(&mut world, leader, MembershipChange::AddLearner(new, folder_id(new)));
+    // An idle group sends a learner nothing but its heartbeats.
+    for _ in 0..100 {
+        world.run(100);
+        assert_eq!(world.raft(new).leader(), Some(leader));
+    }
+    let term = world.raft(new).term();
+    isolate(&mut world, new);
+    world.run(3 * Settings::default().learner_heartbeat.as_millis() as u64 + 100);
+    assert_eq!((world.raft(new).leader(), world.raft(new).term()), (None, term));
+    assert_eq!(world.raft(new).role(), Role::Follower);
+    world.cut_links.clear();
+    world.run(1_100);
+    assert_eq!(world.raft(new).leader(), Some(leader));
+}
+
 /// Guards against needless elections by a follower that hears every host but the leader.
 #[test]
 fn a_follower_that_misses_only_the_leader_does_not_depose_it() {
