A leader that was lost is believed again only if it speaks for itself

Cause: a host takes another's word for who leads, without an age. It sent its calls there, was told "not the leader" or nothing, and asked again: a member took the same name from its own log at once, an entry host from the next host that still named it. Each round began the 600 ms anew after which calls without a leader are refused, and counted as a send that may have been executed. Evidence, tests on: a_call_is_not_sent_again_to_a_host_that_does_not_lead sends one call 61 times in 900 ms; a_silent_leader_that_other_hosts_name_gets_no_calls and a_member_sends_no_call_again_to_the_silent_leader_in_its_log end after 900 ms in place of at most 20 and 620. Change: a term has one leader. Once that leader was silent for 500 ms, or said that it doesn't lead, what others or the own log say of it doesn't count until it sends a message itself; it is asked beside all known hosts. A leader that was only named is asked at once and has 500 ms to answer. A host doesn't name a leader to others that it has lost itself. Lists of hosts replace the known ones only if they are the leader's.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -73,6 +73,16 @@
     pub(crate) version: Version,
     /// Fencing token of the leader of an isolated zone; 0 for a leader of the whole group.
     pub(crate) isolated_token: u64,
+    /// Time of the leader's last message to this host, if the update is from the own log or from the leader itself.
+    pub(crate) heard: Time,
+}
+
+/// A leader of the whole group that was silent, or has said that it doesn't lead.
+#[derive(Debug, Clone, Copy)]
+struct LostLeader {
+    host: HostId,
+    term: Term,
+    at: Time,
 }
 
 /// The open calls of this host's clients, and the leader that they are sent to.
@@ -86,7 +96,11 @@
     by_caller: IndexMap<Caller, u64>,
     leader: Option<HostId>,
     term: Term,
+    /// Time of the last message of `leader`; `None` if it was only named by another host.
     leader_seen: Option<Time>,
+    /// Time at which `leader` was named.
+    leader_named: Time,
+    lost: Option<LostLeader>,
     /// Time of the last message of a leader of the whole group; the start of this process if there was none.
     group_seen: Time,
     /// Highest version of the queue set in any leader update.
@@ -105,7 +119,7 @@
     leaderless_since: Option<Time>,
     last_check: Time,
     /// Hosts that may be members of the control group.
-    pub(crate) hosts: Vec<HostId>,
+    hosts: Vec<HostId>,
     pub(crate) sends: Vec<(HostId, Message)>,
     pub(crate) replies: Vec<(Caller, Reply)>,
 }
@@ -122,6 +136,8 @@
             leader: None,
             term: Term(0),
             leader_seen: None,
+            leader_named: now,
+            lost: None,
             group_seen: now,
             version: Version(0),
             isolated_token: 0,
@@ -141,6 +157,11 @@
         self.leader
     }
 
+    /// Returns the hosts that may be members of the control group.
+    pub(crate) fn hosts(&self) -> &[HostId] {
+        &self.hosts
+    }
+
     /// Returns the message that asks who leads and describes this host.
     pub(crate) fn leader_query(&self, now: Time) -> Message {
         Message::FindLeader(HostInfo {
@@ -158,9 +179,39 @@
         self.open.len()
     }
 
-    /// Returns true if the leader has confirmed its role within twice the leader timeout.
+    /// Returns true if the leader has confirmed its role, or was named, within twice the leader timeout.
     pub(crate) fn has_leader(&self, now: Time) -> bool {
-        self.leader.is_some() && self.leader_seen.is_some_and(|seen| now - seen < 2 * LEADER_TIMEOUT)
+        self.leader.is_some() && now - self.leader_seen.unwrap_or(self.leader_named) < 2 * LEADER_TIMEOUT
+    }
+
+    /// Returns true if the leader of `term`, last heard directly at `heard`, has been lost since. A term has one leader, so
+    /// only a message of that leader ends this.
+    pub(crate) fn is_lost(&self, term: Term, heard: Time) -> bool {
+        self.lost.is_some_and(|lost| term <= lost.term && heard <= lost.at)
+    }
+
+    /// Gives up the leader, which is silent or has said that it doesn't lead.
+    fn lose_leader(&mut self, now: Time) {
+        if let Some(host) = self.leader.filter(|_| !self.isolated) {
+            self.lost = Some(LostLeader { host, term: self.term, at: now });
+        }
+        (self.leader, self.isolated) = (None, false);
+    }
+
+    /// Takes note of hosts that `from` names as members of the control group. Only the leader's list is known to be
+    /// current; lists of other hosts add to it.
+    pub(crate) fn on_hosts(&mut self, from: HostId, hosts: Vec<HostId>) {
+        match hosts.is_empty() {
+            true => {}
+            false if self.leader == Some(from) => self.hosts = hosts,
+            false => self.add_hosts(hosts),
+        }
+    }
+
+    pub(crate) fn add_hosts(&mut self, hosts: Vec<HostId>) {
+        self.hosts.extend(hosts);
+        self.hosts.sort_unstable();
+        self.hosts.dedup();
     }
 
     /// Sends a call to the leader, now or once there is one. The call ends after its own timeout or `reply_timeout`.
@@ -202,13 +253,13 @@
     }
 
     /// Handles the answer of a host that does not lead and has not executed the call.
-    pub(crate) fn on_not_leader(&mut self, from: HostId, serial: u64) {
+    pub(crate) fn on_not_leader(&mut self, now: Time, from: HostId, serial: u64) {
         if let Some(open) = self.open.get_mut(&serial).filter(|open| open.sent.is_some_and(|(to, _)| to == from)) {
             open.sent = None;
             open.uncertain_sends -= 1;
         }
         if self.leader == Some(from) {
-            (self.leader, self.isolated) = (None, false);
+            self.lose_leader(now);
             self.last_poll = None;
         }
     }
@@ -228,9 +279,16 @@
     pub(crate) fn on_leader_update(&mut self, now: Time, from: Option<HostId>, update: LeaderUpdate) {
         self.version = self.version.max(update.version);
         let direct = from.is_none() || update.leader.is_some() && from == update.leader;
-        if self.isolated && update.isolated_token == 0 && from == self.leader {
-            log::info!("calls: the isolated zone is no longer served");
-            (self.leader, self.isolated) = (None, false);
+        match from == self.leader && from.is_some() {
+            true if self.isolated && update.isolated_token == 0 => {
+                log::info!("calls: the isolated zone is no longer served");
+                self.lose_leader(now);
+            }
+            true if !self.isolated && update.leader != from && update.term >= self.term => {
+                log::info!(leader = from.map(|host| host.0), term = self.term.0; "calls: the leader has stepped down");
+                self.lose_leader(now);
+            }
+            _ => {}
         }
         match update {
             LeaderUpdate { term, .. } if term < self.term => {}
@@ -248,26 +306,40 @@
 
     /// Follows a leader of the whole group.
     fn follow(&mut self, now: Time, from: Option<HostId>, direct: bool, update: LeaderUpdate) {
-        let LeaderUpdate { term, leader, .. } = update;
+        let LeaderUpdate { term, heard, .. } = update;
+        let heard = if direct { heard } else { Time::ZERO };
+        let leader = update.leader.filter(|_| !self.is_lost(term, heard));
+        if leader.is_none() && from.is_some() {
+            return;
+        }
         if direct && leader.is_some() {
-            self.leader_seen = Some(now);
             self.group_seen = now;
         }
         if self.isolated && leader.is_some() {
             (self.leader, self.isolated) = (None, false);
         }
-        let changed = term > self.term || self.leader.is_none();
+        let same = term == self.term && self.leader.is_some() && self.leader == leader;
         self.term = term;
-        if !changed && self.leader == leader || leader.is_none() && from.is_some() {
+        if direct {
+            self.leader_seen = leader.map(|_| now);
+        }
+        if same {
             return;
         }
         if self.leader != leader {
-            log::info!(leader = leader.map(|host| host.0), term = term.0; "calls: leader changed");
+            log::info!(
+                leader = leader.map(|host| host.0), term = term.0, from = from.map(|host| host.0);
+                "calls: leader changed"
+            );
         }
         self.leader = leader;
+        self.leader_named = now;
         self.fenced_leader = None;
-        // A leader must learn the token of the isolated zone before it gets calls.
-        if self.isolated_token > 0 && from.is_some() {
+        if !direct {
+            self.leader_seen = None;
+        }
+        // A leader must confirm its role, and learn the token of the isolated zone before it gets calls.
+        if from.is_some() && (!direct || self.isolated_token > 0) {
             self.sends.extend(leader.map(|leader| (leader, self.leader_query(now))));
         }
         self.resend(now);
@@ -338,23 +410,25 @@
         }
     }
 
-    /// Sends a leader query to the leader, or to all known hosts if the leader has timed out.
+    /// Sends a leader query to the leader, or to all known hosts if it has timed out or was only named by another host.
     fn find_leader(&mut self, now: Time) {
         if self.last_poll.is_some_and(|at| now - at < LEADER_POLL_PERIOD) {
             return;
         }
         self.last_poll = Some(now);
-        let recent = self.leader_seen.is_some_and(|seen| now - seen < LEADER_TIMEOUT);
+        let confirmed = self.leader_seen.is_some_and(|seen| now - seen < LEADER_TIMEOUT);
         match self.leader {
-            Some(leader) if recent => self.sends.push((leader, self.leader_query(now))),
+            Some(leader) if confirmed => self.sends.push((leader, self.leader_query(now))),
             _ => {
                 let query = self.leader_query(now);
-                self.sends.extend(self.hosts.iter().map(|host| (*host, query.clone())));
+                let lost = self.lost.map(|lost| lost.host).filter(|host| !self.hosts.contains(host));
+                self.sends.extend(self.hosts.iter().copied().chain(lost).map(|host| (host, query.clone())));
             }
         }
-        if !recent && self.leader.take().is_some() {
-            log::info!("calls: the leader is silent");
-            self.isolated = false;
+        let expected = confirmed || self.leader_seen.is_none() && now - self.leader_named < LEADER_TIMEOUT;
+        if let Some(leader) = self.leader.filter(|_| !expected) {
+            log::info!(leader = leader.0, term = self.term.0; "calls: the leader is silent");
+            self.lose_leader(now);
         }
     }
 
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -107,10 +107,7 @@
 
     /// Adds addresses at which the control group may be found.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
-        let known = &mut self.calls.hosts;
-        known.extend(hosts_at(seeds));
-        known.sort_unstable();
-        known.dedup();
+        self.calls.add_hosts(hosts_at(seeds));
     }
 
     /// Handles a call of a client, a target or an operator. The reply comes as [`Effect::Reply`].
@@ -275,18 +272,17 @@
                 }
             }
             (Message::Answer { serial, reply }, _) => self.calls.on_answer(serial, reply),
-            (Message::NotLeader { serial }, _) => self.calls.on_not_leader(from, serial),
+            (Message::NotLeader { serial }, _) => self.calls.on_not_leader(now, from, serial),
             (Message::UnknownCalls(serials), _) => self.calls.on_unknown_calls(now, from, &serials),
             (Message::LeaderInfo { term, leader, hosts, version, isolated_token }, None) => {
-                if !hosts.is_empty() {
-                    self.calls.hosts = hosts;
-                }
-                self.calls.on_leader_update(now, Some(from), LeaderUpdate { term, leader, version, isolated_token });
+                let update = LeaderUpdate { term, leader, version, isolated_token, heard: now };
+                self.calls.on_leader_update(now, Some(from), update);
+                self.calls.on_hosts(from, hosts);
             }
             (Message::LeaderInfo { hosts, .. }, Some(_)) => {
                 // A member learns the leader from its own log, but may learn the group's hosts from others.
-                if self.calls.leader().is_none() && !hosts.is_empty() {
-                    self.calls.hosts = hosts;
+                if self.calls.leader().is_none() {
+                    self.calls.on_hosts(from, hosts);
                 }
             }
             (message, None) => {
@@ -340,9 +336,11 @@
     fn send_leader(&mut self, to: HostId) {
         let Some(member) = &self.member else { return };
         let status = member.status();
+        let lost = self.calls.is_lost(status.term, member.raft.leader_heard());
         let isolated_token =
             member.isolated_token().filter(|_| self.isolation.may_serve(self.last_tick, to)).unwrap_or_default();
         let leader = match isolated_token {
+            0 if lost => None,
             0 => status.leader.filter(|leader| *leader != status.host || status.role == Role::Leader),
             _ => Some(status.host),
         };
@@ -369,7 +367,7 @@
         }
         self.last_join = now;
         let folder_id = status.folder_id;
-        let known = status.members.peers(status.host).chain(self.calls.hosts.iter().copied());
+        let known = status.members.peers(status.host).chain(self.calls.hosts().iter().copied());
         let mut hosts: Vec<HostId> = known.filter(|host| *host != status.host).collect();
         hosts.sort_unstable();
         hosts.dedup();
@@ -406,8 +404,8 @@
     fn announce_leader(&mut self, now: Time) {
         let Some(member) = &self.member else { return };
         let (term, leader) = (member.raft.term(), member.raft.leader());
-        let version = member.ledger.queue_version();
-        self.calls.on_leader_update(now, None, LeaderUpdate { term, leader, version, isolated_token: 0 });
+        let (version, heard) = (member.ledger.queue_version(), member.raft.leader_heard());
+        self.calls.on_leader_update(now, None, LeaderUpdate { term, leader, version, isolated_token: 0, heard });
         let current = (term.0, leader);
         if self.announced == Some(current) || leader.is_none() {
             return;
@@ -422,7 +420,7 @@
 
     fn on_member_output(&mut self, now: Time, output: MemberOutput) {
         match output {
-            MemberOutput::Send(to, message) if to == self.settings.host => self.receive_own(message),
+            MemberOutput::Send(to, message) if to == self.settings.host => self.receive_own(now, message),
             MemberOutput::Answer(call_id, reply) if call_id.host == self.settings.host => {
                 self.calls.on_answer(call_id.serial, reply);
             }
@@ -453,9 +451,9 @@
     }
 
     /// Handles a message that this host's member sent to this host.
-    fn receive_own(&mut self, message: Message) {
+    fn receive_own(&mut self, now: Time, message: Message) {
         match message {
-            Message::NotLeader { serial } => self.calls.on_not_leader(self.settings.host, serial),
+            Message::NotLeader { serial } => self.calls.on_not_leader(now, self.settings.host, serial),
             other => log::debug!(message:? = other; "control_host: ignored a message of this host to itself"),
         }
     }
--- a/crates/store/src/raft/status.rs
+++ b/crates/store/src/raft/status.rs
@@ -2,7 +2,7 @@
 
 use super::Raft;
 use crate::{FolderId, GroupId, Index, Members, Role, Term};
-use mangogw_model::HostId;
+use mangogw_model::{HostId, Time};
 
 /// The state of one member.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,6 +67,12 @@
         self.leader
     }
 
+    /// Returns the time of the last message from the leader, which is now if this member leads. Without a leader, it is
+    /// the time of an earlier leader's last message.
+    pub fn leader_heard(&self) -> Time {
+        if self.role == Role::Leader { self.now } else { self.leader_contact }
+    }
+
     /// Returns the index of the last entry that was output to be applied; `None` until this member leads and has output
     /// all entries that earlier leaders committed.
     pub fn leader_applied_index(&self) -> Option<Index> {
