--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -1,10 +1,15 @@
 //! Simulation of control hosts, entry hosts, fake targets and clients over a lossy network, from one seed.
 
 mod faults;
+mod group;
+
+pub use group::{LARGE_GROUP, LARGE_VOTERS};
 
 use crate::fake_target::{FakeRun, FakeTarget, LEASE_MS, TargetEvent};
 use crate::oracle::{JobLog, Oracle};
-use mangogw_control::{Call, Caller, ControlHost, Effect, Message, OrderId, Reply, Settings, found, host_at};
+use mangogw_control::{
+    Call, Caller, ControlHost, Effect, Message, OrderId, Reply, Settings, found, host_at, joining_state,
+};
 use mangogw_jobs::{JobId, JobSpec, Order, OrderKind, Outcome, Queue, QueueSet, Resources, RunEnd, Step};
 use mangogw_model::{HostId, Time, Version, Zone};
 use mangogw_store::{DurableState, Op, Write, WriteId};
@@ -17,10 +22,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Number of founders of the control group, and of control hosts unless a simulation has more.
 pub const CONTROL_HOSTS: usize = 3;
 pub const HOSTS: usize = 9;
-/// Number of hosts in use while zones stay connected: three control hosts and one entry host per zone.
-const CONNECTED_HOSTS: usize = 6;
 /// Number of zones. Hosts and targets are in the zone of their index modulo this.
 const ZONES: usize = 3;
 const PORT: u16 = 7720;
@@ -80,6 +84,13 @@
     LoseLeader,
 }
 
+/// Control hosts of a simulation. The first `CONTROL_HOSTS` found the group, the others join it.
+#[derive(Debug, Clone, Copy)]
+struct GroupSize {
+    control_hosts: usize,
+    voters: usize,
+}
+
 #[derive(Debug)]
 struct Node {
     control_host: Option<ControlHost>,
@@ -96,13 +107,29 @@
 
 #[derive(Debug)]
 enum PendingCall {
-    Job { id: JobId },
-    Cancel { id: JobId },
-    Install { version: u64 },
-    Fetch { sent: Time },
-    FinalRead { id: JobId },
+    Job {
+        id: JobId,
+    },
+    Cancel {
+        id: JobId,
+    },
+    Install {
+        version: u64,
+    },
+    Fetch {
+        sent: Time,
+    },
+    FinalRead {
+        id: JobId,
+    },
     Heartbeat,
     Leave,
+    /// A check whether a host is served, with the version that it installs, if any.
+    Probe {
+        id: u64,
+        sent: Time,
+        version: Option<u64>,
+    },
 }
 
 #[derive(Debug)]
@@ -123,6 +150,7 @@
     pub oracle: Oracle,
     rng: Pcg64Mcg,
     faults: Faults,
+    size: GroupSize,
     events: BinaryHeap<Reverse<(Time, u64)>>,
     event_bodies: BTreeMap<u64, Event>,
     serial: u64,
@@ -150,6 +178,8 @@
     pub misdelivered_starts: u64,
     /// Leaders are killed or frozen beside the restarts of targets.
     loses_leaders: bool,
+    /// Replies to the calls that check whether a control host is served.
+    probe_replies: BTreeMap<u64, Reply>,
 }
 
 fn ip(host: usize) -> Ipv4Addr {
@@ -158,11 +188,24 @@
 
 impl Simulation {
     pub fn new(seed: u64, faults: Faults, targets: usize, direct_targets: usize, stored_share: f64) -> Self {
+        let size = GroupSize { control_hosts: CONTROL_HOSTS, voters: 3 };
+        Self::with_size(size, seed, faults, targets, direct_targets, stored_share)
+    }
+
+    fn with_size(
+        size: GroupSize,
+        seed: u64,
+        faults: Faults,
+        targets: usize,
+        direct_targets: usize,
+        stored_share: f64,
+    ) -> Self {
         let mut sim = Self {
             now: Time::from_millis(1),
             oracle: Oracle::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             faults,
+            size,
             events: BinaryHeap::new(),
             event_bodies: BTreeMap::new(),
             serial: 0,
@@ -185,10 +228,15 @@
             job_timeout: Duration::from_millis(1500),
             misdelivered_starts: 0,
             loses_leaders: false,
+            probe_replies: BTreeMap::new(),
         };
         let founders: Vec<Ipv4Addr> = (0..CONTROL_HOSTS).map(ip).collect();
         for host in 0..HOSTS {
-            let disk = (host < CONTROL_HOSTS).then(|| found(ip(host), &founders));
+            let disk = match host {
+                ..CONTROL_HOSTS => Some(found(ip(host), &founders)),
+                _ if host < size.control_hosts => Some(joining_state(ip(host), sim.rng.random())),
+                _ => None,
+            };
             let id = disk.as_ref().map_or(host_at(ip(host), 0), |stored| stored.host);
             sim.nodes.push(Node {
                 control_host: None,
@@ -232,7 +280,7 @@
             self.oracle.jobs.iter().filter(|(_, job)| job.accepted.is_some()).map(|(id, _)| *id).collect();
         for id in ids {
             let (host, path) = ("h".to_owned(), format!("/p/{id}"));
-            self.call(CONTROL_HOSTS, Call::Read { host, path, id }, PendingCall::FinalRead { id });
+            self.call(self.size.control_hosts, Call::Read { host, path, id }, PendingCall::FinalRead { id });
         }
         let end = self.now + Duration::from_secs(2);
         while self.now < end {
@@ -267,7 +315,7 @@
             zone: Zone::from(["a", "b", "c"][host % 3]),
             cpu_millicores: 250,
             direct_targets,
-            voters: 3,
+            voters: self.size.voters,
             jobs: mangogw_jobs::Settings {
                 lease: Duration::from_millis(LEASE_MS),
                 // The final check reads all jobs, so none may be removed; the tests of the ledger cover removal.
@@ -281,6 +329,11 @@
         self.process_effects(host);
     }
 
+    /// Returns the number of hosts in use while zones stay connected: control hosts and one entry host per zone.
+    const fn connected_hosts(&self) -> usize {
+        self.size.control_hosts + ZONES
+    }
+
     fn step(&mut self) {
         let Some(Reverse((time, serial))) = self.events.pop() else {
             panic!("no event is queued, but each tick queues the next")
@@ -348,7 +401,7 @@
             Event::Heal(kind) => self.heal(kind),
             Event::Restart { host } => self.boot(host),
             Event::Leave { target, incarnation } => {
-                let host = self.rng.random_range(0..CONTROL_HOSTS);
+                let host = self.rng.random_range(0..self.size.control_hosts);
                 let id = self.targets[target].report.id.clone();
                 self.call(host, Call::Leave { id, incarnation }, PendingCall::Leave);
             }
@@ -633,7 +686,7 @@
         }
         target.report.sequence += 1;
         let report = target.report.clone();
-        let host = self.rng.random_range(0..CONTROL_HOSTS);
+        let host = self.rng.random_range(0..self.size.control_hosts);
         if !self.cut_targets.contains(&(index, host, false)) && !self.is_cut(index, host) {
             self.call(host, Call::Report(report), PendingCall::Heartbeat);
         }
@@ -677,7 +730,7 @@
                         if choice == 0 {
                             job.cancel_sent = true;
                             let (host, path) = ("h".to_owned(), format!("/p/{id}"));
-                            let entry = self.rng.random_range(CONTROL_HOSTS..CONNECTED_HOSTS);
+                            let entry = self.rng.random_range(self.size.control_hosts..self.connected_hosts());
                             self.call(entry, Call::Cancel { host, path, id }, PendingCall::Cancel { id });
                         } else if choice == 1 {
                             self.after(700, Event::SendJob(id));
@@ -705,6 +758,16 @@
             PendingCall::FinalRead { id } => {
                 self.final_replies.insert(id, reply);
             }
+            PendingCall::Probe { id, sent, version } => {
+                match (&reply, version) {
+                    (Reply::Done, Some(version)) => self.oracle.acked_versions.push((now, version)),
+                    (Reply::Set(set), None) => {
+                        self.oracle.fetched(now, sent, set.as_ref().map_or(0, |set| set.version.0));
+                    }
+                    _ => {}
+                }
+                self.probe_replies.insert(id, reply);
+            }
             PendingCall::Heartbeat | PendingCall::Leave => {}
         }
     }
@@ -746,10 +809,16 @@
         if self.now < self.load_end {
             self.after(300, Event::Config);
         }
-        let host = self.rng.random_range(0..CONTROL_HOSTS);
+        let host = self.rng.random_range(0..self.size.control_hosts);
         if self.version > 0 && self.rng.random_bool(0.5) {
             return self.call(host, Call::Fetch, PendingCall::Fetch { sent: self.now });
         }
+        let (version, set) = self.next_queue_set();
+        self.call(host, Call::Install(set), PendingCall::Install { version });
+    }
+
+    /// Returns a queue set of the next version.
+    fn next_queue_set(&mut self) -> (u64, Arc<QueueSet>) {
         self.version += 1;
         let version = self.version;
         let queue = Queue {
@@ -764,7 +833,7 @@
             ..Queue::default()
         };
         let set = QueueSet { version: Version(version), queues: vec![queue], ..QueueSet::default() };
-        self.call(host, Call::Install(Arc::new(set)), PendingCall::Install { version });
+        (version, Arc::new(set))
     }
 }
 
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -1,9 +1,6 @@
 //! Faults of the simulation and their repair.
 
-use super::{
-    CONNECTED_HOSTS, CONTROL_HOSTS, Event, Faults, HOLD_MS, HOSTS, PendingCall, RESEND_DELAY, Simulation, ZONES,
-    apply_op, ip,
-};
+use super::{Event, Faults, HOLD_MS, HOSTS, PendingCall, RESEND_DELAY, Simulation, ZONES, apply_op, ip};
 use mangogw_control::{Caller, ControlHost, joining_state};
 use mangogw_jobs::{JobId, OrderKind, TargetState};
 use mangogw_model::Time;
@@ -33,6 +30,15 @@
         self.after(down, Event::Restart { host });
     }
 
+    /// Kills a control host, which comes back with a new, empty disk.
+    pub(super) fn wipe(&mut self, host: usize, down: u64) {
+        self.kill(host, true, down);
+        let random = self.rng.random();
+        let stored = joining_state(ip(host), random);
+        self.nodes[host].id = stored.host;
+        self.nodes[host].disk = Some(stored);
+    }
+
     /// Breaks the connections of all clients of a host, which send their jobs again.
     pub fn reset_connections(&mut self, host: usize) {
         let is_job = |pending: &PendingCall| matches!(pending, PendingCall::Job { .. });
@@ -67,7 +73,7 @@
     /// Returns the control host that leads the group, if there is one.
     pub fn leader(&self) -> Option<usize> {
         let leads = |host: &usize| self.nodes[*host].control_host.as_ref().is_some_and(ControlHost::is_leader);
-        (0..CONTROL_HOSTS).find(leads)
+        (0..self.size.control_hosts).find(leads)
     }
 
     /// Deregisters a target, which ends some seconds later and starts again under its id. The deregistration may arrive
@@ -181,9 +187,9 @@
         self.after(2000, Event::Fault);
         let Faults { kills, power_loss, wipes, freezes, cuts, crashes, drains, .. } = self.faults;
         let all_up = self.nodes.iter().all(|node| node.control_host.is_some() && node.frozen_until <= self.now);
-        let hosts = if self.faults.zones { HOSTS } else { CONNECTED_HOSTS };
+        let hosts = if self.faults.zones { HOSTS } else { self.connected_hosts() };
         let host = self.rng.random_range(0..hosts);
-        let control = self.rng.random_range(0..CONTROL_HOSTS);
+        let control = self.rng.random_range(0..self.size.control_hosts);
         let target = self.rng.random_range(0..self.targets.len());
         let kinds = if self.faults.zones { 11 } else { 9 };
         if self.faults.full_disks && self.rng.random_bool(0.5) {
@@ -196,15 +202,11 @@
         match self.rng.random_range(0..kinds) {
             0 if kills && all_up => self.kill(host, false, 900),
             1 if power_loss && all_up => {
-                (0..CONTROL_HOSTS).for_each(|host| self.kill(host, true, 1000 + host as u64 * 100));
+                (0..self.size.control_hosts).for_each(|host| self.kill(host, true, 1000 + host as u64 * 100));
             }
             2 if wipes && all_up && self.now - self.last_wipe > Duration::from_secs(8) => {
                 self.last_wipe = self.now;
-                self.kill(control, true, 800);
-                let random = self.rng.random();
-                let stored = joining_state(ip(control), random);
-                self.nodes[control].id = stored.host;
-                self.nodes[control].disk = Some(stored);
+                self.wipe(control, 800);
             }
             3 if freezes && all_up => {
                 let span = self.rng.random_range(300..4000);
@@ -244,8 +246,10 @@
     /// Returns the entry host for a job. With zone faults, load balancers keep clients in their zone, also for resends.
     pub(super) fn entry_of(&mut self, id: JobId) -> usize {
         match self.faults.zones {
-            false => self.rng.random_range(CONTROL_HOSTS..CONNECTED_HOSTS),
-            true => id.0 as usize % ZONES + self.rng.random_range(1..HOSTS / ZONES) * ZONES,
+            false => self.rng.random_range(self.size.control_hosts..self.connected_hosts()),
+            true => {
+                id.0 as usize % ZONES + self.rng.random_range(self.size.control_hosts / ZONES..HOSTS / ZONES) * ZONES
+            }
         }
     }
 
