A lost voter is removed only once its successor votes

What callers saw: nothing at first. Cause: the leader removed each voter that was silent for 2.5 s as soon as any learner had caught up, 100 ms apart, before it promoted the learner; the number of voters to aim for then counted only the hosts that were left (three voters and a learner stay as they are). Change: the successor is promoted first, then the lost voter is removed: five voters, six for a moment, five. Six bear two losses like five do (a quorum of four), also when the leader is lost between the two steps. Without a successor, a silent voter stays. Of several lost voters, one whose address has another id in use (its disk is gone) is replaced first, and such hosts don't count as hosts; the arm of the decision that could never be taken is gone. The 2.5 s are no longer tied to how fast a host starts: replacing a voter too early costs a few log entries.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -1,5 +1,8 @@
 //! Membership of the control group: new hosts join as learners, caught-up learners become voters, and lost voters are
-//! removed in favour of them.
+//! replaced by them.
+//!
+//! A lost voter is removed only once its successor votes, so that the group never has fewer voters than its settings ask
+//! for because one of them was slow to come back. With one voter more, for that moment, it bears as many losses.
 
 use crate::identity::ip_of;
 use indexmap::IndexMap;
@@ -9,7 +12,8 @@
 
 /// Interval at which the members are checked.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
-/// Time without contact after which a voter is removed if another host can replace it. A restart takes 1 to 2 s.
+/// Time without contact after which a voter is replaced if another host can do so. A voter that comes back later joins
+/// again as a learner, so that a shorter time than a restart costs only a few log entries.
 const VOTER_TIMEOUT: Duration = Duration::from_millis(2500);
 /// Time without contact after which a learner, or a host that has asked to join, is removed.
 const LEARNER_TIMEOUT: Duration = Duration::from_secs(10);
@@ -48,38 +52,40 @@
         for peer in status.peers.iter().filter(|peer| !peer.alive) {
             self.silent_since.entry(peer.host).or_insert(now);
         }
-        let silent =
-            |host: &HostId, least: Duration| self.silent_since.get(host).is_some_and(|since| now - *since >= least);
-        let replaced = |host: &HostId| {
-            let same = |other: &HostId| *other != *host && ip_of(*other) == ip_of(*host);
-            members.learners.keys().chain(self.joining.keys()).any(same)
+        let silence = |host: &HostId| self.silent_since.get(host).map_or(Duration::ZERO, |since| now - *since);
+        // A silent host has lost its disk if another id is in use at its address.
+        let silent = |host: &HostId| self.silent_since.contains_key(host);
+        let disk_lost = |host: &HostId| {
+            let in_use = |other: &HostId| ip_of(*other) == ip_of(*host) && !silent(other);
+            let ids = members.voters.keys().chain(members.learners.keys()).chain(self.joining.keys());
+            silent(host) && ids.copied().any(|other| in_use(&other))
         };
+        let lost = members
+            .voters
+            .keys()
+            .filter(|host| **host != status.host && (disk_lost(host) || silence(host) >= VOTER_TIMEOUT))
+            .max_by_key(|host| (disk_lost(host), silence(host)));
         let ready = status.peers.iter().find(|peer| peer.caught_up && members.learners.contains_key(&peer.host));
-        let full = members.voters.len() >= self.desired_voters(status);
-        let replaceable = |host: &&HostId| **host != status.host && (replaced(host) || silent(host, VOTER_TIMEOUT));
-        match (ready, members.voters.keys().find(replaceable)) {
-            (Some(peer), None) if !full => Some(MembershipChange::Promote(peer.host)),
-            (Some(_), Some(voter)) => Some(MembershipChange::Remove(*voter)),
-            (None, Some(voter)) if replaced(voter) && self.joining.is_empty() && members.learners.is_empty() => {
-                Some(MembershipChange::Remove(*voter))
-            }
+        let hosts = members.voters.keys().chain(members.learners.keys()).filter(|host| !disk_lost(host)).count();
+        let (voters, desired) = (members.voters.len(), self.desired_voters(hosts));
+        match (ready, lost) {
+            (Some(peer), None) if voters < desired => Some(MembershipChange::Promote(peer.host)),
+            (Some(peer), Some(_)) if voters <= desired => Some(MembershipChange::Promote(peer.host)),
+            (_, Some(voter)) if voters > desired => Some(MembershipChange::Remove(*voter)),
             _ => self
                 .joining
                 .first()
                 .map(|(host, (folder_id, _))| MembershipChange::AddLearner(*host, *folder_id))
                 .or_else(|| {
-                    members
-                        .learners
-                        .keys()
-                        .find(|host| silent(host, LEARNER_TIMEOUT))
-                        .map(|host| MembershipChange::Remove(*host))
+                    let mut learners = members.learners.keys();
+                    let dead = learners.find(|host| disk_lost(host) || silence(host) >= LEARNER_TIMEOUT);
+                    dead.map(|host| MembershipChange::Remove(*host))
                 }),
         }
     }
 
-    /// Returns the largest odd number of voters that the hosts and `max_voters` allow.
-    fn desired_voters(&self, status: &Status) -> usize {
-        let hosts = status.members.voters.len() + status.members.learners.len();
+    /// Returns the largest odd number of voters that `hosts` hosts and `max_voters` allow.
+    fn desired_voters(&self, hosts: usize) -> usize {
         let most = self.max_voters.min(hosts);
         if most.is_multiple_of(2) { most.saturating_sub(1).max(1) } else { most }
     }
