Tests that fail: a host with a new disk stays outside a group led by no seed

A voter that is back with a new disk before its earlier id is removed gets the messages to that id, since hosts are reached by address. It follows their sender with its empty log, so it ignores the hosts that LeaderInfo lists, and asks only its seeds to join. If a host leads that joined later, nobody answers, and it never forgets that leader, as it may not vote.

--- a/crates/control/tests/group/large_group.rs
+++ b/crates/control/tests/group/large_group.rs
@@ -1,6 +1,6 @@
 //! Directed tests of a group of six control hosts, five of which vote, at faults that it has to bear.
 
-use crate::simulation::{Faults, LARGE_GROUP, LARGE_VOTERS, Simulation};
+use crate::simulation::{CONTROL_HOSTS, Faults, LARGE_GROUP, LARGE_VOTERS, Simulation};
 use crate::trace;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -144,6 +144,57 @@
     assert_none(&failures);
 }
 
+/// Returns a large group that is led by a host that joined it, so that no seed leads.
+fn joiner_led_group(seed: u64) -> Simulation {
+    let mut sim = complete_group(seed);
+    while let Some(leader) = sim.group_leader().filter(|leader| *leader < CONTROL_HOSTS) {
+        sim.kill(leader, false, 1000);
+        sim.run_for(Duration::from_secs(1) + RETURN);
+    }
+    assert!(sim.run_until(Duration::from_secs(15), Simulation::is_complete), "seed {seed}: {}", sim.describe_group());
+    sim
+}
+
+/// Guards against hosts with new disks that stay outside: messages to their earlier ids make them follow a leader that they
+/// never ask to join, since it is none of their seeds.
+#[test]
+fn a_host_with_a_new_disk_joins_a_leader_that_is_no_seed() {
+    let mut failures = Vec::new();
+    let leader = joiner_led_group(430).group_leader();
+    let others = (0..LARGE_GROUP).filter(|host| Some(*host) != leader);
+    for (host, down) in others.flat_map(|host| [(host, 1000), (host, 5000)]) {
+        let mut sim = joiner_led_group(430);
+        sim.lose_disk(host, down);
+        sim.run_for(Duration::from_millis(down) + RETURN);
+        if !sim.run_until(Duration::from_mins(1), Simulation::is_complete) {
+            failures.push(format!("leader {leader:?}, host {host} down for {down} ms: {}", sim.describe_group()));
+        }
+    }
+    assert_none(&failures);
+}
+
+/// Guards against a group that ends for good as disks are lost in pairs, each 6 s after the last host is back.
+#[test]
+fn pairs_of_lost_disks_leave_a_majority() {
+    let mut failures = Vec::new();
+    for seed in [432, 433] {
+        let mut sim = joiner_led_group(seed);
+        for pair in [[0, 1], [2, 3], [4, 5], [0, 3], [1, 4], [2, 5]] {
+            for host in pair {
+                sim.lose_disk(host, 1000);
+            }
+            sim.run_for(Duration::from_secs(1) + RETURN);
+            let before = sim.group_members();
+            if !sim.serves_a_change(Duration::from_secs(15)) {
+                let state = describe_unserved(&mut sim);
+                failures.push(format!("seed {seed}, after disks {pair:?}, members {before:?}: {state}"));
+                break;
+            }
+        }
+    }
+    assert_none(&failures);
+}
+
 /// Cuts a zone off for a time.
 fn cut_off(sim: &mut Simulation, zone: usize, millis: u64) {
     sim.set_isolated(Some(zone));
