Fuzz of large groups: faults that cost two control hosts at a time

A host counts as lost until 6 s after its return. While no host is lost, there is a leader and each control host serves a read and a change within 5 s; 20 s after the last fault, all are members and five vote; and all rules of the oracle hold.

--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -5,6 +5,7 @@
 //! crashes, paused hosts, lost data folders and isolated zones; the oracle checks for them at targets and clients only.
 
 mod fake_target;
+mod group_faults;
 mod large_group;
 mod oracle;
 mod simulation;
--- a/crates/control/tests/group/simulation/group.rs
+++ b/crates/control/tests/group/simulation/group.rs
@@ -139,6 +139,11 @@
         self.wipe(host, down);
     }
 
+    /// Pauses a control host.
+    pub fn freeze(&mut self, host: usize, millis: u64) {
+        self.nodes[host].frozen_until = self.now + Duration::from_millis(millis);
+    }
+
     /// Makes a leader hand over its leadership, as before a planned stop. The host goes on.
     pub fn hand_over(&mut self, host: usize) {
         let now = self.now;
@@ -198,6 +203,12 @@
         self.probe(&hosts, Probe::Fetch, limit)
     }
 
+    /// Returns the control hosts that do not acknowledge a queue set within `limit`.
+    pub fn unchanged_hosts(&mut self, limit: Duration) -> Vec<usize> {
+        let hosts: Vec<usize> = (0..self.size.control_hosts).collect();
+        self.probe(&hosts, Probe::Install, limit)
+    }
+
     /// Returns true if any control host acknowledges a queue set within `limit`.
     pub fn serves_a_change(&mut self, limit: Duration) -> bool {
         let hosts: Vec<usize> = (0..self.size.control_hosts).collect();
