A message of the log names the host that it is meant for

Cause: hosts are reached by address. A host that lost its disk comes back at its address under a new id, and the leader's heartbeats to the old id reached it. Its empty log followed that leader, which does not know it; with a leader, it took no hosts from others and asked only its seeds to join. Change: a message of the log carries the id of its receiver, and a host drops what is meant for another id at its address, with a line. A member takes the hosts of the group from others also while it has a leader, so that a host outside asks more than its seeds.

--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -291,9 +291,7 @@
             }
             (Message::LeaderInfo { hosts, .. }, Some(_)) => {
                 // A member learns the leader from its own log, but may learn the group's hosts from others.
-                if self.calls.leader().is_none() {
-                    self.calls.on_hosts(from, hosts);
-                }
+                self.calls.on_hosts(from, hosts);
             }
             (message, None) => {
                 log::debug!(from = from.0, message:?; "control_host: not a member, ignoring a message for members");
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -169,11 +169,13 @@
 fn a_member_sends_no_call_again_to_the_silent_leader_in_its_log() {
     let (own, leader) = (Ipv4Addr::new(10, 1, 0, 4), control_host(1));
     let stored = joining_state(own, 77);
+    let stored_id = stored.host;
     let mut host = ControlHost::open(settings(stored.host), Some(stored), Time::ZERO);
     // A learner that follows a leader of term 3, and hears nothing more from it.
     let heartbeat = mangogw_store::Message {
         group: GroupId(5),
         folder_id: FolderId(6),
+        to: stored_id,
         term: Term(3),
         body: Body::Heartbeat { commit: Index(0), round: 0 },
     };
--- a/crates/store/src/message.rs
+++ b/crates/store/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::{FolderId, GroupId, Index, LogEntry, LogId, Members, Term};
 use bytes::Bytes;
+use mangogw_model::HostId;
 use serde::{Deserialize, Serialize};
 
 /// A message from one host of the group to another.
@@ -11,6 +12,8 @@
     pub group: GroupId,
     /// Id of the sender's data folder.
     pub folder_id: FolderId,
+    /// Id of the host that the message is meant for. Another one may have taken its address meanwhile.
+    pub to: HostId,
     /// Term of the sender; in a pre-vote, the term in which the sender would campaign.
     pub term: Term,
     /// Content of the message.
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -93,7 +93,7 @@
     /// Role, term and leader in the last [`Output::Role`].
     reported_role: Option<(Role, Term, Option<HostId>)>,
     foreign_messages: u64,
-    /// Hosts with a replaced data folder that have been logged; each is logged once.
+    /// Ids of hosts with a replaced data folder that have been logged; each is logged once.
     warned_hosts: BTreeSet<HostId>,
 }
 
@@ -287,14 +287,21 @@
         self.now = self.now.max(now);
     }
 
-    /// Returns true if the message is from this group and, if it is an answer, from the data folder that the group
+    /// Returns true if the message is for this host, from this group and, if it is an answer, from the data folder that the group
     /// knows. Messages of a leader or candidate are checked by term only: this host's own members may be out of date.
     fn admit_message(&mut self, from: HostId, message: &Message) -> bool {
         let foreign = self.group != GroupId(0) && message.group != GroupId(0) && self.group != message.group;
         let ungrouped = self.group == GroupId(0) && message.group == GroupId(0);
         let known = self.members().folder_id(from);
         let replaced = message.body.is_answer() && known.is_some_and(|folder_id| folder_id != message.folder_id);
-        let admitted = self.role != Role::Failed && !foreign && !ungrouped && !replaced;
+        let meant = message.to == self.host;
+        if !meant && self.warned_hosts.insert(message.to) {
+            log::info!(
+                from = from.0, meant = message.to.0, host = self.host.0;
+                "store: dropped a message for another id at this address, whose data folder was replaced"
+            );
+        }
+        let admitted = self.role != Role::Failed && meant && !foreign && !ungrouped && !replaced;
         if replaced && self.warned_hosts.insert(from) {
             log::warn!(
                 from = from.0;
@@ -312,7 +319,7 @@
     }
 
     fn send_as(&mut self, to: HostId, term: Term, body: Body) {
-        let message = Message { group: self.group, folder_id: self.folder_id, term, body };
+        let message = Message { group: self.group, folder_id: self.folder_id, to, term, body };
         self.outputs.push(Output::Send { to, message });
     }
 
--- a/crates/store/src/raft/status.rs
+++ b/crates/store/src/raft/status.rs
@@ -29,8 +29,8 @@
     pub snapshot: Index,
     /// Bytes of log entries in memory.
     pub log_bytes: usize,
-    /// Messages dropped because they came from another group or a replaced data folder, or because this host has
-    /// failed.
+    /// Messages dropped because they were meant for another host, came from another group or a replaced data folder, or
+    /// because this host has failed.
     pub foreign_messages: u64,
     /// The members as of the last entry of the log.
     pub members: Members,
--- a/crates/store/src/raft/sync_queue.rs
+++ b/crates/store/src/raft/sync_queue.rs
@@ -68,7 +68,7 @@
 
     /// Sends `body` once everything written so far is synced.
     pub(super) fn send_synced(&mut self, to: HostId, body: Body) {
-        let message = Message { group: self.group, folder_id: self.folder_id, term: self.term, body };
+        let message = Message { group: self.group, folder_id: self.folder_id, to, term: self.term, body };
         self.after_sync(DeferredAction::Send(to, message));
     }
 
--- a/crates/store/tests/election_log.rs
+++ b/crates/store/tests/election_log.rs
@@ -52,7 +52,7 @@
             raft.drain();
             if let Some(host) = refusing {
                 let body = Body::PreVoteAnswer { granted: false };
-                let message = Message { group: GroupId(77), folder_id: folder_id(host), term, body };
+                let message = Message { group: GroupId(77), folder_id: folder_id(host), to: HostId(1), term, body };
                 raft.on_message(now, HostId(host), message);
             }
         }
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -206,7 +206,7 @@
     let mut raft = Raft::open(settings(), stored, Time::ZERO);
     let now = Time::from_millis(1_000);
     let answer = |raft: &mut Raft, body: Body| {
-        let message = Message { group: GroupId(7), folder_id: folder_id(HostId(2)), term: Term(4), body };
+        let message = Message { group: GroupId(7), folder_id: folder_id(HostId(2)), to: HOST_1, term: Term(4), body };
         raft.on_message(now, HostId(2), message);
         for output in raft.drain() {
             if let Output::Write(write) = output {
@@ -230,7 +230,7 @@
 }
 
 fn from_leader(term: u64, body: Body) -> Message {
-    Message { group: GroupId(7), folder_id: folder_id(HostId(2)), term: Term(term), body }
+    Message { group: GroupId(7), folder_id: folder_id(HostId(2)), to: HOST_1, term: Term(term), body }
 }
 
 /// Guards against two leaders in one term, and against a leader that lacks committed entries.
@@ -243,7 +243,8 @@
     let mut raft = Raft::open(settings(), stored, Time::ZERO);
     let mut ask = |from: u64, term: u64, last: LogId| {
         let body = Body::Vote { last, transfer: true };
-        let message = Message { group: GroupId(7), folder_id: folder_id(HostId(from)), term: Term(term), body };
+        let message =
+            Message { group: GroupId(7), folder_id: folder_id(HostId(from)), to: HOST_1, term: Term(term), body };
         raft.on_message(Time::ZERO, HostId(from), message);
         let mut outputs = raft.drain();
         for write in outputs.clone() {
@@ -321,7 +322,7 @@
     for to in [leader, other] {
         let body = Body::Vote { last, transfer: false };
         let from = world.running_hosts().into_iter().find(|id| ![leader, other].contains(id)).unwrap();
-        let message = Message { group: GroupId(7), folder_id: folder_id(from), term: Term(91), body };
+        let message = Message { group: GroupId(7), folder_id: folder_id(from), to, term: Term(91), body };
         world.deliver(to, from, &message);
     }
     world.run(1_000);
@@ -521,6 +522,20 @@
     }
 }
 
+/// Guards against a host with a new folder, and so a new id, that takes part as the host whose address it has: it would
+/// follow a leader that does not know it, and never ask to join.
+#[test]
+fn a_message_for_another_host_at_the_same_address_is_dropped() {
+    let mut raft = Raft::open(settings(), DurableState::joining(HostId(9), folder_id(HostId(9))), Time::ZERO);
+    let heartbeat = Body::Heartbeat { commit: Index(0), round: 0 };
+    raft.on_message(Time::ZERO, HostId(2), from_leader(3, heartbeat.clone()));
+    assert_eq!((raft.leader(), raft.term()), (None, Term(0)));
+    assert!(raft.drain().iter().all(|output| matches!(output, Output::Role { .. })));
+    assert_eq!(raft.status().foreign_messages, 1);
+    raft.on_message(Time::ZERO, HostId(2), Message { to: HostId(9), ..from_leader(3, heartbeat) });
+    assert_eq!((raft.leader(), raft.term()), (Some(HostId(2)), Term(3)));
+}
+
 /// Guards against a host that is cut off for good: it still knows the leader by the folder that was replaced.
 #[test]
 fn a_host_that_missed_a_replacement_follows_the_new_folder() {
@@ -571,6 +586,7 @@
     let foreign = Message {
         group: GroupId(8),
         folder_id: folder_id(HostId(2)),
+        to: leader,
         term: Term(99),
         body: Body::Heartbeat { commit: Index(0), round: 0 },
     };
