Requests to join the control group expire

Cause: the leader kept a request to join until its host was a member, with no age. A leader that lost its role within 250 ms of the request kept the request, and added the host when it led again, also if the host had been added and removed meanwhile, or had ended.

Change: a request counts for 5 s after its last repeat; hosts that are no members repeat it every second.

Measured: a_request_to_join_from_before_a_change_of_the_leader_adds_nobody_later failed on (4 members in place of 3, a minute after the request) and passes. a_removed_host_that_goes_on_running_stays_removed passed before and guards a related case: once a removed host learns that it was removed, its own request to join would undo the removal.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -278,7 +278,7 @@
     /// Handles a message between the control group and hosts outside of it.
     pub(crate) fn on_group_message(&mut self, now: Time, from: HostId, message: GroupMessage) {
         match (message, &mut self.group) {
-            (GroupMessage::Join { folder_id }, Some(group)) => group.on_join(from, folder_id),
+            (GroupMessage::Join { folder_id }, Some(group)) => group.on_join(now, from, folder_id),
             (GroupMessage::Leaving { incarnation }, Some(group)) => group.on_leaving(from, incarnation),
             (GroupMessage::Propose(command), Some(group)) => group.propose_table(now, command),
             (GroupMessage::Call { serial, call }, Some(group)) => {
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -19,6 +19,8 @@
 const PLAN_PERIOD: Duration = Duration::from_millis(250);
 /// Interval at which a host repeats its request to join.
 pub(crate) const JOIN_PERIOD: Duration = Duration::from_secs(1);
+/// Time after which a request to join counts no more: its host repeats it, while it is no member, every [`JOIN_PERIOD`].
+const JOIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Number of voters up to which learners are promoted automatically.
 const MAX_VOTERS: usize = 5;
 
@@ -140,7 +142,8 @@
     /// The term in which this host leads, until an entry of that term is applied: before that, the state may lack
     /// changes that earlier leaders acknowledged.
     unapplied_term: Option<Term>,
-    joining: IndexMap<HostId, FolderId>,
+    /// Hosts that ask to join, each with the time of its last request.
+    joining: IndexMap<HostId, (FolderId, Time)>,
     leaving: IndexMap<HostId, Incarnation>,
     outputs: Vec<GroupOutput<T>>,
     wall_offset: u64,
@@ -244,9 +247,9 @@
     }
 
     /// Records, if this host leads, that a host with a new data folder asks to join the group.
-    pub(crate) fn on_join(&mut self, host: HostId, folder_id: FolderId) {
+    pub(crate) fn on_join(&mut self, now: Time, host: HostId, folder_id: FolderId) {
         if self.is_leader {
-            self.joining.insert(host, folder_id);
+            self.joining.insert(host, (folder_id, now));
         }
     }
 
@@ -387,7 +390,8 @@
     /// Promotes a learner that has caught up, or adds a host that asks to join as a learner.
     fn update_members(&mut self, now: Time) {
         let status = self.raft.status();
-        self.joining.retain(|&host, _| status.members.folder_id(host).is_none());
+        self.joining
+            .retain(|&host, (_, asked)| status.members.folder_id(host).is_none() && now - *asked < JOIN_TIMEOUT);
         let promotable =
             status.peers.iter().find(|peer| peer.caught_up && status.members.learners.contains_key(&peer.host));
         let tag = self.tag();
@@ -395,7 +399,7 @@
             (Some(peer), _) if status.members.voters.len() < MAX_VOTERS => {
                 self.raft.change_membership(now, MembershipChange::Promote(peer.host), tag);
             }
-            (_, Some((&host, &folder_id))) => {
+            (_, Some((&host, &(folder_id, _)))) => {
                 self.raft.change_membership(now, MembershipChange::AddLearner(host, folder_id), tag);
             }
             _ => {}
--- /dev/null
+++ b/crates/host/tests/hosts/group.rs
@@ -0,0 +1,93 @@
+//! The control group as other hosts believe it: hosts that were removed from it or have stopped leading it go on running.
+
+use crate::world::{Faults, World};
+use mangogw_catalogue::Token;
+use mangogw_host::{Call, CallKind, ControlQuery, GroupMessage, HostRequest, Message, OperatorReply, Reply};
+use mangogw_model::{HostId, Time};
+use mangogw_store::FolderId;
+use std::time::Duration;
+
+const NO_FAULTS: Faults =
+    Faults { loss: 0.0, duplicates: 0.0, partitions: false, crashes: false, freezes: false, targets: false };
+const SETUP_END: Time = Time::from_millis(8_000);
+const HOSTS: usize = 6;
+/// Number of hosts with data folders, the first ones.
+const GROUP_HOSTS: usize = 3;
+
+fn settled_world(seed: u64) -> World {
+    let mut world = World::open(seed, HOSTS, 3, NO_FAULTS);
+    world.run_until(SETUP_END, |world| world.is_settled(3));
+    // All hosts with data folders have joined by then.
+    world.run(SETUP_END);
+    assert_eq!(members(&mut world, 0), 3);
+    world
+}
+
+/// Makes an operator's call through a host, and returns its reply and the time that it took.
+fn call(world: &mut World, through: usize, kind: CallKind) -> (Option<Reply>, Duration) {
+    let token = Token::from_random(1, [7; 32]);
+    let call = Call { token: token.to_text(), client_address: String::new(), kind };
+    let (sent, number) = (world.now, world.requests.len());
+    world.send_request(through, None, HostRequest::Operate(call));
+    world.run_until(sent + Duration::from_secs(6), World::is_answered);
+    (world.requests[number].reply.clone(), world.now - sent)
+}
+
+fn read_group(world: &mut World, through: usize) -> Option<serde_json::Value> {
+    match call(world, through, CallKind::Read(ControlQuery::Group)).0 {
+        Some(Reply::Operator(OperatorReply::Read { body, .. })) => serde_json::from_str(&body).ok(),
+        _ => None,
+    }
+}
+
+/// Returns the number of voters and learners.
+fn members(world: &mut World, through: usize) -> usize {
+    let group = read_group(world, through).expect("the group has a leader");
+    ["voters", "learners"].iter().map(|key| group[*key].as_array().map_or(0, Vec::len)).sum()
+}
+
+/// Returns the number of the host that leads.
+fn leader(world: &World) -> usize {
+    let leads = |&number: &usize| {
+        world.host(number).is_some_and(|host| host.status_view(world.now).role.as_deref() == Some("leader"))
+    };
+    (0..GROUP_HOSTS).find(leads).expect("a leader")
+}
+
+/// Carries out a change of the group through its leader.
+fn change(world: &mut World, kind: CallKind) {
+    let leader = leader(world);
+    let (reply, _) = call(world, leader, kind);
+    assert!(matches!(reply, Some(Reply::Operator(OperatorReply::Done))), "{reply:?}");
+    world.run(world.now + Duration::from_secs(1));
+}
+
+fn id_of(number: usize) -> HostId {
+    HostId(number as u64 + 1)
+}
+
+/// Guards against a member that an operator has removed, and that is added again since a former leader leads once more
+/// and still holds a request to join from before.
+#[test]
+fn a_request_to_join_from_before_a_change_of_the_leader_adds_nobody_later() {
+    let mut world = settled_world(1);
+    let first = leader(&world);
+    let join = GroupMessage::Join { folder_id: FolderId(999) };
+    world.deliver(first, id_of(HOSTS - 1), Message::Group(join));
+    change(&mut world, CallKind::Transfer(id_of((first + 1) % GROUP_HOSTS)));
+    world.run(world.now + Duration::from_mins(1));
+    change(&mut world, CallKind::Transfer(id_of(first)));
+    world.run(world.now + Duration::from_secs(5));
+    assert_eq!(members(&mut world, first), GROUP_HOSTS);
+}
+
+/// Guards against an operator's removal that is undone: the removed host goes on running and asks to join.
+#[test]
+fn a_removed_host_that_goes_on_running_stays_removed() {
+    let mut world = settled_world(1);
+    let removed = (leader(&world) + 1) % GROUP_HOSTS;
+    change(&mut world, CallKind::Remove(id_of(removed)));
+    world.run(world.now + Duration::from_secs(30));
+    let leader = leader(&world);
+    assert_eq!(members(&mut world, leader), GROUP_HOSTS - 1);
+}
