Test of a request relayed to a lost host: stop the owner before any answer

The test stops the owner of a target "before the answer reaches it", but looked at the world only every 20 ms, while runs take 5 to 80 ms.

--- a/crates/host/tests/hosts/focused.rs
+++ b/crates/host/tests/hosts/focused.rs
@@ -75,8 +75,12 @@
     let timeout = Some(Duration::from_secs(20));
     let before = world.requests.len();
     world.send_request(other, None, HostRequest::Run { entry: "scan".into(), key: None, timeout, body });
-    let end = world.now + Duration::from_secs(1);
-    world.run_until(end, |world| !world.starts.is_empty());
+    // In steps shorter than any run, so that the answer can't have reached the owner.
+    for _ in 0..1_000 {
+        if world.starts.is_empty() {
+            world.run(world.now + Duration::from_millis(1));
+        }
+    }
     assert_eq!(world.starts.values().sum::<u32>(), 1, "it was relayed and started");
     // The owner stops before the answer reaches it.
     world.stop(owner);
