Only the leader confirms a catalogue as current

Cause: a host whose catalogue was confirmed once stays `Current`, also when it is cut off. It answered polls as `Zone`, but pushed changes to the hosts that poll it as `Current`; a poll from before a restart that arrived late was answered as `Current` too.

Change: pushes and polls pass on `Zone` at most; `Current` comes from a read that the leader has confirmed for this very reply. A host that isn't confirmed yet chooses its parent anew after each answer, so that it finds the leader in any case.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -236,13 +236,7 @@
         self.spread.on_versions(now, from, versions);
         match &mut self.group {
             Some(group) if needs_current && group.is_leader() => group.confirm(now, ReplyTo::Refresh(from)),
-            _ => {
-                let state = match self.spread.state() {
-                    CatalogueState::Current if needs_current => CatalogueState::Zone,
-                    state => state,
-                };
-                self.send_update(from, versions, state);
-            }
+            _ => self.send_update(from, versions, self.unconfirmed_state()),
         }
     }
 
@@ -256,9 +250,17 @@
         self.send_update(host, versions, CatalogueState::Current);
     }
 
+    /// Returns the state of this host's catalogue for another host: what was confirmed to this one may be outdated.
+    const fn unconfirmed_state(&self) -> CatalogueState {
+        match self.spread.state() {
+            CatalogueState::Blank => CatalogueState::Blank,
+            CatalogueState::Zone | CatalogueState::Current => CatalogueState::Zone,
+        }
+    }
+
     fn update_children(&mut self, now: Time) {
         let mine = self.versions();
-        let state = self.spread.state();
+        let state = self.unconfirmed_state();
         for (host, versions) in self.spread.take_outdated(now, mine) {
             self.send_update(host, versions, state);
         }
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -63,7 +63,7 @@
     pub table: Option<Vec<u8>>,
     /// The versions of the parent.
     pub versions: Versions,
-    /// How current the parent's catalogue is known to be.
+    /// How current the catalogue is known to be; `Current` only if the control group has confirmed it for this reply.
     pub state: CatalogueState,
 }
 
@@ -143,7 +143,7 @@
             self.last_reply = now;
         }
         let isolated = now - self.opened >= ISOLATION_TIMEOUT;
-        if self.state == CatalogueState::Blank && state != CatalogueState::Current {
+        if self.state != CatalogueState::Current && state != CatalogueState::Current {
             // Another parent may be able to confirm the catalogue.
             self.parent = None;
         }
--- a/crates/host/tests/hosts/group.rs
+++ b/crates/host/tests/hosts/group.rs
@@ -2,7 +2,10 @@
 
 use crate::world::{Faults, World};
 use mangogw_catalogue::Token;
-use mangogw_host::{Call, CallKind, ControlQuery, GroupMessage, HostRequest, Message, OperatorReply, Reply};
+use mangogw_host::{
+    Call, CallKind, CatalogueState, ControlQuery, GroupMessage, HostRequest, Message, OperatorReply, Reply,
+    SpreadMessage, Versions,
+};
 use mangogw_model::{HostId, Time};
 use mangogw_store::FolderId;
 use std::time::Duration;
@@ -110,3 +113,24 @@
     let leader = leader(&world);
     assert_eq!(members(&mut world, leader), GROUP_HOSTS - 1);
 }
+
+/// Guards against a host that has just started and takes the catalogue of its zone for the group's: a host that had its
+/// own confirmed once, before it was cut off, pushes it as confirmed.
+#[test]
+fn a_cut_off_host_confirms_its_catalogue_to_nobody() {
+    let mut world = settled_world(1);
+    let inside = (leader(&world) + 1) % GROUP_HOSTS;
+    let started = inside + GROUP_HOSTS;
+    world.partition_zone(inside);
+    world.stop(started);
+    world.run(world.now + Duration::from_secs(1));
+    world.restart(started);
+    let poll = SpreadMessage::Pull { versions: Versions::default(), needs_current: true };
+    for _ in 0..40 {
+        // A poll that is under way while the polled host gets an answer of its own.
+        world.deliver(inside, id_of(started), Message::Spread(poll.clone()));
+        world.run(world.now + Duration::from_millis(50));
+    }
+    let state = world.host(started).map(|host| host.status_view(world.now).standing);
+    assert_eq!(state, Some(CatalogueState::Blank));
+}
