Versions of the control group pass from host to host with their age

Cause: a host keeps the parent that it polls for changes for as long as that answers. A removed host answers what it has, and polls a parent itself: two of them may poll each other, and all others one of the two. Nobody notices, since an answer without anything new has no age.

Change: an answer carries the time since its versions were the newest of the control group: none at a leader and at a voter that has one, else the parent's plus what passed since. A host with versions older than 6 s chooses another parent, at most every 6 s. Learners, and voters whose folder was replaced, take the age from their parent too, because they never give up a leader that is silent.

--- a/crates/host/src/control.rs
+++ b/crates/host/src/control.rs
@@ -47,6 +47,7 @@
                 self.send(to, Message::Group(GroupMessage::ForwardedCall { host, serial, call }));
             }
             _ => self.send_reply(
+                now,
                 reply_to,
                 OperatorReply::refused(Code::NoLeader, "no member of the control group can be reached"),
             ),
@@ -76,11 +77,11 @@
         usable.filter(move |&host| is_voter(&self.members, host))
     }
 
-    fn send_reply(&mut self, reply_to: ReplyTo, reply: OperatorReply) {
+    fn send_reply(&mut self, now: Time, reply_to: ReplyTo, reply: OperatorReply) {
         match reply_to {
             ReplyTo::Caller(caller) => self.reply_operator(caller, reply),
             ReplyTo::Peer { host, serial } => self.send(host, Message::Group(GroupMessage::Reply { serial, reply })),
-            ReplyTo::Refresh(host) if matches!(reply, OperatorReply::Done) => self.on_confirmed(host),
+            ReplyTo::Refresh(host) if matches!(reply, OperatorReply::Done) => self.on_confirmed(now, host),
             ReplyTo::Refresh(_) => {}
         }
     }
@@ -101,7 +102,7 @@
             match output {
                 GroupOutput::Send { to, message } => self.send(to, Message::Raft(message)),
                 GroupOutput::Write(write) => self.effects.push(Effect::Write(write)),
-                GroupOutput::Reply { reply_to, reply } => self.send_reply(reply_to, reply),
+                GroupOutput::Reply { reply_to, reply } => self.send_reply(now, reply_to, reply),
                 GroupOutput::Forward { reply_to, call, leader } => self.forward_call(now, reply_to, call, Some(leader)),
                 GroupOutput::Changed => changed = true,
                 GroupOutput::SnapshotUnreadable => {
@@ -151,6 +152,9 @@
 
     /// Runs the timers of the control group: bootstrap, joining, polling the parent, and timeouts of calls.
     pub(crate) fn tick_control(&mut self, now: Time) {
+        if self.group.as_ref().is_some_and(Group::follows_leader) {
+            self.spread.on_group_state(now, Duration::ZERO);
+        }
         let is_leader = self.group.as_ref().is_some_and(Group::is_leader);
         let peers = if is_leader { self.peers() } else { Vec::new() };
         if let Some(group) = &mut self.group {
@@ -236,18 +240,18 @@
         self.spread.on_versions(now, from, versions);
         match &mut self.group {
             Some(group) if needs_current && group.is_leader() => group.confirm(now, ReplyTo::Refresh(from)),
-            _ => self.send_update(from, versions, self.unconfirmed_state()),
+            _ => self.send_update(now, from, versions, self.unconfirmed_state()),
         }
     }
 
     /// Sends the state to `host` as current, after the control group has confirmed that this host's state is.
-    fn on_confirmed(&mut self, host: HostId) {
+    fn on_confirmed(&mut self, now: Time, host: HostId) {
         if host == self.settings.host {
             return self.spread.set_current();
         }
         let versions =
             self.spread.children().find(|(child, _)| *child == host).map(|(_, versions)| versions).unwrap_or_default();
-        self.send_update(host, versions, CatalogueState::Current);
+        self.send_update(now, host, versions, CatalogueState::Current);
     }
 
     /// Returns the state of this host's catalogue for another host: what was confirmed to this one may be outdated.
@@ -262,14 +266,14 @@
         let mine = self.versions();
         let state = self.unconfirmed_state();
         for (host, versions) in self.spread.take_outdated(now, mine) {
-            self.send_update(host, versions, state);
+            self.send_update(now, host, versions, state);
         }
     }
 
-    fn send_update(&mut self, to: HostId, versions: Versions, state: CatalogueState) {
+    fn send_update(&mut self, now: Time, to: HostId, versions: Versions, state: CatalogueState) {
         let delta = (versions.catalogue < self.catalogue.version()).then(|| self.delta(versions));
         let table = (versions.table < self.table.applied_index()).then(|| self.table.snapshot());
-        let update = Update { delta, table, versions: self.versions(), state };
+        let update = Update { delta, table, versions: self.versions(), age: self.spread.age(now), state };
         self.send(to, Message::Spread(SpreadMessage::Update(Box::new(update))));
     }
 
@@ -296,7 +300,11 @@
         if let Some(table) = table.filter(|table| table.applied_index() > self.table.applied_index()) {
             self.install_table(now, table);
         }
-        let caught_up = self.versions().catalogue >= update.versions.catalogue;
+        let mine = self.versions();
+        let caught_up = mine.catalogue >= update.versions.catalogue;
+        if caught_up && mine.table >= update.versions.table {
+            self.spread.on_group_state(now, update.age);
+        }
         if caught_up {
             self.spread.on_update(now, from, update.state, self.catalogue.version().0 > 0);
         }
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -187,6 +187,12 @@
         status.members.folder_id(status.host).is_some()
     }
 
+    /// Returns true if this host leads or is a voter with a leader. Voters alone give up a leader that is silent.
+    pub(crate) fn follows_leader(&self) -> bool {
+        let status = self.raft.status();
+        status.leader.is_some() && status.members.voters.get(&status.host) == Some(&status.folder_id)
+    }
+
     pub(crate) const fn is_leader(&self) -> bool {
         self.is_leader
     }
--- a/crates/host/src/spread.rs
+++ b/crates/host/src/spread.rs
@@ -17,6 +17,9 @@
 pub const STARTUP_POLL_PERIOD: Duration = Duration::from_millis(100);
 /// Time after its last poll for which a child receives updates.
 pub const CHILD_TIMEOUT: Duration = Duration::from_secs(4);
+/// Age of the control group's state, as a host has it, from which it looks for another parent. Each hop between the group
+/// and the host adds up to [`POLL_PERIOD`].
+pub const MAX_AGE: Duration = Duration::from_secs(6);
 /// Time after its start from which a host that cannot reach the control group accepts the newest catalogue of its zone.
 pub const ISOLATION_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -63,6 +66,8 @@
     pub table: Option<Vec<u8>>,
     /// The versions of the parent.
     pub versions: Versions,
+    /// Time since the parent's versions were the newest of the control group.
+    pub age: Duration,
     /// How current the catalogue is known to be; `Current` only if the control group has confirmed it for this reply.
     pub state: CatalogueState,
 }
@@ -77,6 +82,10 @@
     parent: Option<HostId>,
     last_poll: Option<Time>,
     last_reply: Time,
+    /// Time at which this host's versions were last the newest of the control group.
+    group_seen: Time,
+    /// Time at which the parent was chosen.
+    parent_since: Time,
     next_index: usize,
     children: IndexMap<HostId, Child>,
 }
@@ -98,6 +107,8 @@
             parent: None,
             last_poll: None,
             last_reply: now,
+            group_seen: now,
+            parent_since: now,
             next_index: 0,
             children: IndexMap::new(),
         }
@@ -128,14 +139,26 @@
             return None;
         }
         let silent = now - self.last_reply > period * 3;
-        if self.parent.is_none_or(|parent| silent || !is_usable(member_slots, parent)) {
+        // A parent may itself hear nothing new, or only from this host, and answer all the same.
+        let outdated = now - self.group_seen.max(self.parent_since) > MAX_AGE;
+        if self.parent.is_none_or(|parent| silent || outdated || !is_usable(member_slots, parent)) {
             self.parent = self.choose_parent(now, member_slots, group, relays);
-            self.last_reply = now;
+            (self.last_reply, self.parent_since) = (now, now);
         }
         self.last_poll = Some(now);
         self.parent
     }
 
+    /// Returns the time since this host's versions were the newest of the control group.
+    pub fn age(&self, now: Time) -> Duration {
+        now - self.group_seen
+    }
+
+    /// Records that this host's versions were the newest of the control group `age` ago.
+    pub fn on_group_state(&mut self, now: Time, age: Duration) {
+        self.group_seen = self.group_seen.max(Time::ZERO + (now - Time::ZERO).saturating_sub(age));
+    }
+
     /// Handles the catalogue state of a parent; the host installs the update itself. `has_catalogue` is true if the
     /// host has a catalogue that is not empty, since an empty one is never the newest of a zone.
     pub fn on_update(&mut self, now: Time, from: HostId, state: CatalogueState, has_catalogue: bool) {
--- a/crates/host/tests/hosts/group.rs
+++ b/crates/host/tests/hosts/group.rs
@@ -1,12 +1,12 @@
 //! The control group as other hosts believe it: hosts that were removed from it or have stopped leading it go on running.
 
 use crate::world::{Faults, World};
-use mangogw_catalogue::Token;
+use mangogw_catalogue::{Action, Token};
 use mangogw_host::{
     Call, CallKind, CatalogueState, ControlQuery, GroupMessage, HostRequest, Message, OperatorReply, Reply,
     SpreadMessage, Versions,
 };
-use mangogw_model::{HostId, Time};
+use mangogw_model::{HostId, Team, Time, Version};
 use mangogw_store::FolderId;
 use std::time::Duration;
 
@@ -88,6 +88,31 @@
     }
 }
 
+/// Guards against hosts that poll each other, or hosts that were removed from the group, for the catalogue: no change
+/// reached them any more.
+#[test]
+fn changes_reach_every_host_after_hosts_were_removed_from_the_group() {
+    for seed in 1..7 {
+        let mut world = settled_world(seed);
+        let last = GROUP_HOSTS - 1;
+        if leader(&world) != last {
+            change(&mut world, CallKind::Transfer(id_of(last)));
+        }
+        for removed in 0..last {
+            change(&mut world, CallKind::Remove(id_of(removed)));
+            world.run(world.now + Duration::from_secs(10));
+        }
+        let action = Box::new(Action::PutOwner { name: "second".into(), team: Team::default() });
+        let (reply, _) = call(&mut world, last, CallKind::Change { key: None, base: Some(Version(1)), action });
+        assert!(
+            matches!(&reply, Some(Reply::Operator(OperatorReply::Changed(done))) if done.version.0 == 2),
+            "{reply:?}"
+        );
+        world.run(world.now + Duration::from_secs(30));
+        assert_eq!(world.versions(), [2; HOSTS], "seed {seed}");
+    }
+}
+
 /// Guards against a member that an operator has removed, and that is added again since a former leader leads once more
 /// and still holds a request to join from before.
 #[test]
