Test that a paused leader acts on no role that has run out

Report of operators: a process that had been paused for some seconds acted on a permission that had run out meanwhile. For the role of the leader of the control group: the first read and the first change of the members after a pause of 1, 3 and 10 s, before any message that has waited. It can't happen: the timers run first, and the leader steps down.

--- a/crates/host/tests/hosts/group.rs
+++ b/crates/host/tests/hosts/group.rs
@@ -159,3 +159,29 @@
     let state = world.host(started).map(|host| host.status_view(world.now).standing);
     assert_eq!(state, Some(CatalogueState::Blank));
 }
+
+/// Guards against a leader that was paused, and acts on its role after another host has led: its first calls are answered
+/// from a state that is outdated, or change the group.
+#[test]
+fn a_paused_leader_answers_no_call_before_it_has_heard_of_its_successor() {
+    for span in [1, 3, 10].map(Duration::from_secs) {
+        let mut world = settled_world(1);
+        let paused = leader(&world);
+        let other = (paused + 1) % GROUP_HOSTS;
+        world.freeze(paused, span);
+        world.run(world.now + span.saturating_sub(Duration::from_millis(1)));
+        // The first input after the pause, before any message that has waited.
+        for kind in [CallKind::Read(ControlQuery::Group), CallKind::Remove(id_of(other))] {
+            let number = world.requests.len();
+            let token = Token::from_random(1, [7; 32]);
+            let call = Call { token: token.to_text(), client_address: String::new(), kind };
+            world.send_request(paused, None, HostRequest::Operate(call));
+            world.run(world.now);
+            let reply = &world.requests[number].reply;
+            assert!(matches!(reply, Some(Reply::Refused(_))), "paused for {span:?}: {reply:?}");
+        }
+        world.run(world.now + Duration::from_secs(3));
+        let leading = leader(&world);
+        assert_eq!(members(&mut world, leading), GROUP_HOSTS, "paused for {span:?}");
+    }
+}
--- a/crates/host/tests/hosts/world/mod.rs
+++ b/crates/host/tests/hosts/world/mod.rs
@@ -465,6 +465,11 @@
         self.run(self.now + span);
     }
 
+    /// Freezes a host from now on; its messages and timers wait until `span` is over.
+    pub fn freeze(&mut self, number: usize, span: Duration) {
+        self.nodes[number].frozen = self.now + span;
+    }
+
     /// Delivers a message to a host as if `from` had sent it.
     pub fn deliver(&mut self, to: usize, from: HostId, message: Message) {
         let now = self.now;
