Log the members, their changes, lost elections and requests to join

Changes of the members had no line, their refusals were dropped, and neither an election that is not won nor a host that asks to join left a trace.

Change, without any change of logic: lines for the members in force (once when the entry is in the log, once when it is applied), for each change that the leader decides and each refusal, for pre-votes and campaigns that end without a quorum (who granted, refused, was silent), for refused votes at debug level, and for hosts that ask to join, on both sides. Repeated lines are bounded to one in 5 s. New gauges and counters show the same: learners, voters wanted, this host's vote, a known leader, changes of the members, failed elections.

--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use mangogw_jobs::{Order, Outcome};
 use mangogw_model::{HostId, Time};
-use mangogw_store::{DurableState, Role, Write, WriteId};
+use mangogw_store::{DurableState, Role, Write, WriteId, host_list};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +17,8 @@
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(250);
 /// Interval at which a host that is no member, or has no leader, asks to join the control group.
 const JOIN_PERIOD: Duration = Duration::from_millis(300);
+/// Interval at which a host logs that it still asks to join.
+const JOIN_LOG_PERIOD: Duration = Duration::from_secs(5);
 /// Time without a leader after which a member asks to join again, since it may have been removed.
 const REJOIN_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time after a host's last leader query during which the host is notified of a new leader at once.
@@ -75,6 +77,8 @@
     outbox: IndexMap<HostId, Vec<Message>>,
     last_tick: Time,
     last_join: Time,
+    /// Time of the last log line on asking to join; `None` while this host does not ask.
+    join_logged: Option<Time>,
     /// Time at which a leader was last known.
     leader_seen: Time,
     /// Term and leader in the last notification to the listeners; `None` if there was none.
@@ -95,6 +99,7 @@
             outbox: IndexMap::new(),
             last_tick: now,
             last_join: now,
+            join_logged: None,
             leader_seen: now,
             announced: None,
             leaving: false,
@@ -218,7 +223,12 @@
 
     /// Returns this host's metrics.
     pub fn metrics(&self, now: Time) -> HostMetrics {
-        let calls = HostMetrics { ready: self.is_ready(now), calls: self.calls.len(), ..HostMetrics::default() };
+        let calls = HostMetrics {
+            ready: self.is_ready(now),
+            leader_known: self.calls.has_leader(now),
+            calls: self.calls.len(),
+            ..HostMetrics::default()
+        };
         self.member.as_ref().map_or(calls, |member| member.metrics(calls))
     }
 
@@ -365,6 +375,7 @@
         let not_member = status.members.folder_id(status.host) != Some(status.folder_id);
         let due = not_member || now - self.leader_seen >= REJOIN_TIMEOUT;
         if !due || status.leader.is_some() && !not_member {
+            self.join_logged = None;
             return;
         }
         self.last_join = now;
@@ -373,6 +384,15 @@
         let mut hosts: Vec<HostId> = known.filter(|host| *host != status.host).collect();
         hosts.sort_unstable();
         hosts.dedup();
+        if self.join_logged.is_none_or(|at| now - at >= JOIN_LOG_PERIOD) {
+            self.join_logged = Some(now);
+            log::info!(
+                reason = if not_member { "not a member by its own log" } else { "no leader" },
+                leaderless = (now - self.leader_seen).as_millis() as u64, term = status.term.0, last = status.last.0,
+                hosts = host_list(&hosts);
+                "control_host: asking to join the control group"
+            );
+        }
         for host in hosts {
             self.send(host, Message::Join { folder_id });
             self.send(host, self.calls.leader_query(now));
--- a/crates/control/src/host_metrics.rs
+++ b/crates/control/src/host_metrics.rs
@@ -17,6 +17,18 @@
     pub version: u64,
     /// Number of voters of the control group, as far as this host knows.
     pub voters: usize,
+    /// Number of voters that the control group grows to if there are enough hosts.
+    pub max_voters: usize,
+    /// Number of learners of the control group, as far as this host knows.
+    pub learners: usize,
+    /// True if the host is a voter of the control group.
+    pub is_voter: bool,
+    /// True if the host knows a leader of the control group.
+    pub leader_known: bool,
+    /// Number of changes of the members that the host has applied since its start.
+    pub membership_changes: u64,
+    /// Number of the host's pre-votes and campaigns that ended without a quorum.
+    pub failed_elections: u64,
     /// Number of stored jobs in the ledger.
     pub stored: usize,
     /// Number of calls of this host's clients that have no reply yet.
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -2,6 +2,7 @@
 
 mod entries;
 mod isolated;
+mod membership_log;
 
 use crate::membership::Membership;
 use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
@@ -11,7 +12,8 @@
     Board, Command, Counts, EndRecord, JobId, Ledger, Outcome, Phase, StoredJob, Submission, TargetKey, TargetState,
 };
 use mangogw_model::{HostId, Time, Zone};
-use mangogw_store::{DurableState, Index, Raft, Role, Status, Tag, Write, WriteId};
+use mangogw_store::{DurableState, Index, MembershipChange, Raft, Role, Status, Tag, Write, WriteId};
+use membership_log::MembershipLog;
 use std::time::Duration;
 
 /// Interval at which the leader removes stored jobs whose retention time is over.
@@ -47,6 +49,8 @@
     Read(CallId, Call),
     /// A command whose sender waits for the reply.
     Change(CallId, Command),
+    /// A change of the members.
+    Members(MembershipChange),
     /// Ended runs that a target has listed.
     Ends { target: TargetKey, numbers: Vec<u64>, records: Vec<EndRecord> },
     /// A command whose result nobody waits for.
@@ -93,6 +97,11 @@
     /// Reads that wait for the end of a job, each with its deadline.
     waiting_reads: Vec<(CallId, JobId, Time)>,
     membership: Membership,
+    membership_log: MembershipLog,
+    /// Number of changes of the members that were applied since the start.
+    membership_changes: u64,
+    /// Failed elections of the logs before the last reopening of the data folder.
+    failed_elections: u64,
     last_expiry: Time,
     handover_started: Option<Time>,
     outputs: Vec<MemberOutput>,
@@ -120,12 +129,17 @@
             retries: Vec::new(),
             waiting_reads: Vec::new(),
             membership: Membership::new(settings.voters, now),
+            membership_log: MembershipLog::default(),
+            membership_changes: 0,
+            failed_elections: 0,
             last_expiry: now,
             handover_started: None,
             outputs: Vec::new(),
             settings,
         };
         member.process_outputs(now);
+        // The entries that the disk held are no changes of this run.
+        member.membership_changes = 0;
         member
     }
 
@@ -141,12 +155,19 @@
     /// Fills the fields of `calls` that describe the member and its board.
     pub(crate) fn metrics(&self, calls: HostMetrics) -> HostMetrics {
         let (jobs, waiting) = self.board.as_ref().map_or((0, 0), Board::job_counts);
+        let status = self.raft.status();
         HostMetrics {
             is_leader: self.is_leader(),
             isolated: self.isolated,
             term: self.raft.term().0,
             version: self.ledger.queue_version().0,
-            voters: self.raft.status().members.voters.len(),
+            voters: status.members.voters.len(),
+            max_voters: self.settings.voters,
+            learners: status.members.learners.len(),
+            is_voter: status.members.voters.get(&status.host) == Some(&status.folder_id),
+            leader_known: status.leader.is_some(),
+            membership_changes: self.membership_changes,
+            failed_elections: self.failed_elections + self.raft.failed_elections(),
             stored: self.ledger.jobs.len(),
             targets: self.target_count(),
             confirmed: self.board.as_ref().map_or(0, Board::confirmed),
@@ -183,6 +204,7 @@
 
     pub(crate) fn on_join(&mut self, now: Time, host: HostId, folder_id: mangogw_store::FolderId) {
         if self.is_leader() {
+            self.membership_log.log_join(now, host, folder_id, self.raft.members());
             self.membership.on_join(now, host, folder_id);
         }
     }
@@ -207,8 +229,11 @@
         }
         // Closes the board of the group and refuses the calls that wait for the log.
         self.process_outputs(now);
-        let Self { raft, ledger, applied, membership, outputs, .. } = Self::open(self.settings.clone(), stored, now);
+        self.failed_elections += self.raft.failed_elections();
+        let Self { raft, ledger, applied, membership, membership_log, outputs, .. } =
+            Self::open(self.settings.clone(), stored, now);
         (self.raft, self.ledger, self.applied, self.membership) = (raft, ledger, applied, membership);
+        self.membership_log = membership_log;
         (self.last_expiry, self.handover_started) = (now, None);
         self.outputs.extend(outputs);
     }
@@ -233,6 +258,8 @@
         }
         if let Some(change) = self.membership.due_change(now, &self.raft) {
             let tag = self.tag();
+            self.membership_log.log_change(now, change, self.raft.members());
+            self.pending.insert(tag, PendingOp::Members(change));
             self.raft.change_membership(now, change, tag);
         }
         if now - self.last_expiry >= EXPIRE_PERIOD {
@@ -473,7 +500,7 @@
             PendingOp::Change(call_id, command) => {
                 self.propose(now, &command, PendingOp::Change(call_id, command.clone()));
             }
-            PendingOp::Read(..) | PendingOp::Nothing => {}
+            PendingOp::Read(..) | PendingOp::Members(_) | PendingOp::Nothing => {}
         }
     }
 }
@@ -482,7 +509,7 @@
     const fn call_id(&self) -> Option<CallId> {
         match self {
             Self::Read(call_id, _) | Self::Change(call_id, _) => Some(*call_id),
-            Self::Ends { .. } | Self::Nothing => None,
+            Self::Members(_) | Self::Ends { .. } | Self::Nothing => None,
         }
     }
 }
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -6,7 +6,7 @@
 use crate::{Call, Message, Reply};
 use mangogw_jobs::{ApplyStatus, Board, Command, Ledger, Output as BoardOutput, Phase};
 use mangogw_model::{HostId, Time};
-use mangogw_store::{AppliedEntry, Output, Refusal, Role, Tag};
+use mangogw_store::{AppliedEntry, Output, Payload, Refusal, Role, Tag};
 
 impl Member {
     pub(super) fn process_outputs(&mut self, now: Time) {
@@ -19,6 +19,7 @@
             for output in outputs {
                 self.on_raft_output(now, output);
             }
+            self.membership_log.log_members(&self.raft, self.applied);
             for output in board_outputs {
                 self.on_board_output(now, output);
             }
@@ -71,7 +72,7 @@
                     }
                 }
             }
-            Output::Refused { tag, why, .. } => self.on_refused(tag, why),
+            Output::Refused { tag, why, .. } => self.on_refused(now, tag, why),
             Output::Transferred { .. } => {}
             Output::Role { role, term, leader } => self.on_role(role, term.0, leader),
             Output::Compact { index } => match self.ledger.encode() {
@@ -117,6 +118,7 @@
         self.board = Some(Board::open(self.settings.jobs.clone(), token, &self.ledger, now));
         self.reclaim_zones(now);
         self.membership = Membership::new(self.settings.voters, now);
+        self.membership_log.on_leading();
         for EarlyCall { call_id, call, first_attempt } in std::mem::take(&mut self.early_calls) {
             self.handle_call(now, call_id, call, first_attempt);
         }
@@ -125,6 +127,7 @@
     fn apply(&mut self, now: Time, entry: &AppliedEntry) {
         self.applied = entry.id.index;
         let Some(bytes) = entry.command() else {
+            self.membership_changes += u64::from(matches!(entry.payload, Payload::Members(_)));
             if let Some(tag) = entry.tag {
                 self.pending.swap_remove(&tag);
             }
@@ -178,7 +181,7 @@
         }
     }
 
-    fn on_refused(&mut self, tag: Tag, why: Refusal) {
+    fn on_refused(&mut self, now: Time, tag: Tag, why: Refusal) {
         let Some(pending) = self.pending.swap_remove(&tag) else { return };
         match (pending, why) {
             (PendingOp::Read(call_id, _), Refusal::NotLeader) => {
@@ -200,6 +203,7 @@
             (PendingOp::Change(call_id, _), _) => {
                 self.outputs.push(MemberOutput::Send(call_id.host, Message::NotLeader { serial: call_id.serial }));
             }
+            (PendingOp::Members(change), _) => self.membership_log.log_refused(now, change, why),
             (PendingOp::Ends { .. } | PendingOp::Nothing, _) => {}
         }
     }
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -46,6 +46,10 @@
         ("mangogw_term", view.term),
         ("mangogw_queues_version", view.version),
         ("mangogw_voters", view.voters as u64),
+        ("mangogw_voters_wanted", view.max_voters as u64),
+        ("mangogw_learners", view.learners as u64),
+        ("mangogw_voter", u64::from(view.is_voter)),
+        ("mangogw_leader_known", u64::from(view.leader_known)),
         ("mangogw_stored_jobs", view.stored as u64),
         ("mangogw_open_calls", view.calls as u64),
         ("mangogw_targets", view.targets as u64),
@@ -67,6 +71,8 @@
         ("mangogw_jobs_failed_total", view.counts.failed),
         ("mangogw_jobs_refused_total", view.counts.refused),
         ("mangogw_jobs_dropped_total", view.counts.dropped),
+        ("mangogw_membership_changes_total", view.membership_changes),
+        ("mangogw_elections_failed_total", view.failed_elections),
     ];
     for (name, value) in totals {
         counter!(name).absolute(value);
--- a/crates/mangogwd/tests/meters.rs
+++ b/crates/mangogwd/tests/meters.rs
@@ -7,11 +7,34 @@
 #[test]
 fn each_metric_of_a_control_host_is_rendered_and_documented() {
     let counts = Counts { starts: 41, refused: 3, ..Counts::default() };
-    let view = HostMetrics { isolated: true, targets: 16, confirmed: 15, counts, ..HostMetrics::default() };
+    let view = HostMetrics {
+        isolated: true,
+        targets: 16,
+        confirmed: 15,
+        counts,
+        voters: 4,
+        max_voters: 5,
+        learners: 2,
+        is_voter: true,
+        leader_known: true,
+        membership_changes: 9,
+        failed_elections: 6,
+        ..HostMetrics::default()
+    };
     let text = meters::render_control_host(&view, &mangogwd::links::Counts::default());
-    for line in
-        ["mangogw_island 1", "mangogw_targets_heard 15", "mangogw_starts_total 41", "mangogw_jobs_refused_total 3"]
-    {
+    for line in [
+        "mangogw_island 1",
+        "mangogw_targets_heard 15",
+        "mangogw_starts_total 41",
+        "mangogw_jobs_refused_total 3",
+        "mangogw_voters 4",
+        "mangogw_voters_wanted 5",
+        "mangogw_learners 2",
+        "mangogw_voter 1",
+        "mangogw_leader_known 1",
+        "mangogw_membership_changes_total 9",
+        "mangogw_elections_failed_total 6",
+    ] {
         assert!(text.lines().any(|shown| shown == line), "{line} in {text}");
     }
     let page = include_str!("../../../docs/operate/metrics.md");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -87,7 +87,7 @@
 pub use error::StoreError;
 pub use folder::Folder;
 pub use log::{LogEntry, Payload};
-pub use members::{MAX_VOTERS, Members, MembershipChange};
+pub use members::{MAX_VOTERS, Members, MembershipChange, host_list};
 pub use message::{Body, Message, Snapshot, SnapshotMeta};
 pub use output::{AppliedEntry, HardState, Op, Output, Refusal, Role, Write};
 pub use raft::{PeerStatus, Raft, Status};
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -28,6 +28,17 @@
     Remove(HostId),
 }
 
+/// Returns the ids of hosts as text for a field of a log line.
+///
+/// ```
+/// use mangogw_model::HostId;
+/// assert_eq!(mangogw_store::host_list(&[HostId(1), HostId(7)]), "1,7");
+/// ```
+pub fn host_list<'a>(hosts: impl IntoIterator<Item = &'a HostId>) -> String {
+    let ids: Vec<String> = hosts.into_iter().map(|host| host.0.to_string()).collect();
+    ids.join(",")
+}
+
 impl Members {
     /// Returns a membership of these voters, without learners.
     ///
--- a/crates/store/src/raft.rs
+++ b/crates/store/src/raft.rs
@@ -21,6 +21,7 @@
     Refusal, Role, Settings, Snapshot, Tag, Term, Write, WriteId,
 };
 use bytes::Bytes;
+use election::IN_LEASE;
 use mangogw_model::{HostId, Time};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -59,6 +60,9 @@
     election_deadline: Time,
     /// Voters that granted the current vote or pre-vote.
     granted: BTreeSet<HostId>,
+    /// Voters that refused it.
+    refused: BTreeSet<HostId>,
+    failed_elections: election::FailedElections,
 
     progress: BTreeMap<HostId, Progress>,
     /// Time of a leader's next heartbeats to voters.
@@ -128,6 +132,8 @@
             leader_contact: now,
             election_deadline: now,
             granted: BTreeSet::new(),
+            refused: BTreeSet::new(),
+            failed_elections: election::FailedElections::default(),
             progress: BTreeMap::new(),
             heartbeat_due: now,
             learner_due: now,
@@ -164,13 +170,20 @@
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         self.advance(now);
         if !self.admit_message(from, &message) {
+            if matches!(message.body, Body::PreVote { .. } | Body::Vote { .. }) {
+                let failed = self.role == Role::Failed;
+                let reason = if failed { "this host has failed" } else { "the sender is not admitted" };
+                self.log_refusal(from, message.term, reason);
+            }
             return;
         }
         let Message { term, body, group, .. } = message;
+        // Before the check of the term, since a refusal may come from another term.
+        self.count_refusal(from, &body);
         match body {
             Body::PreVote { last } => return self.on_pre_vote(from, term, last),
             Body::PreVoteAnswer { granted: true } => return self.on_pre_vote_granted(from, term),
-            Body::Vote { transfer: false, .. } if self.in_lease() => return,
+            Body::Vote { transfer: false, .. } if self.in_lease() => return self.log_refusal(from, term, IN_LEASE),
             _ => {}
         }
         if term > self.term {
--- a/crates/store/src/raft/election.rs
+++ b/crates/store/src/raft/election.rs
@@ -3,15 +3,33 @@
 use super::Raft;
 use super::sync_queue::DeferredAction;
 use crate::progress::Progress;
-use crate::{Body, GroupId, LogId, Payload, Refusal, Role, Term};
-use mangogw_model::HostId;
-use std::collections::BTreeMap;
+use crate::{Body, GroupId, LogId, Payload, Refusal, Role, Term, host_list};
+use mangogw_model::{HostId, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Interval at which elections that fail in the same way are logged.
+const LOG_PERIOD: Duration = Duration::from_secs(5);
+/// Reason for which this host refuses a vote or a pre-vote.
+pub(super) const IN_LEASE: &str = "the lease of a leader is in force";
+
+/// The pre-votes and campaigns of this host that ended without a quorum.
+#[derive(Debug, Default)]
+pub(super) struct FailedElections {
+    count: u64,
+    /// Term for which the current or last one was started.
+    term: Term,
+    /// Role, granting and refusing voters in the last log line, with its time.
+    logged: Option<(Role, BTreeSet<HostId>, BTreeSet<HostId>, Time)>,
+}
 
 impl Raft {
     /// Starts a pre-vote: asks the voters whether a campaign could win, without raising the term.
     pub(super) fn start_pre_vote(&mut self) {
         self.set_role(Role::PreCandidate, None);
         self.granted.clear();
+        self.refused.clear();
+        self.failed_elections.term = self.term.next();
         let last = self.last_id();
         for peer in self.voting_peers() {
             self.send_as(peer, self.term.next(), Body::PreVote { last });
@@ -20,7 +38,16 @@
     }
 
     pub(super) fn on_pre_vote(&mut self, from: HostId, term: Term, last: LogId) {
-        let granted = term > self.term && last >= self.last_id() && !self.in_lease();
+        let refusal = match term {
+            _ if term <= self.term => Some("its term is not later"),
+            _ if last < self.last_id() => Some("its log is shorter"),
+            _ if self.in_lease() => Some(IN_LEASE),
+            _ => None,
+        };
+        if let Some(reason) = refusal {
+            self.log_refusal(from, term, reason);
+        }
+        let granted = refusal.is_none();
         let answer_term = if granted { term } else { self.term };
         self.send_as(from, answer_term, Body::PreVoteAnswer { granted });
     }
@@ -37,6 +64,8 @@
         self.vote = Some(self.host);
         self.state_dirty = true;
         self.granted.clear();
+        self.refused.clear();
+        self.failed_elections.term = self.term;
         self.set_role(Role::Candidate, None);
         let last = self.last_id();
         for peer in self.voting_peers() {
@@ -47,7 +76,16 @@
 
     pub(super) fn on_vote(&mut self, from: HostId, last: LogId) {
         let free = self.vote.is_none() && self.leader.is_none() || self.vote == Some(from);
-        let granted = free && last >= self.last_id() && matches!(self.role, Role::Follower | Role::PreCandidate);
+        let refusal = match self.role {
+            _ if !free => Some("this host has voted or knows a leader in this term"),
+            _ if last < self.last_id() => Some("its log is shorter"),
+            Role::Follower | Role::PreCandidate => None,
+            _ => Some("this host is a candidate itself"),
+        };
+        if let Some(reason) = refusal {
+            self.log_refusal(from, self.term, reason);
+        }
+        let granted = refusal.is_none();
         if granted && self.vote.is_none() {
             self.vote = Some(from);
             self.state_dirty = true;
@@ -78,6 +116,52 @@
         self.granted.len() >= self.members().quorum()
     }
 
+    /// Notes that a voter has refused the current vote or pre-vote.
+    pub(super) fn count_refusal(&mut self, from: HostId, body: &Body) {
+        let refused = match body {
+            Body::PreVoteAnswer { granted } => !granted && self.role == Role::PreCandidate,
+            Body::VoteAnswer { granted } => !granted && self.role == Role::Candidate,
+            _ => false,
+        };
+        if refused && self.members().is_voter(from) {
+            self.refused.insert(from);
+        }
+    }
+
+    /// Logs that this host refuses a vote or a pre-vote.
+    pub(super) fn log_refusal(&self, from: HostId, term: Term, reason: &str) {
+        log::debug!(
+            host = self.host.0, from = from.0, term = term.0, own_term = self.term.0, reason;
+            "store: refused a vote or a pre-vote"
+        );
+    }
+
+    /// Returns the number of pre-votes and campaigns of this host that ended without a quorum.
+    pub const fn failed_elections(&self) -> u64 {
+        self.failed_elections.count
+    }
+
+    /// Counts and logs the end of a pre-vote or campaign without a quorum: at once if it differs from the last one, else
+    /// every `LOG_PERIOD`.
+    fn on_election_failed(&mut self) {
+        self.failed_elections.count += 1;
+        let known = self.failed_elections.logged.as_ref().is_some_and(|(role, granted, refused, at)| {
+            *role == self.role && (granted, refused) == (&self.granted, &self.refused) && self.now - *at < LOG_PERIOD
+        });
+        if known {
+            return;
+        }
+        let (voters, last) = (&self.members().voters, self.last_id());
+        let silent = voters.keys().filter(|host| !self.granted.contains(host) && !self.refused.contains(host));
+        log::warn!(
+            host = self.host.0, role:? = self.role, term = self.failed_elections.term.0, granted = host_list(&self.granted),
+            refused = host_list(&self.refused), silent = host_list(silent), needed = self.members().quorum(),
+            last_term = last.term.0, last_index = last.index.0, failed = self.failed_elections.count;
+            "store: an election ended without a quorum of voters"
+        );
+        self.failed_elections.logged = Some((self.role, self.granted.clone(), self.refused.clone(), self.now));
+    }
+
     /// Returns true if this host is a voter with the data folder that the group knows. An emptied folder under an old
     /// host id may receive a log that lists the id as a voter, but it has lost the votes that the old folder held.
     pub(super) fn may_vote(&self) -> bool {
@@ -120,6 +204,11 @@
     }
 
     fn set_role(&mut self, role: Role, leader: Option<HostId>) {
+        match (self.role, role) {
+            (Role::PreCandidate, Role::Candidate) | (Role::Candidate, Role::Leader) => {}
+            (Role::PreCandidate | Role::Candidate, _) => self.on_election_failed(),
+            _ => {}
+        }
         if self.role == Role::Leader && role != Role::Leader {
             self.progress = BTreeMap::new();
             self.leader = leader;
--- a/crates/store/src/raft/membership.rs
+++ b/crates/store/src/raft/membership.rs
@@ -63,7 +63,7 @@
     }
 
     /// Returns the index of the last entry that changed the members.
-    fn last_change_index(&self) -> Index {
+    pub fn last_change_index(&self) -> Index {
         self.membership_history.last().map_or(Index(0), |(index, _)| *index)
     }
 
