A leader supersedes each isolated leader of a zone once

What callers would see: after a zone that was cut off is back, jobs that are sent again never start, in any zone, and the runs of a silent target of that zone are never given up. Cause: the leader kept one superseded token a zone, while hosts keep the highest token that they have used. Hosts of a zone that have used different leaders of it name their tokens by turns, every 150 ms; each change counted as a new isolated leader, so the zone's targets were reclaimed and the lease of a silent one was extended each time. Evidence: jobs_start_again_after_a_zone_with_two_isolated_leaders_is_back failed on (the job does not start in 20 s). Change: the set of superseded tokens is kept, one for each isolated leader of a zone.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -14,6 +14,7 @@
 use mangogw_model::{HostId, Time, Zone};
 use mangogw_store::{DurableState, Index, MembershipChange, Raft, Role, Status, Tag, Write, WriteId};
 use membership_log::MembershipLog;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// Interval at which the leader removes stored jobs whose retention time is over.
@@ -82,8 +83,9 @@
     counts: Counts,
     /// True if the board is that of an isolated zone.
     isolated: bool,
-    /// Token of the last isolated leader that this member has superseded, by zone.
-    superseded: IndexMap<Zone, u64>,
+    /// Tokens of the isolated leaders that this member has superseded, by zone. Hosts that have used different leaders of a
+    /// zone name different ones.
+    superseded: IndexMap<Zone, BTreeSet<u64>>,
     /// Index of the last applied log entry.
     applied: Index,
     pending: IndexMap<Tag, PendingOp>,
--- a/crates/control/src/member/isolated.rs
+++ b/crates/control/src/member/isolated.rs
@@ -56,7 +56,7 @@
             self.step_down(now);
             return false;
         }
-        if self.superseded.insert(zone.clone(), isolated_token) != Some(isolated_token) {
+        if self.superseded.entry(zone.clone()).or_default().insert(isolated_token) {
             log::info!(zone:%, island = isolated_token; "member: superseding the leader of an isolated zone");
             self.reclaim_zone(now, zone);
         }
--- a/crates/host/src/group.rs
+++ b/crates/host/src/group.rs
@@ -187,7 +187,7 @@
         status.members.folder_id(status.host).is_some()
     }
 
-    /// Returns true if this host leads or is a voter with a leader. Voters alone give up a leader that is silent.
+    /// Returns true if this host leads or is a voter with a leader. Voters give up a silent leader sooner than learners do.
     pub(crate) fn follows_leader(&self) -> bool {
         let status = self.raft.status();
         status.leader.is_some() && status.members.voters.get(&status.host) == Some(&status.folder_id)
