One silence of a target is one failure, whenever its runs are given up

Callers: a target that was silent for a moment with answered and unanswered starts is given runs later than it could be: 1.3 s after its return, 0.79 s if all its starts were answered.

Cause: since answered runs are given up with the lease (1.03 s) and unanswered ones when they are surely over on an unknown incarnation (1.7 s), and expire_targets recorded a failure with each; two in a row eject. The failure belonged to the giving up of runs, not to the silence. The same count was wrong from other sides: a start that no byte of reached the target, beside others or beside a lease; and targets taken over in the midst of a silence. Silences with unanswered runs alone that end before 1.7 s did not count at all.

Before: a_silence_with_an_unanswered_start_does_not_eject_its_target: "1.3s, and 790ms if all starts were answered".

Now a silence is recorded when the lease of the target is over, or with the first start that did not reach it. Leases and orders from before the last record belong to that one; a lease counts anew only if it was granted while the target was not suspected. When runs are given up has not changed, so TWICE and LOST have the same bounds as before. Unwell, unreadable and full targets and failed or stalled runs count as they did.

Measured: 0.66 s after its return, 0.79 s if all starts were answered. New tests, on the old sources: a_silence_counts_once_whenever_its_runs_are_given_up, a_silence_counts_once_beside_a_takeover, a_run_that_is_given_up_after_a_silence_belongs_to_it, two_silences_eject_a_target and a_target_that_fails_its_runs_is_ejected fail; the others, which guard the opposite or later incarnations, pass. Trials with the record changed (never a second one; a lease that begins with the list; leases granted to suspected targets; none with a start): each fails at least one test. mangogw-jobs: all pass.

--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -143,6 +143,7 @@
             }
             Outcome::Denied { why, .. } => {
                 log::info!(task:%, run = run.0, target = id, why:?; "board: target refused to start a run");
+                let begun = known.begun;
                 target.remove_run(&task);
                 match why {
                     // The target may only be slow.
@@ -150,9 +151,10 @@
                     _ => self.counts.denied += 1,
                 }
                 match why {
-                    Denial::Unwell | Denial::Room | Denial::Unreached | Denial::Unreadable => {
-                        target.health.record_failure(now);
+                    Denial::Unreached => {
+                        target.record_silence(now, begun);
                     }
+                    Denial::Unwell | Denial::Room | Denial::Unreadable => target.health.record_failure(now),
                     Denial::Old | Denial::Late | Denial::Fenced | Denial::Unidentified => {}
                 }
                 if matches!(why, Denial::Room | Denial::Late | Denial::Unreached | Denial::Unidentified) {
--- a/crates/jobs/src/board/renewal.rs
+++ b/crates/jobs/src/board/renewal.rs
@@ -46,7 +46,7 @@
         let extends = busy && target.missed_renewals == 0;
         let until = target.clock.filter(|_| extends).map(|clock| clock.min_reading(now).saturating_add(lease));
         if let Some(until) = until {
-            target.extend_lease(until);
+            target.grant_lease(now, until);
         }
         let unsure =
             target.runs.values().any(|run| run.state != super::RunState::Running && now - run.sent > RENEWAL_WAIT / 2);
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -270,7 +270,7 @@
         let expected = expected_millis(target, step, self.settings.remote_factor);
         // No longer than one lease, because the next leader waits for one lease only.
         let until = clock.min_reading(now).saturating_add(lease);
-        target.extend_lease(until);
+        target.grant_lease(now, until);
         target.health.record_start();
         self.counts.starts += 1;
         let run = Run {
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -35,26 +35,32 @@
         self.dirty = true;
     }
 
-    /// Ends the runs on targets whose lease has surely expired without a renewal. A start without an answer may have arrived
-    /// at a later incarnation that is not known yet, and have its lease there.
+    /// Ends the runs on targets whose lease has surely expired without a renewal, and records one failure of each. A start
+    /// without an answer may have arrived at a later incarnation that is not known yet, and have its lease there.
     fn expire_targets(&mut self, now: Time) {
-        let hold = self.longest_hold();
-        let is_over = |run: &Run| run.confirmed || run.moved_at.is_some() || now - run.begun >= hold;
-        let expired: Vec<(TargetKey, Vec<TaskId>)> = self
+        let longest = self.longest_hold();
+        let is_over = |run: &Run| run.confirmed || run.moved_at.is_some() || now - run.begun >= longest;
+        let expired: Vec<TargetKey> = self
             .targets
             .iter()
-            .filter(|(_, target)| now >= target.expires)
-            .map(|(key, target)| {
-                let over = target.runs.iter().filter(|(_, run)| is_over(run));
-                (key, over.map(|(task, _)| *task).collect::<Vec<_>>())
+            .filter(|(key, target)| {
+                now >= target.expires && (!target.runs.is_empty() || self.unlisted.contains_key(key))
             })
-            .filter(|(key, tasks)| !tasks.is_empty() || self.unlisted.contains_key(key))
+            .map(|(key, _)| key)
             .collect();
-        for (key, tasks) in expired {
+        for key in expired {
             self.unlisted.swap_remove(&key);
             let target = &mut self.targets[key];
-            log::info!(target = target.report.id, runs = tasks.len(); "board: lease of a silent target expired");
-            target.health.record_failure(now);
+            let over = target.runs.iter().filter(|(_, run)| is_over(run));
+            let tasks: Vec<TaskId> = over.map(|(task, _)| *task).collect();
+            if !target.record_silence(now, target.lease_begun) && tasks.is_empty() {
+                continue;
+            }
+            let held = target.runs.len() - tasks.len();
+            log::info!(
+                target = target.report.id, runs = tasks.len(), held;
+                "board: lease of a silent target expired"
+            );
             for task in tasks {
                 self.targets[key].remove_run(&task);
                 self.requeue_task(now, key, task);
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -341,6 +341,10 @@
     pub(crate) expires: Time,
     /// End of the lease on the clock of the target, in milliseconds.
     pub(crate) lease_end: u64,
+    /// Time of the last lease that was given to the target while it was not suspected.
+    pub(crate) lease_begun: Time,
+    /// Time at which the last silence of the target was recorded as a failure.
+    pub(crate) silence_recorded: Option<Time>,
     /// Consecutive renewals without a listing.
     pub(crate) missed_renewals: u32,
     /// Time limit of the next call.
@@ -394,6 +398,8 @@
             confirmed: false,
             expires,
             lease_end: 0,
+            lease_begun: now,
+            silence_recorded: None,
             missed_renewals: 0,
             call_timeout: MIN_CALL_TIMEOUT,
             truncated: false,
@@ -439,6 +445,26 @@
         }
     }
 
+    /// Grants a lease until `until`, in milliseconds on the clock of the target.
+    pub(crate) fn grant_lease(&mut self, now: Time, until: u64) {
+        // A suspected target may still be silent.
+        if self.confirmed {
+            self.lease_begun = now;
+        }
+        self.extend_lease(until);
+    }
+
+    /// Records a silence, in which an order or a lease of the time `since` was lost, as one failure. Returns false if it was
+    /// sent before the last recorded silence, to which it belongs.
+    pub(crate) fn record_silence(&mut self, now: Time, since: Time) -> bool {
+        let is_new = self.silence_recorded.is_none_or(|at| since > at);
+        if is_new {
+            self.silence_recorded = Some(now);
+            self.health.record_failure(now);
+        }
+        is_new
+    }
+
     pub(crate) fn remove_run(&mut self, task: &TaskId) -> Option<Run> {
         let run = self.runs.swap_remove(task)?;
         self.used -= run.need;
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1496,3 +1496,307 @@
     let (answered, unanswered) = (wait_after_silence(true), wait_after_silence(false));
     assert!(unanswered <= answered, "{unanswered:?}, and {answered:?} if all starts were answered");
 }
+
+/// Lets a time pass in which no target answers, and returns the number of starts.
+fn stay_silent(harness: &mut Harness, millis: u64) -> usize {
+    let mut starts = 0;
+    for _ in 0..millis / 10 {
+        for order in harness.orders() {
+            starts += usize::from(is_start(&order));
+            harness.finish(&order, Outcome::Unsure);
+        }
+        harness.advance(10);
+    }
+    starts
+}
+
+/// Lets a time pass in which target `w1` is back, answers at once, lists `ended` and works on what it starts. Returns its
+/// starts.
+fn answer_for(harness: &mut Harness, millis: u64, ended: &[EndedRun]) -> Vec<Order> {
+    harness.board.on_report(harness.now, &report("w1"));
+    let mut starts: Vec<Order> = Vec::new();
+    for _ in 0..millis / 10 {
+        let elapsed = harness.now.as_micros() / 1000 - 1000;
+        for order in harness.orders() {
+            let active = |start: &Order| {
+                let (task, run) = run_of(start);
+                ActiveRun { task, run, percent: elapsed as u32 / 10, ..ActiveRun::default() }
+            };
+            let is_active = |start: &&Order| !ended.iter().any(|end| (end.task, end.run) == run_of(start));
+            let listing = Listing {
+                incarnation: Some(order.incarnation),
+                running: starts.iter().filter(is_active).map(active).collect(),
+                ended: ended.to_vec(),
+                ..listing(500 + elapsed)
+            };
+            let outcome = match order.kind {
+                OrderKind::Renew { .. } => Outcome::Listed(listing),
+                _ => Outcome::Done { clock: 500 + elapsed },
+            };
+            harness.finish(&order, outcome);
+            if is_start(&order) {
+                starts.push(order);
+            }
+        }
+        harness.advance(10);
+    }
+    starts
+}
+
+/// Outcomes of two starts at a target that then is silent.
+fn outcomes_before_silence() -> [[Outcome; 2]; 5] {
+    let done = || Outcome::Done { clock: 500 };
+    let unreached = || Outcome::Denied { why: mangogw_jobs::Denial::Unreached, clock: None };
+    [
+        [done(), done()],
+        [done(), Outcome::Unsure],
+        [Outcome::Unsure, Outcome::Unsure],
+        [done(), unreached()],
+        [unreached(), unreached()],
+    ]
+}
+
+/// Opens a board with a target and three tasks, and plays a silence there of at least 50 ms. The starts of two tasks have
+/// these outcomes, that of the third, 50 ms later, has none. The open renewal is answered before if `listed` is true.
+fn silence_after(outcomes: &[Outcome], listed: bool, millis: u64) -> Harness {
+    let mut harness = Harness::open(&["w1"]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 2, 5000, 60_000);
+    let (starts, others): (Vec<Order>, Vec<Order>) = harness.orders().into_iter().partition(is_start);
+    for order in others {
+        harness.finish(&order, if listed { Outcome::Listed(listing(500)) } else { Outcome::Unsure });
+    }
+    for (start, outcome) in starts.iter().zip(outcomes) {
+        harness.finish(start, outcome.clone());
+    }
+    stay_silent(&mut harness, 50);
+    harness.submit(2, 1, 5000, 60_000);
+    stay_silent(&mut harness, millis - 50);
+    harness
+}
+
+/// Guards against a target that gets no runs after a silence whose runs are given up one after the other.
+#[test]
+fn a_silence_counts_once_whenever_its_runs_are_given_up() {
+    for millis in [1200, 1500, 1720, 1900, 4000, 20_000] {
+        for (outcomes, listed) in
+            outcomes_before_silence().iter().flat_map(|outcomes| [(outcomes, false), (outcomes, true)])
+        {
+            let mut harness = silence_after(outcomes, listed, millis);
+            let starts = answer_for(&mut harness, 1000, &[]).len();
+            assert_eq!(starts, 3, "all tasks run there again: {millis} ms, {outcomes:?}, {listed}");
+        }
+    }
+}
+
+/// Guards against a silence that counts again because the target is back while it still holds a run, which is given up
+/// before the next lease there.
+#[test]
+fn a_run_that_is_given_up_after_a_silence_belongs_to_it() {
+    let (mut harness, renewal) = take_over(1);
+    harness.queue.slack = 60_000;
+    harness.answer_listing(&renewal, listing(500));
+    harness.submit(1, 2, 5000, 60_000);
+    let (starts, others): (Vec<Order>, Vec<Order>) = harness.orders().into_iter().partition(is_start);
+    assert_eq!(starts.len(), 3);
+    for start in &starts {
+        let is_unanswered = run_of(start).0 == TaskId { job: JobId(1), ..TaskId::default() };
+        harness.finish(start, if is_unanswered { Outcome::Unsure } else { Outcome::Done { clock: 500 } });
+    }
+    for order in others {
+        harness.finish(&order, Outcome::Unsure);
+    }
+    stay_silent(&mut harness, 1550);
+    let stored = starts.iter().map(run_of).find(|(task, _)| task.job == JobId(9)).unwrap();
+    let ended = vec![done(0, stored.1)];
+    // The end is not recorded, so the next renewal is sent late.
+    for _ in 0..20 {
+        for order in harness.orders() {
+            assert!(matches!(order.kind, OrderKind::Renew { .. }), "{order:?}");
+            harness.answer_listing(&order, Listing { ended: ended.clone(), truncated: true, ..listing(2100) });
+        }
+        harness.advance(10);
+    }
+    let again = answer_for(&mut harness, 1000, &ended);
+    assert_eq!(again.len(), 2, "{again:?}");
+}
+
+/// Guards against a later incarnation that gets no runs after a silence, whether it has listed its runs before or not.
+#[test]
+fn a_silence_of_a_later_incarnation_counts_once() {
+    for (millis, listed) in [1200, 1750, 1900, 4000].into_iter().flat_map(|millis| [(millis, false), (millis, true)]) {
+        let mut harness = Harness::open(&["w1"]);
+        harness.queue.slack = 60_000;
+        harness.submit(1, 3, 5000, 60_000);
+        let starts = harness.starts();
+        harness.finish(&starts[0], Outcome::Done { clock: 500 });
+        harness.finish(&starts[1], Outcome::Unsure);
+        harness.finish(&starts[2], Outcome::Replaced { incarnation: Some(2), received: true });
+        if listed {
+            let orders = harness.orders();
+            let renewal = Harness::renewal_of(&orders, "w1", 2).unwrap();
+            let (task, run) = run_of(&starts[1]);
+            let running = vec![ActiveRun { task, run, ..ActiveRun::default() }];
+            harness.answer_listing(&renewal, Listing { running, ..later_listing(10) });
+        }
+        harness.board.on_report(harness.now, &later("w1"));
+        stay_silent(&mut harness, millis);
+        let starts = answer_for(&mut harness, 1000, &[]).len();
+        assert_eq!(starts, 3, "{millis} ms, {listed}");
+    }
+}
+
+/// The same where a later incarnation is known in the midst of a silence, and is silent too.
+#[test]
+fn a_silence_over_two_incarnations_ejects_neither() {
+    for (outcomes, millis) in outcomes_before_silence().iter().flat_map(|all| [(all, 300), (all, 1200), (all, 1900)]) {
+        let mut harness = silence_after(outcomes, false, millis);
+        harness.board.on_report(harness.now, &later("w1"));
+        stay_silent(&mut harness, 1900);
+        assert_eq!(answer_for(&mut harness, 1000, &[]).len(), 3, "{millis} ms, {outcomes:?}");
+    }
+}
+
+/// Guards against a silence that counts again when the targets of a zone are taken over meanwhile.
+#[test]
+fn a_silence_counts_once_beside_a_takeover() {
+    for outcomes in outcomes_before_silence() {
+        for millis in [500, 1200, 1900] {
+            let mut harness = silence_after(&outcomes, false, millis);
+            harness.board.reclaim_zone(harness.now, &Zone::from("a"));
+            stay_silent(&mut harness, 1900);
+            assert_eq!(answer_for(&mut harness, 1000, &[]).len(), 3, "{millis} ms, {outcomes:?}");
+        }
+    }
+    let (mut harness, renewal) = take_over(2);
+    harness.finish(&renewal, Outcome::Unsure);
+    stay_silent(&mut harness, 1900);
+    harness.board.reclaim_zone(harness.now, &Zone::from("a"));
+    stay_silent(&mut harness, 1900);
+    assert_eq!(answer_for(&mut harness, 1000, &[]).len(), 2);
+}
+
+/// Guards against a target that gets runs as before though it falls silent again and again.
+#[test]
+fn two_silences_eject_a_target() {
+    for (outcomes, listed) in
+        outcomes_before_silence().iter().flat_map(|outcomes| [(outcomes, false), (outcomes, true)])
+    {
+        for millis in [1200, 1900, 4000] {
+            let mut harness = silence_after(outcomes, listed, millis);
+            assert_eq!(answer_for(&mut harness, 1000, &[]).len(), 3);
+            // The second failure is recorded 1.03 s after the last lease; the target is ejected for 1.5 s.
+            stay_silent(&mut harness, 1500);
+            assert_eq!(answer_for(&mut harness, 900, &[]).len(), 0, "{millis} ms, {outcomes:?}, {listed}");
+            assert_eq!(answer_for(&mut harness, 500, &[]).len(), 1, "a probe: {millis} ms, {outcomes:?}, {listed}");
+        }
+    }
+}
+
+/// The same where a run is held over both silences, with a moment between them.
+#[test]
+fn two_silences_close_to_each_other_eject_a_target() {
+    let mut harness = silence_after(&[Outcome::Done { clock: 500 }, Outcome::Unsure], false, 1200);
+    assert_eq!(stay_silent(&mut harness, 10), 0);
+    answer_for(&mut harness, 130, &[]);
+    stay_silent(&mut harness, 1500);
+    assert_eq!(answer_for(&mut harness, 900, &[]).len(), 0);
+}
+
+/// The same where the last lease of the target came with a start alone.
+#[test]
+fn a_silence_after_a_start_counts() {
+    let (mut harness, renewal) = take_over(1);
+    harness.finish(&renewal, Outcome::Unsure);
+    harness.queue.slack = 60_000;
+    stay_silent(&mut harness, 1900);
+    harness.advance(800);
+    let renewal = harness.orders().remove(0);
+    harness.answer_listing(&renewal, Listing { ended: vec![done(0, RunNumber::new(3, 1))], ..listing(3200) });
+    let open = record_ends(&mut harness);
+    harness.submit(1, 2, 5000, 60_000);
+    let starts = harness.orders();
+    assert!(starts.iter().all(is_start), "{starts:?}");
+    for start in &starts {
+        harness.finish(start, Outcome::Done { clock: 3200 });
+    }
+    for order in open {
+        harness.finish(&order, Outcome::Unsure);
+    }
+    stay_silent(&mut harness, 1500);
+    assert_eq!(answer_for(&mut harness, 900, &[]).len(), 0);
+}
+
+/// Guards against a target that is used though no start there can be written.
+#[test]
+fn unreached_starts_between_listings_eject_a_target() {
+    let unreached = Outcome::Denied { why: mangogw_jobs::Denial::Unreached, clock: None };
+    let mut harness = Harness::open(&["w1"]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 1, 5000, 60_000);
+    let mut refused = Vec::new();
+    for _ in 0..100 {
+        let elapsed = harness.now.as_micros() / 1000 - 1000;
+        for order in harness.orders() {
+            if is_start(&order) {
+                refused.push(elapsed);
+                harness.finish(&order, unreached.clone());
+            } else {
+                harness.answer_listing(&order, listing(500 + elapsed));
+            }
+        }
+        harness.advance(10);
+    }
+    assert_eq!(refused.len(), 2, "{refused:?}");
+}
+
+/// Guards against runs that a target is given while a silence goes on, and against a task that never runs elsewhere.
+#[test]
+fn a_silence_that_never_ends_moves_a_task_once() {
+    for outcome in [Outcome::Done { clock: 500 }, Outcome::Unsure] {
+        let (mut harness, start) = Harness::start_one();
+        harness.finish(&start, outcome);
+        let mut moved = Vec::new();
+        for _ in 0..3000 {
+            for order in harness.orders() {
+                let elapsed = harness.now.as_micros() / 1000 - 1000;
+                let running = moved.iter().map(run_of).map(|(task, run)| ActiveRun {
+                    task,
+                    run,
+                    percent: elapsed as u32 / 10,
+                    ..ActiveRun::default()
+                });
+                let listing = Listing { running: running.collect(), ..listing(500 + elapsed) };
+                let silent = order.id == start.id;
+                match order.kind {
+                    _ if silent => harness.finish(&order, Outcome::Unsure),
+                    OrderKind::Renew { .. } => harness.answer_listing(&order, listing),
+                    _ => harness.finish(&order, Outcome::Done { clock: 500 + elapsed }),
+                }
+                if is_start(&order) {
+                    moved.push(order);
+                }
+            }
+            harness.advance(10);
+        }
+        assert_eq!(moved.iter().map(|order| order.id == start.id).collect::<Vec<_>>(), [false]);
+    }
+}
+
+/// Guards against a target that fails its runs and gets more of them, with and without a silence before.
+#[test]
+fn a_target_that_fails_its_runs_is_ejected() {
+    let failed = |start: &Order, number| {
+        let (task, run) = run_of(start);
+        EndedRun { number, task, run, run_end: RunEnd::Failed, checkpoint: String::new() }
+    };
+    let mut harness = silence_after(&[Outcome::Done { clock: 500 }, Outcome::Unsure], false, 1900);
+    let starts = answer_for(&mut harness, 1000, &[]);
+    assert_eq!(answer_for(&mut harness, 1400, &[failed(&starts[0], 1)]).len(), 0, "a silence and a failed run");
+    let mut harness = Harness::open(&["w1"]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 3, 5000, 60_000);
+    let starts = answer_for(&mut harness, 20, &[]);
+    let ended: Vec<_> = starts.iter().zip(1..).map(|(start, number)| failed(start, number)).collect();
+    assert_eq!(answer_for(&mut harness, 1400, &ended[..2]).len(), 0, "two failed runs");
+}
