Orders find another way after their forwarder is lost, whatever the resend delay

What callers would see: the targets of a lost forwarder get no orders any more, until another host comes or goes. Only with a resend delay below 833 ms; that of the deployments is 1300 ms.

Cause: a forwarder counts as unusable after 500 ms, and only this change makes the leader choose anew for the targets. A host is removed after 0.6 of the resend delay: where that is shorter, it is gone before it counts as unusable, and each target keeps it.

Change: the removal of a host makes the leader choose anew as well.

--- a/crates/control/src/forwarders.rs
+++ b/crates/control/src/forwarders.rs
@@ -83,6 +83,9 @@
         let lost = self.hosts.iter().filter(|(_, forwarder)| now - forwarder.last_seen >= timeout);
         let lost: Vec<HostId> = lost.map(|(host, _)| *host).collect();
         self.hosts.retain(|host, _| !lost.contains(host));
+        if !lost.is_empty() {
+            self.assigned.clear();
+        }
         lost
     }
 
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -1,4 +1,4 @@
-//! Tests of one leader with entry hosts that have used isolated zones.
+//! Tests of one leader with entry hosts that are lost or have used isolated zones.
 
 use mangogw_control::{Call, Caller, ControlHost, Effect, HostInfo, Message, OrderId, Settings, found, host_at};
 use mangogw_jobs::{
@@ -13,6 +13,7 @@
 const LEADER: Ipv4Addr = Ipv4Addr::new(10, 1, 0, 1);
 const TICK: Duration = Duration::from_millis(10);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
+const RESEND_DELAY: Duration = Duration::from_millis(1300);
 const QUERY_PERIOD: Duration = Duration::from_millis(150);
 
 /// The only control host. The target of zone a is silent; that of zone b carries out its orders, and its runs go on.
@@ -22,13 +23,15 @@
     last_query: Time,
     running: Vec<ActiveRun>,
     starts: usize,
+    /// Time of the last order for zone a that the leader carried out itself.
+    last_order: Time,
     /// Orders that have no outcome yet, each with the time of its outcome.
     orders: Vec<(Time, OrderId, Order)>,
 }
 
 impl Leader {
     /// Opens the leader with a queue and both targets.
-    fn open() -> Self {
+    fn open(direct_targets: usize, resend_delay: Duration) -> Self {
         let settings = Settings {
             host: host_at(LEADER, 0),
             seed: 1,
@@ -36,15 +39,22 @@
             seeds: Vec::new(),
             zone: Zone::from("b"),
             cpu_millicores: 250,
-            direct_targets: 96,
+            direct_targets,
             voters: 3,
             jobs: mangogw_jobs::Settings::default(),
             reply_timeout: Duration::from_millis(900),
-            resend_delay: Duration::from_millis(1300),
+            resend_delay,
         };
         let host = ControlHost::open(settings, Some(found(LEADER, &[LEADER])), Time::ZERO);
-        let mut leader =
-            Self { host, now: Time::ZERO, last_query: Time::ZERO, running: Vec::new(), starts: 0, orders: Vec::new() };
+        let mut leader = Self {
+            host,
+            now: Time::ZERO,
+            last_query: Time::ZERO,
+            running: Vec::new(),
+            starts: 0,
+            last_order: Time::ZERO,
+            orders: Vec::new(),
+        };
         leader.run(Duration::from_secs(1), &[]);
         let queue = Queue {
             name: "q".to_owned(),
@@ -58,26 +68,29 @@
         };
         let set = QueueSet { version: Version(1), queues: vec![queue], ..QueueSet::default() };
         leader.host.on_call(leader.now, Caller(1), Call::Install(Arc::new(set)));
-        for (number, zone) in [(1, "a"), (2, "b")] {
-            let report = TargetReport {
-                id: format!("w{number}"),
-                incarnation: 1,
-                sequence: 1,
-                pool: "pool".to_owned(),
-                address: format!("10.9.0.{number}:80").parse().unwrap(),
-                zone: Zone::from(zone),
-                labels: Vec::new(),
-                resources: Resources { cpu: 16_000, memory: 32_000, accelerators: 0 },
-                state: TargetState::Ready,
-            };
-            leader.host.on_call(leader.now, Caller(1 + number), Call::Report(report));
-        }
+        leader.report(1, "a");
+        leader.report(2, "b");
         leader.run(Duration::from_secs(5), &[]);
         assert!(leader.host.is_leader());
         assert_eq!(leader.host.metrics(leader.now).confirmed, 1);
         leader
     }
 
+    fn report(&mut self, number: u8, zone: &str) {
+        let report = TargetReport {
+            id: format!("w{number}"),
+            incarnation: 1,
+            sequence: 1,
+            pool: "pool".to_owned(),
+            address: format!("10.9.0.{number}:80").parse().unwrap(),
+            zone: Zone::from(zone),
+            labels: Vec::new(),
+            resources: Resources { cpu: 16_000, memory: 32_000, accelerators: 0 },
+            state: TargetState::Ready,
+        };
+        self.host.on_call(self.now, Caller(1 + u64::from(number)), Call::Report(report));
+    }
+
     /// Runs for `span` with entry hosts of zone a that have used isolated zones with these tokens.
     fn run(&mut self, span: Duration, tokens: &[u64]) {
         let end = self.now + span;
@@ -122,9 +135,15 @@
                             OrderKind::Renew { wait, .. } => TICK + wait,
                             OrderKind::Start { .. } | OrderKind::Stop { .. } => TICK,
                         };
+                        self.last_order = if order.zone == Zone::from("a") { self.now } else { self.last_order };
                         self.orders.push((self.now + span, id, order));
                     }
                     Effect::Halt { why } => panic!("halted: {why}"),
+                    Effect::Send { to, messages } if to.ip() == LEADER => {
+                        for message in messages {
+                            self.host.on_message(self.now, host_at(LEADER, 0), message);
+                        }
+                    }
                     Effect::Reply { .. } | Effect::Send { .. } => {}
                 }
             }
@@ -167,7 +186,7 @@
 #[test]
 fn jobs_start_again_after_a_zone_with_two_isolated_leaders_is_back() {
     for tokens in [&[5][..], &[5, 9][..]] {
-        let mut leader = Leader::open();
+        let mut leader = Leader::open(96, RESEND_DELAY);
         leader.run(Duration::from_secs(1), tokens);
         let now = leader.now;
         leader.host.on_message(now, entry_host(1), resent_job(77));
@@ -175,3 +194,20 @@
         assert!(leader.starts > 0, "tokens {tokens:?}: the job did not start in 20 s");
     }
 }
+
+/// Guards against orders that go to a lost forwarder for good, where clients send again so soon that the host is given up
+/// before it counts as unusable.
+#[test]
+fn orders_find_another_way_after_their_forwarder_is_lost() {
+    for resend_delay in [700, 1300].map(Duration::from_millis) {
+        let mut leader = Leader::open(0, resend_delay);
+        leader.run(Duration::from_secs(1), &[0]);
+        // A target that is silent, so that the leader goes on asking it.
+        leader.report(3, "a");
+        leader.run(Duration::from_secs(1), &[0]);
+        assert!(leader.now - leader.last_order > Duration::from_secs(1), "orders are forwarded");
+        leader.run(Duration::from_secs(3), &[]);
+        let silence = leader.now - leader.last_order;
+        assert!(silence < Duration::from_millis(1500), "resend delay {resend_delay:?}: no order for {silence:?}");
+    }
+}
