Tests that fail on a host with a new disk that asks only the seeds to join

Cause, by the trace: members are addressed by address, so the heartbeats that the leader sends to the earlier id of a host reach the host with its new disk and id. It names that leader, therefore ignores the lists of hosts that others send, and asks only its seeds to join, of which only the leader would add it. If the leader is no seed, it stays outside until its earlier id is no voter any more.

--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -6,6 +6,7 @@
 
 mod fake_target;
 mod large_group;
+mod new_disks;
 mod oracle;
 mod simulation;
 
