Test that fails on a host that is listed as two voters when it loses its disk again

Cause: since the learner is promoted before the lost voter is removed, also where both are ids of one host. Beside another lost voter, three of six voters are then on two hosts, and a quorum of four needs one of them.

--- a/crates/control/tests/group/new_disks.rs
+++ b/crates/control/tests/group/new_disks.rs
@@ -72,3 +72,38 @@
     }
     assert!(failures.is_empty(), "{} failures:\n{}", failures.len(), failures.join("\n"));
 }
+
+/// Guards against a host that is listed as two voters beside another lost one: it loses its disk again before its earlier id is
+/// removed, while the learner is back from a restart and not promoted yet.
+#[test]
+fn a_successor_that_loses_its_disk_at_once_leaves_a_majority() {
+    let mut failures = Vec::new();
+    let mut plays = 0;
+    for seed in 540..546 {
+        let sim = complete_group(seed);
+        let leader = sim.group_leader().expect("the group has a leader without faults");
+        let members = sim.group_members().expect("the group has a leader");
+        let (learner, voters) = (members.learners[0], members.voters);
+        for twice in voters.iter().copied().filter(|host| *host != leader) {
+            let other = voters.iter().copied().find(|host| *host != leader && *host != twice).expect("five hosts vote");
+            let mut sim = complete_group(seed);
+            sim.lose_disk(other, 6000);
+            sim.kill(learner, false, 2000);
+            sim.lose_disk(twice, 600);
+            let votes = |sim: &Simulation| sim.group_members().is_some_and(|members| members.voters.contains(&twice));
+            if !sim.run_until(Duration::from_secs(6), votes) {
+                continue;
+            }
+            plays += 1;
+            sim.lose_disk(twice, 1000);
+            sim.run_for(Duration::from_secs(6));
+            if !sim.serves_a_change(Duration::from_secs(15)) {
+                let state = sim.describe_group();
+                let later = sim.serves_a_change(Duration::from_mins(1));
+                failures.push(format!("seed {seed}, disks {twice} twice and {other}, later {later}: {state}"));
+            }
+        }
+    }
+    assert!(plays > 0, "no host with a new disk voted within 6 s");
+    assert!(failures.is_empty(), "{} failures in {plays} plays:\n{}", failures.len(), failures.join("\n"));
+}
