--- a/crates/control/tests/group/new_disks.rs
+++ b/crates/control/tests/group/new_disks.rs
@@ -90,8 +90,9 @@
             sim.lose_disk(other, 6000);
             sim.kill(learner, false, 2000);
             sim.lose_disk(twice, 600);
-            let votes = |sim: &Simulation| sim.group_members().is_some_and(|members| members.voters.contains(&twice));
-            if !sim.run_until(Duration::from_secs(6), votes) {
+            let has_promoted =
+                |sim: &Simulation| sim.group_members().is_some_and(|members| members.voters.contains(&twice));
+            if !sim.run_until(Duration::from_secs(6), has_promoted) {
                 continue;
             }
             plays += 1;
