--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -7,6 +7,7 @@
 mod fake_target;
 mod group_faults;
 mod large_group;
+mod new_disks;
 mod oracle;
 mod simulation;
 
