A voter whose disk is lost is removed before its successor votes

A host with a new disk was promoted while its earlier id still voted, so that one host counted as two of six voters; if it lost its disk again beside one other lost disk, the majority was gone for good. Cause: replaced every lost voter by promotion first. That is right for a voter that may come back, whose seat must not be given up; the seat of a lost disk can never vote again, and holds up a quorum only. Change: a voter whose disk is lost is removed at once (the quorum stays or falls); a host at whose address a voter is listed is not promoted; a silent voter is still removed only after its successor votes. Hosts to ask are kept once for each address, and an isolated zone's leader doesn't replace them.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,5 +1,6 @@
 //! Forwards the calls of this host's clients to the leader, tracks their replies and finds the leader.
 
+use crate::identity::ip_of;
 use crate::isolated_zone::term_of;
 use crate::{Call, HostInfo, Message, Reply};
 use indexmap::IndexMap;
@@ -203,15 +204,16 @@
     pub(crate) fn on_hosts(&mut self, from: HostId, hosts: Vec<HostId>) {
         match hosts.is_empty() {
             true => {}
-            false if self.leader == Some(from) => self.hosts = hosts,
+            false if self.leader == Some(from) && !self.isolated => self.hosts = hosts,
             false => self.add_hosts(hosts),
         }
     }
 
+    /// Adds hosts at addresses that are not known yet.
     pub(crate) fn add_hosts(&mut self, hosts: Vec<HostId>) {
         self.hosts.extend(hosts);
         self.hosts.sort_unstable();
-        self.hosts.dedup();
+        self.hosts.dedup_by_key(|host| ip_of(*host));
     }
 
     /// Sends a call to the leader, now or once there is one. The call ends after its own timeout or `reply_timeout`.
--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -1,8 +1,10 @@
 //! Membership of the control group: new hosts join as learners, caught-up learners become voters, and lost voters are
 //! replaced by them.
 //!
-//! A lost voter is removed only once its successor votes, so that the group never has fewer voters than its settings ask
-//! for because one of them was slow to come back. With one voter more, for that moment, it bears as many losses.
+//! A silent voter is removed only once its successor votes, so that the group never has fewer voters than its settings ask
+//! for because one of them was slow to come back. With one voter more, for that moment, it bears as many losses. A voter
+//! whose disk is lost never votes again. It is removed first: that leaves the quorum as it is or lowers it, and no host is
+//! counted as two voters.
 
 use crate::identity::ip_of;
 use indexmap::IndexMap;
@@ -65,13 +67,17 @@
             .keys()
             .filter(|host| **host != status.host && (disk_lost(host) || silence(host) >= VOTER_TIMEOUT))
             .max_by_key(|host| (disk_lost(host), silence(host)));
-        let ready = status.peers.iter().find(|peer| peer.caught_up && members.learners.contains_key(&peer.host));
+        let votes = |host: &HostId| members.voters.keys().any(|voter| ip_of(*voter) == ip_of(*host));
+        let ready = status
+            .peers
+            .iter()
+            .find(|peer| peer.caught_up && members.learners.contains_key(&peer.host) && !votes(&peer.host));
         let hosts = members.voters.keys().chain(members.learners.keys()).filter(|host| !disk_lost(host)).count();
         let (voters, desired) = (members.voters.len(), self.desired_voters(hosts));
         match (ready, lost) {
-            (Some(peer), None) if voters < desired => Some(MembershipChange::Promote(peer.host)),
+            (_, Some(voter)) if disk_lost(voter) || voters > desired => Some(MembershipChange::Remove(*voter)),
             (Some(peer), Some(_)) if voters <= desired => Some(MembershipChange::Promote(peer.host)),
-            (_, Some(voter)) if voters > desired => Some(MembershipChange::Remove(*voter)),
+            (Some(peer), None) if voters < desired => Some(MembershipChange::Promote(peer.host)),
             _ => self
                 .joining
                 .first()
