Test that fails: the only voter of a group can't supersede an isolated zone

What callers would see: after a cut, the zone of the learner isn't served any more, for good (two control hosts: one voter and one learner).

Cause: the token of an isolated zone is above that of the term that its leader knew. A leader of that term hands over its leadership, so that the next term's token is above; the only voter has nobody to hand over to, so it goes on leading, and doesn't answer the hosts that used the zone.

--- a/crates/control/tests/learner.rs
+++ b/crates/control/tests/learner.rs
@@ -2,7 +2,7 @@
 
 use mangogw_control::{ControlHost, Effect, HostInfo, Message, Settings, found, host_at, joining_state};
 use mangogw_model::{HostId, Time, Version, Zone};
-use mangogw_store::DurableState;
+use mangogw_store::{DurableState, Term};
 use std::net::{IpAddr, Ipv4Addr};
 use std::time::Duration;
 
@@ -18,6 +18,10 @@
     now: Time,
     /// No message passes between the two zones.
     cut: bool,
+    /// Token of the isolated zone that the entry host has used.
+    isolated_token: u64,
+    /// Term in which the leader of the group has last named itself to the entry host.
+    leader_term: Option<Term>,
 }
 
 impl Group {
@@ -40,7 +44,7 @@
         };
         let leader = start(LEADER.to_bits(), "a", found(LEADER, &[LEADER]));
         let learner = start(LEARNER.to_bits(), "b", joining_state(LEARNER, 7));
-        Self { hosts: vec![leader, learner], now: Time::ZERO, cut: false }
+        Self { hosts: vec![leader, learner], now: Time::ZERO, cut: false, isolated_token: 0, leader_term: None }
     }
 
     /// Runs for `span` with an entry host in the zone of the learner that has had no leader while the zone is cut off.
@@ -59,10 +63,24 @@
                     cpu_millicores: 250,
                     leaderless_for: if self.cut { self.now - start } else { Duration::ZERO },
                     version: Version(0),
-                    isolated_token: 0,
+                    isolated_token: self.isolated_token,
                 });
-                self.hosts[1].2.on_message(self.now, host_at(ENTRY, 0), query);
-                self.carry_out(1);
+                let reached = if self.cut { 1..2 } else { 0..2 };
+                for at in reached {
+                    self.hosts[at].2.on_message(self.now, host_at(ENTRY, 0), query.clone());
+                    self.carry_out(at);
+                }
+            }
+        }
+    }
+
+    /// Handles messages of a host to the entry host.
+    fn receive(&mut self, from: usize, messages: Vec<Message>) {
+        for message in messages {
+            match message {
+                Message::LeaderInfo { isolated_token: token @ 1.., .. } => self.isolated_token = token,
+                Message::LeaderInfo { leader: Some(_), term, .. } if from == 0 => self.leader_term = Some(term),
+                _ => {}
             }
         }
     }
@@ -74,6 +92,7 @@
                     self.hosts[at].2.on_synced(self.now, write.id);
                     self.carry_out(at);
                 }
+                Effect::Send { to, messages } if to.ip() == ENTRY => self.receive(at, messages),
                 Effect::Send { to, messages } if !self.cut => {
                     let from = self.hosts[at].0;
                     let receiver = self.hosts.iter().position(|(_, ip, _)| IpAddr::V4(*ip) == to.ip());
@@ -90,6 +109,20 @@
     }
 }
 
+/// Guards against a zone that is not served any more after a cut: the only voter of the group can't hand over its leadership
+/// to a leader of a later term than the isolated zone's.
+#[test]
+fn a_zone_whose_control_host_is_a_learner_is_served_again_after_a_cut() {
+    let mut group = Group::open();
+    group.run(Duration::from_secs(5));
+    group.cut = true;
+    group.run(Duration::from_secs(10));
+    assert!(group.isolated_token > 0);
+    (group.cut, group.leader_term) = (false, None);
+    group.run(Duration::from_secs(10));
+    assert!(group.leader_term.is_some());
+}
+
 /// Guards against a zone that is cut off and not served: its only control host is a learner, which never gives up the
 /// leader that it heard of before.
 #[test]
