--- a/crates/control/tests/group/large_group.rs
+++ b/crates/control/tests/group/large_group.rs
@@ -64,6 +64,22 @@
     assert_none(&failures);
 }
 
+/// Guards against a sixth voter for good where a silent voter is back while it is being replaced.
+#[test]
+fn a_voter_that_is_back_as_it_is_replaced_leaves_five_voters() {
+    let mut failures = Vec::new();
+    let (_, others, _) = roles(&complete_group(402));
+    for down in (2800..3100).step_by(20) {
+        let mut sim = complete_group(402);
+        sim.kill(others[0], false, down);
+        sim.run_for(Duration::from_millis(down) + Duration::from_secs(20));
+        if !sim.is_complete() {
+            failures.push(format!("host {} down for {down} ms: {}", others[0], sim.describe_group()));
+        }
+    }
+    assert_none(&failures);
+}
+
 /// Loses the disks of two hosts and for a second the power of all others; returns true if the group serves a change within
 /// 15 s after that.
 fn bears_two_lost_disks(sim: &mut Simulation, lost: [usize; 2]) -> bool {
