The only voter of a group passes the token of an isolated zone in its next term

What callers would see: in a group with one voter, the zone of a learner that was cut off and served on its own isn't served again for good. Cause: an isolated zone's token lies above that of the term that its leader knew. A leader of that term hands over, so that the next term's token is above; the only voter has nobody to hand over to and went on in its term. Since learners forget a silent leader, such zones open. Evidence: a_zone_whose_control_host_is_a_learner_is_served_again_after_a_cut, failed on (branch paths: no answer to the entry host in 10 s). Change: such a leader resigns and campaigns at once; it leads in the next term.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -263,7 +263,7 @@
         }
         if board.is_fenced() {
             log::warn!("member: a target has accepted a later leader; handing over leadership");
-            self.step_down(now);
+            self.end_term(now);
         }
         if let Some(change) = self.membership.due_change(now, &self.raft) {
             let tag = self.tag();
@@ -303,6 +303,15 @@
         }
     }
 
+    /// Ends the term of this leader, whose token others have passed: leadership goes to another voter, or to this host in the
+    /// next term if it is the only one.
+    pub(crate) fn end_term(&mut self, now: Time) {
+        match self.raft.members().voters.len() {
+            1 => self.raft.resign(now),
+            _ => self.step_down(now),
+        }
+    }
+
     /// Transfers leadership to the live voter with the most replicated log, if there is one.
     pub(crate) fn step_down(&mut self, now: Time) {
         if self.handover_started.is_some_and(|at| now - at < HANDOVER_TIMEOUT) {
--- a/crates/control/src/member/isolated.rs
+++ b/crates/control/src/member/isolated.rs
@@ -53,7 +53,7 @@
                 zone:%, island = isolated_token;
                 "member: an isolated zone has a later token; handing over leadership"
             );
-            self.step_down(now);
+            self.end_term(now);
             return false;
         }
         if self.superseded.entry(zone.clone()).or_default().insert(isolated_token) {
--- a/crates/store/src/raft/election.rs
+++ b/crates/store/src/raft/election.rs
@@ -218,7 +218,7 @@
         self.set_role(Role::Follower, leader);
     }
 
-    fn set_role(&mut self, role: Role, leader: Option<HostId>) {
+    pub(super) fn set_role(&mut self, role: Role, leader: Option<HostId>) {
         match (self.role, role) {
             (Role::PreCandidate, Role::Candidate) | (Role::Candidate, Role::Leader) => {}
             (Role::PreCandidate | Role::Candidate, _) => self.on_election_failed(),
--- a/crates/store/src/raft/transfer.rs
+++ b/crates/store/src/raft/transfer.rs
@@ -31,6 +31,17 @@
         }
     }
 
+    /// Ends this leadership. As the only voter, this host campaigns at its next tick and leads in a later term.
+    pub fn resign(&mut self, now: Time) {
+        self.advance(now);
+        if self.role == Role::Leader {
+            self.set_role(Role::Follower, None);
+            if self.members().voters.len() == 1 {
+                self.election_deadline = self.now;
+            }
+        }
+    }
+
     /// Tells the target of the transfer to campaign, once its log matches this leader's log to the end.
     pub(super) fn try_transfer(&mut self) {
         let last = self.last_id().index;
