A voter too many is made a learner again

A silent voter that came back between the promotion of its successor and its removal left six voters for good: they bear two lost disks as five do, but no half of a group that is split in two has a majority. Change: MembershipChange::Demote makes a voter a learner in one step; the leader uses it while there are more voters than the settings ask for and none of them is lost. The host stays inside and goes on following.

--- a/crates/control/src/membership.rs
+++ b/crates/control/src/membership.rs
@@ -67,17 +67,22 @@
             .keys()
             .filter(|host| **host != status.host && (disk_lost(host) || silence(host) >= VOTER_TIMEOUT))
             .max_by_key(|host| (disk_lost(host), silence(host)));
-        let votes = |host: &HostId| members.voters.keys().any(|voter| ip_of(*voter) == ip_of(*host));
+        let is_listed = |host: &HostId| members.voters.keys().any(|voter| ip_of(*voter) == ip_of(*host));
         let ready = status
             .peers
             .iter()
-            .find(|peer| peer.caught_up && members.learners.contains_key(&peer.host) && !votes(&peer.host));
+            .find(|peer| peer.caught_up && members.learners.contains_key(&peer.host) && !is_listed(&peer.host));
         let hosts = members.voters.keys().chain(members.learners.keys()).filter(|host| !disk_lost(host)).count();
         let (voters, desired) = (members.voters.len(), self.desired_voters(hosts));
         match (ready, lost) {
             (_, Some(voter)) if disk_lost(voter) || voters > desired => Some(MembershipChange::Remove(*voter)),
             (Some(peer), Some(_)) if voters <= desired => Some(MembershipChange::Promote(peer.host)),
             (Some(peer), None) if voters < desired => Some(MembershipChange::Promote(peer.host)),
+            // The lost voter came back before it was removed.
+            (_, None) if voters > self.max_voters => {
+                let other = members.voters.keys().rfind(|host| **host != status.host);
+                other.map(|host| MembershipChange::Demote(*host))
+            }
             _ => self
                 .joining
                 .first()
--- a/crates/store/src/members.rs
+++ b/crates/store/src/members.rs
@@ -24,6 +24,8 @@
     AddLearner(HostId, FolderId),
     /// Makes a learner that has caught up a voter.
     Promote(HostId),
+    /// Makes a voter a learner. A leader must transfer its leadership first.
+    Demote(HostId),
     /// Removes a host. A leader must transfer its leadership first.
     Remove(HostId),
 }
@@ -84,6 +86,7 @@
     /// let two = one.with_change(MembershipChange::AddLearner(HostId(2), FolderId(12))).unwrap();
     /// assert!(two.with_change(MembershipChange::Promote(HostId(2))).unwrap().is_voter(HostId(2)));
     /// assert_eq!(one.with_change(MembershipChange::Promote(HostId(2))), None);
+    /// assert_eq!(two.with_change(MembershipChange::Demote(HostId(2))), None);
     /// assert_eq!(two.with_change(MembershipChange::AddLearner(HostId(1), FolderId(99))), None);
     /// ```
     pub fn with_change(&self, change: MembershipChange) -> Option<Self> {
@@ -96,6 +99,10 @@
                 let folder_id = next.learners.remove(&host)?;
                 next.voters.insert(host, folder_id);
             }
+            MembershipChange::Demote(host) => {
+                let folder_id = next.voters.remove(&host)?;
+                next.learners.insert(host, folder_id);
+            }
             MembershipChange::Remove(host) if self.folder_id(host).is_some() => {
                 next.voters.remove(&host);
                 next.learners.remove(&host);
--- a/crates/store/src/output.rs
+++ b/crates/store/src/output.rs
@@ -167,7 +167,7 @@
     NotCaughtUp,
     /// No quorum of voters would be alive after the change; nothing was done.
     NoQuorum,
-    /// The leader can't remove itself; transfer leadership first. Nothing was done.
+    /// The leader can't demote or remove itself; transfer leadership first. Nothing was done.
     Leading,
     /// This host has failed, see [`Role::Failed`]; a proposal may or may not be committed.
     Failed,
--- a/crates/store/src/raft/membership.rs
+++ b/crates/store/src/raft/membership.rs
@@ -28,7 +28,9 @@
         match change {
             _ if self.pending_transfer.is_some() => Err(Refusal::Transferring),
             _ if !self.committed_in_term() || self.last_change_index() > self.commit => Err(Refusal::ChangePending),
-            MembershipChange::Remove(host) if host == self.host => Err(Refusal::Leading),
+            MembershipChange::Demote(host) | MembershipChange::Remove(host) if host == self.host => {
+                Err(Refusal::Leading)
+            }
             MembershipChange::Promote(host) if !self.caught_up(host) => Err(Refusal::NotCaughtUp),
             _ if self.live_voters(&next) < next.quorum() => Err(Refusal::NoQuorum),
             _ => Ok(next),
--- a/crates/store/tests/raft.rs
+++ b/crates/store/tests/raft.rs
@@ -415,6 +415,29 @@
     assert_eq!(world.leader(), Some(HOST_1), "removed hosts depose the leader");
 }
 
+/// Guards against a voter that counts on after it was made a learner, and against one that is left outside.
+#[test]
+fn a_demoted_voter_follows_as_a_learner() {
+    let (mut world, leader) = group_with_leader(22, 5);
+    let tag = world.change(leader, MembershipChange::Demote(leader));
+    assert_eq!(world.refused.get(&tag), Some(&Refusal::Leading));
+    let demoted = follower(&world, leader);
+    complete_change(&mut world, leader, MembershipChange::Demote(demoted));
+    assert!(write_completes(&mut world, leader, 1_000));
+    world.run(2_000);
+    let members = world.raft(demoted).members().clone();
+    assert_eq!((members.voters.len(), members.learners.contains_key(&demoted)), (4, true));
+    assert_eq!(world.raft(demoted).leader(), Some(leader));
+    // Three of the four voters are left, but a single one of these and the learner are no quorum.
+    let others: Vec<HostId> = world.running_hosts().into_iter().filter(|id| ![leader, demoted].contains(id)).collect();
+    world.crash(others[0], true);
+    assert!(write_completes(&mut world, leader, 1_000));
+    world.crash(others[1], true);
+    assert!(!write_completes(&mut world, leader, 3_000), "a learner counted for a quorum");
+    assert_eq!(world.leader(), None);
+    world.check_acked();
+}
+
 /// Guards against two memberships with disjoint quorums, and against a change that leaves the group without a quorum.
 #[test]
 fn changes_run_one_at_a_time_and_need_a_quorum() {
