--- a/crates/store/src/raft/membership.rs
+++ b/crates/store/src/raft/membership.rs
@@ -11,7 +11,8 @@
     /// [`Output::Refused`](crate::Output::Refused).
     ///
     /// A learner becomes a voter only after it has caught up, so that no quorum depends on a host without the log. To
-    /// replace a host: add the new one as a learner, remove the lost one, promote the learner.
+    /// replace a voter that may come back: add a learner, promote it, then remove the voter. One whose disk is lost can be
+    /// removed first.
     pub fn change_membership(&mut self, now: Time, change: MembershipChange, tag: Tag) {
         self.advance(now);
         if self.role != Role::Leader {
