--- a/crates/control/tests/group/new_disks.rs
+++ b/crates/control/tests/group/new_disks.rs
@@ -25,7 +25,7 @@
 /// Guards against a host with a new disk that asks only the seeds to join, while the leader, whose messages to its earlier
 /// id it hears, is none of them.
 #[test]
-fn a_host_with_a_new_disk_joins_a_leader_that_is_no_seed() {
+fn a_host_with_a_new_disk_joins_while_no_other_can_replace_it() {
     let mut failures = Vec::new();
     for seed in 530..536 {
         let (mut sim, learner) = led_by_no_seed(seed);
