Evacuation of a zone: entry of the log, in force on leader and isolated zone

Change: Command::Evacuate in the log, evacuations behind the old fields of a

revision that they have seen. Nothing on the wire or disk changes before the first order.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -106,6 +106,8 @@
     group_seen: Time,
     /// Highest version of the queue set in any leader update.
     version: Version,
+    /// Latest revision of the evacuations that this host has seen.
+    evacuations: u64,
     /// Highest token of an isolated zone that this host has used or led.
     pub(crate) isolated_token: u64,
     /// Time without a leader of the group after which a leader of the isolated zone is used.
@@ -141,6 +143,7 @@
             lost: None,
             group_seen: now,
             version: Version(0),
+            evacuations: 0,
             isolated_token: 0,
             isolation_timeout: settings.isolation_timeout(),
             isolated: false,
@@ -175,6 +178,24 @@
         })
     }
 
+    /// Returns the latest revision of the evacuations that this host has seen.
+    pub(crate) const fn seen_evacuations(&self) -> u64 {
+        self.evacuations
+    }
+
+    /// Returns the message that tells what this host has seen of the evacuations; `None` before the first one.
+    pub(crate) fn evacuation_notice(&self) -> Option<Message> {
+        (self.evacuations > 0).then_some(Message::SeenEvacuations(self.evacuations))
+    }
+
+    /// Takes note of the latest revision of the evacuations that another host, or the own log, has seen.
+    pub(crate) fn on_evacuations(&mut self, revision: u64) {
+        if revision > self.evacuations {
+            log::info!(revision, known = self.evacuations; "calls: evacuations have changed");
+            self.evacuations = revision;
+        }
+    }
+
     /// Returns the number of calls that have no reply yet.
     pub(crate) fn len(&self) -> usize {
         self.open.len()
@@ -409,6 +430,7 @@
             self.last_poll = Some(now);
             let receiver = self.leader.or(self.fenced_leader);
             self.sends.extend(receiver.map(|leader| (leader, self.leader_query(now))));
+            self.sends.extend(receiver.zip(self.evacuation_notice()));
         }
     }
 
@@ -420,11 +442,17 @@
         self.last_poll = Some(now);
         let confirmed = self.leader_seen.is_some_and(|seen| now - seen < LEADER_TIMEOUT);
         match self.leader {
-            Some(leader) if confirmed => self.sends.push((leader, self.leader_query(now))),
+            Some(leader) if confirmed => {
+                self.sends.push((leader, self.leader_query(now)));
+                self.sends.extend(self.evacuation_notice().map(|notice| (leader, notice)));
+            }
             _ => {
                 let query = self.leader_query(now);
                 let lost = self.lost.map(|lost| lost.host).filter(|host| !self.hosts.contains(host));
-                self.sends.extend(self.hosts.iter().copied().chain(lost).map(|host| (host, query.clone())));
+                let receivers: Vec<HostId> = self.hosts.iter().copied().chain(lost).collect();
+                for message in std::iter::once(query).chain(self.evacuation_notice()) {
+                    self.sends.extend(receivers.iter().map(|host| (*host, message.clone())));
+                }
             }
         }
         let expected = confirmed || self.leader_seen.is_none() && now - self.leader_named < LEADER_TIMEOUT;
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -21,6 +21,9 @@
 const JOIN_LOG_PERIOD: Duration = Duration::from_secs(5);
 /// Time without a leader after which a member asks to join again, since it may have been removed.
 const REJOIN_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time after a pause of this host during which it takes no orders of operators on evacuations: they may have waited for the
+/// host while others were obeyed.
+const STALE_ORDER_PERIOD: Duration = Duration::from_secs(1);
 /// Time after a host's last leader query during which the host is notified of a new leader at once.
 const LISTENER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -76,13 +79,15 @@
     /// Messages by receiver; each receiver's messages are sent in one frame.
     outbox: IndexMap<HostId, Vec<Message>>,
     last_tick: Time,
+    /// Time of the last tick after a pause.
+    resumed: Option<Time>,
     last_join: Time,
     /// Time of the last log line on asking to join; `None` while this host does not ask.
     join_logged: Option<Time>,
     /// Time at which a leader was last known.
     leader_seen: Time,
-    /// Term and leader in the last notification to the listeners; `None` if there was none.
-    announced: Option<(u64, Option<HostId>)>,
+    /// Term, leader and revision of the evacuations in the last notification to the listeners; `None` if there was none.
+    announced: Option<(u64, Option<HostId>, u64)>,
     leaving: bool,
     effects: Vec<Effect>,
 }
@@ -98,6 +103,7 @@
             forwarders: Forwarders::new(settings.seed),
             outbox: IndexMap::new(),
             last_tick: now,
+            resumed: None,
             last_join: now,
             join_logged: None,
             leader_seen: now,
@@ -122,6 +128,14 @@
             member.on_isolated_report(now, report);
         }
         let reply_timeout = self.settings.reply_timeout;
+        let call = match call {
+            Call::Evacuate { .. } if self.resumed.is_some_and(|at| now - at < STALE_ORDER_PERIOD) => {
+                let why = "this host was paused, and the order may be late".to_owned();
+                return self.calls.replies.push((caller, Reply::Refused { why, wait: STALE_ORDER_PERIOD }));
+            }
+            Call::Evacuate { zone, active, .. } => Call::Evacuate { zone, active, seen: self.calls.seen_evacuations() },
+            other => other,
+        };
         self.calls.call(now, caller, call, reply_timeout);
     }
 
@@ -176,6 +190,7 @@
     pub fn on_tick(&mut self, now: Time) {
         if now - self.last_tick >= PAUSE_THRESHOLD {
             self.forwarders.reset_timeouts(now);
+            self.resumed = Some(now);
         }
         self.last_tick = now;
         if let Some(member) = &mut self.member {
@@ -224,9 +239,13 @@
             ready: self.is_ready(now),
             leader_known: self.calls.has_leader(now),
             calls: self.calls.len(),
+            seen_evacuations: self.calls.seen_evacuations(),
             ..HostMetrics::default()
         };
-        self.member.as_ref().map_or(calls, |member| member.metrics(calls))
+        match &self.member {
+            Some(member) => member.metrics(calls),
+            None => calls,
+        }
     }
 
     /// Processes the inputs since the last call and returns the resulting effects. Inputs between two calls are
@@ -293,6 +312,7 @@
                 // A member learns the leader from its own log, but may learn the group's hosts from others.
                 self.calls.on_hosts(from, hosts);
             }
+            (Message::SeenEvacuations(revision), _) => self.calls.on_evacuations(revision),
             (message, None) => {
                 log::debug!(from = from.0, message:?; "control_host: not a member, ignoring a message for members");
             }
@@ -327,12 +347,17 @@
         let Some(member) = &mut self.member else { return };
         match member.isolated_token() {
             None if member.raft.leader().is_some() => self.isolation.on_leader(now),
+            None if member.ledger.evacuations.revision() < self.calls.seen_evacuations() => {}
             None if !self.leaving && self.isolation.may_open(now, member.ledger.queue_version()) => {
                 let token = isolated_token_of(member.raft.term().0, ip_of(self.settings.host));
                 member.open_isolated(now, token);
                 self.calls.isolated_token = self.calls.isolated_token.max(token);
             }
-            Some(_) if member.raft.leader().is_some() || member.is_fenced() => {
+            Some(_)
+                if member.raft.leader().is_some()
+                    || member.is_fenced()
+                    || member.ledger.evacuations.revision() < self.calls.seen_evacuations() =>
+            {
                 member.close_isolated();
                 self.isolation.on_closed(now);
             }
@@ -356,6 +381,9 @@
         let members = &status.members;
         let hosts: Vec<HostId> = members.voters.keys().chain(members.learners.keys()).copied().collect();
         self.send(to, Message::LeaderInfo { term: status.term, leader, hosts, version, isolated_token });
+        if let Some(notice) = self.calls.evacuation_notice() {
+            self.send(to, notice);
+        }
     }
 
     /// Asks the known hosts to add this host to the control group, while it is no member or has no leader.
@@ -424,7 +452,9 @@
         let (term, leader) = (member.raft.term(), member.raft.leader());
         let (version, heard) = (member.ledger.queue_version(), member.raft.leader_heard());
         self.calls.on_leader_update(now, None, LeaderUpdate { term, leader, version, isolated_token: 0, heard });
-        let current = (term.0, leader);
+        let revision = member.ledger.evacuations.revision();
+        self.calls.on_evacuations(revision);
+        let current = (term.0, leader, revision);
         if self.announced == Some(current) || leader.is_none() {
             return;
         }
--- a/crates/control/src/host_metrics.rs
+++ b/crates/control/src/host_metrics.rs
@@ -1,9 +1,9 @@
 //! Values of a host for its metrics.
 
-use mangogw_jobs::Counts;
+use mangogw_jobs::{Counts, Evacuations};
 
 /// Values of a host at one instant.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct HostMetrics {
     /// True if a leader of the group or of an isolated zone takes the calls of this host.
     pub ready: bool,
@@ -29,6 +29,10 @@
     pub membership_changes: u64,
     /// Number of the host's pre-votes and campaigns that ended without a quorum.
     pub failed_elections: u64,
+    /// Evacuations in the ledger; none on hosts that are no member of the control group.
+    pub evacuations: Evacuations,
+    /// Latest revision of the evacuations that the host has seen.
+    pub seen_evacuations: u64,
     /// Number of stored jobs in the ledger.
     pub stored: usize,
     /// Number of calls of this host's clients that have no reply yet.
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -178,6 +178,7 @@
             membership_changes: self.membership_changes,
             failed_elections: self.failed_elections + self.raft.failed_elections(),
             stored: self.ledger.jobs.len(),
+            evacuations: self.ledger.evacuations.clone(),
             targets: self.target_count(),
             confirmed: self.board.as_ref().map_or(0, Board::confirmed),
             jobs,
@@ -449,7 +450,14 @@
                     self.answer(call_id, Reply::Done);
                 }
             },
-            Call::Read { .. } | Call::Count { .. } | Call::Fetch => {
+            Call::Evacuate { zone, active, seen } => match self.is_known_zone(&zone) {
+                true => {
+                    let command = Command::Evacuate { zone, active, seen };
+                    self.propose(now, &command, PendingOp::Change(call_id, command.clone()));
+                }
+                false => self.answer(call_id, Reply::NoZone),
+            },
+            Call::Read { .. } | Call::Count { .. } | Call::Fetch | Call::ListEvacuations => {
                 let tag = self.tag();
                 self.pending.insert(tag, PendingOp::Read(call_id, call));
                 self.raft.read(now, tag);
@@ -457,10 +465,21 @@
         }
     }
 
+    /// Returns true for a zone of the deployment, and for one that was evacuated before and is in the settings no more.
+    fn is_known_zone(&self, zone: &Zone) -> bool {
+        let evacuated = self.ledger.evacuations.iter().any(|(known, _)| known == zone);
+        let is_known = match self.settings.zones.as_slice() {
+            [] => self.ledger.targets.values().any(|report| report.zone == *zone),
+            zones => zones.contains(zone),
+        };
+        evacuated || is_known
+    }
+
     /// Returns the reply to a read from the applied state.
     fn read(&self, call: &Call) -> Reply {
         match call {
             Call::Fetch => Reply::Set(self.ledger.queue_set.clone()),
+            Call::ListEvacuations => Reply::Evacuations(self.ledger.evacuations.clone()),
             Call::Count { host, path } => {
                 match self.board.as_ref().map(|board| (board, board.find_queue(host, path))) {
                     Some((board, Some(queue))) => Reply::Waiting(board.pending_jobs(&queue.name) as u64),
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -4,7 +4,7 @@
 use crate::isolated_zone::token_of;
 use crate::membership::Membership;
 use crate::{Call, Message, Reply};
-use mangogw_jobs::{ApplyStatus, Board, Command, Ledger, Output as BoardOutput, Phase};
+use mangogw_jobs::{ApplyStatus, Board, Command, Evacuation, Ledger, Output as BoardOutput, Phase};
 use mangogw_model::{HostId, Time};
 use mangogw_store::{AppliedEntry, Output, Payload, Refusal, Role, Tag};
 
@@ -53,6 +53,10 @@
                 Ok(ledger) => {
                     self.ledger = ledger;
                     self.applied = snapshot.meta.id.index;
+                    for (zone, Evacuation { active, revision }) in self.ledger.evacuations.iter() {
+                        let (entry, term) = (snapshot.meta.id.index.0, snapshot.meta.id.term.0);
+                        log::info!(zone:%, active, revision, entry, term; "member: evacuation in a snapshot");
+                    }
                 }
                 Err(error) => {
                     log::error!(error:%; "member: can't decode the snapshot of the replicated state");
@@ -143,12 +147,19 @@
         };
         let applied = self.ledger.apply(&command);
         let pending = entry.tag.and_then(|tag| self.pending.swap_remove(&tag));
+        if let Command::Evacuate { zone, active, seen } = &command {
+            let (index, term, status) = (entry.id.index.0, entry.id.term.0, applied.status);
+            log::info!(zone:%, active, seen, entry = index, term, status:?; "member: evacuation ordered");
+        }
         if let Some(board) = self.board.as_mut().filter(|_| !self.isolated) {
             match &command {
                 Command::Install(set) if applied.status == ApplyStatus::Changed => {
                     log::info!(version = set.version.0, queues = set.queues.len(); "member: queues in force");
                     board.install(set);
                 }
+                Command::Evacuate { .. } if applied.status == ApplyStatus::Changed => {
+                    board.evacuate(&self.ledger.evacuations);
+                }
                 Command::ReportTarget(report) => board.on_report(now, report),
                 Command::TargetLeft { id, incarnation } => board.on_target_left(now, id, *incarnation),
                 Command::RemoveTarget { id, incarnation } => board.on_target_removed(now, id, *incarnation),
@@ -175,6 +186,7 @@
                 (Command::StoreJob { .. }, _) => Reply::Accepted,
                 (Command::Cancel { .. }, ApplyStatus::Unknown) => Reply::NoJob,
                 (Command::Cancel { .. }, _) => Reply::Canceled,
+                (_, ApplyStatus::Outdated) => refusal("the zone has got another order meanwhile"),
                 _ => Reply::Done,
             };
             self.answer(call_id, reply);
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -1,6 +1,6 @@
 //! Calls, their replies, and the messages between hosts.
 
-use mangogw_jobs::{JobEnd, JobId, JobSpec, Order, Outcome, Phase, QueueSet, TargetReport};
+use mangogw_jobs::{Evacuations, JobEnd, JobId, JobSpec, Order, Outcome, Phase, QueueSet, TargetReport};
 use mangogw_model::{HostId, Version, Zone};
 use mangogw_store::{FolderId, Term};
 use serde::{Deserialize, Serialize};
@@ -61,12 +61,23 @@
         /// Incarnation that leaves; `None` if the target did not name it.
         incarnation: Option<u64>,
     },
+    /// Starts or finishes the evacuation of a zone.
+    Evacuate {
+        /// Zone whose targets get no new runs.
+        zone: Zone,
+        /// True to start the evacuation, false to finish it.
+        active: bool,
+        /// Latest revision of the evacuations that the receiving host has seen; that host sets it.
+        seen: u64,
+    },
+    /// Returns the evacuations that were ordered.
+    ListEvacuations,
 }
 
 impl Call {
     /// Returns true if the call changes nothing.
     pub const fn is_read(&self) -> bool {
-        matches!(self, Self::Read { .. } | Self::Count { .. } | Self::Fetch)
+        matches!(self, Self::Read { .. } | Self::Count { .. } | Self::Fetch | Self::ListEvacuations)
     }
 }
 
@@ -100,6 +111,10 @@
     },
     /// Unknown whether the call was executed.
     Unclear,
+    /// No zone has this name.
+    NoZone,
+    /// The evacuations that were ordered, those that were taken back included.
+    Evacuations(Evacuations),
 }
 
 impl From<JobEnd> for Reply {
@@ -185,6 +200,9 @@
         /// Fencing token of the leader of an isolated zone; 0 for a leader of the whole group.
         isolated_token: u64,
     },
+    /// Latest revision of the evacuations that the sender has seen; beside a leader query or its answer, after the first
+    /// evacuation.
+    SeenEvacuations(u64),
 }
 
 impl Message {
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -17,6 +17,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Availability zone of this host.
     pub zone: Zone,
+    /// Availability zones of the deployment; if empty, those of its targets.
+    pub zones: Vec<Zone>,
     /// Processor of this host, in thousandths of a core.
     pub cpu_millicores: u32,
     /// Highest number of targets to which the leader sends its orders itself. With more, other hosts forward them.
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -21,6 +21,7 @@
         port: 7720,
         seeds: vec!["10.1.0.1:80".parse().unwrap()],
         zone: Zone::from("a"),
+        zones: Vec::new(),
         cpu_millicores: 250,
         direct_targets: 96,
         voters: 3,
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -313,6 +313,7 @@
             port: PORT,
             seeds,
             zone: Zone::from(["a", "b", "c"][host % 3]),
+            zones: Vec::new(),
             cpu_millicores: 250,
             direct_targets,
             voters: self.size.voters,
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -38,6 +38,7 @@
             port: 7720,
             seeds: Vec::new(),
             zone: Zone::from("b"),
+            zones: Vec::new(),
             cpu_millicores: 250,
             direct_targets,
             voters: 3,
--- a/crates/control/tests/learner.rs
+++ b/crates/control/tests/learner.rs
@@ -33,6 +33,7 @@
                 port: 7720,
                 seeds: vec![(LEADER, 80).into()],
                 zone: Zone::from(zone),
+                zones: Vec::new(),
                 cpu_millicores: 250,
                 direct_targets: 96,
                 voters: 3,
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -12,8 +12,8 @@
 use crate::queue::RouteIndex;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
-    Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
-    TargetKey, TargetReport, TargetState, TaskId,
+    Command, Counts, Deadlines, EndRecord, Evacuations, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd,
+    Settings, StoredJob, TargetKey, TargetReport, TargetState, TaskId,
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
@@ -103,6 +103,8 @@
     queue_set: Option<Arc<QueueSet>>,
     routes: RouteIndex,
     targets: SlotMap<TargetKey, Target>,
+    /// Zones whose targets get no new runs.
+    evacuations: Evacuations,
     by_id: IndexMap<String, TargetKey>,
     jobs: SlotMap<JobKey, Job>,
     by_job: IndexMap<JobId, JobKey>,
@@ -142,6 +144,7 @@
             queue_set: None,
             routes: RouteIndex::default(),
             targets: SlotMap::with_key(),
+            evacuations: ledger.evacuations.clone(),
             by_id: IndexMap::new(),
             jobs: SlotMap::with_key(),
             by_job: IndexMap::new(),
@@ -181,7 +184,8 @@
     pub fn open_isolated(settings: Settings, token: u64, ledger: &Ledger, zone: &Zone, now: Time) -> Self {
         let of_zone = ledger.targets.iter().filter(|(_, report)| report.zone == *zone);
         let targets = of_zone.map(|(id, report)| (id.clone(), report.clone())).collect();
-        let part = Ledger { queue_set: ledger.queue_set.clone(), targets, ..Ledger::default() };
+        let (queue_set, evacuations) = (ledger.queue_set.clone(), ledger.evacuations.clone());
+        let part = Ledger { queue_set, targets, evacuations, ..Ledger::default() };
         let mut board = Self::open(settings, token, &part, now);
         board.unlisted.clear();
         board.isolated = true;
@@ -223,6 +227,15 @@
         self.dirty = true;
     }
 
+    /// Puts the evacuations in force. Targets of evacuated zones get no new runs; those that they have go on.
+    pub fn evacuate(&mut self, evacuations: &Evacuations) {
+        self.evacuations.clone_from(evacuations);
+        for target in self.targets.values_mut() {
+            target.evacuated = evacuations.is_active(&target.report.zone);
+        }
+        self.dirty = true;
+    }
+
     /// Returns the queue of a request by host name and path; `None` if no queue matches or no set is installed.
     pub fn find_queue(&self, host: &str, path: &str) -> Option<&Queue> {
         let set = self.queue_set.as_ref()?;
@@ -261,6 +274,7 @@
                 }
                 if newer {
                     target.report = report.clone();
+                    target.evacuated = self.evacuations.is_active(&report.zone);
                 }
             }
             Some(key) if self.targets[key].report.incarnation > report.incarnation => return,
@@ -394,6 +408,7 @@
         let id = report.id.clone();
         let mut target = Target::new(report, now, expires);
         target.health.set_initial_ratio(self.mean_time_ratio(&target));
+        target.evacuated = self.evacuations.is_active(&target.report.zone);
         let key = self.targets.insert(target);
         self.by_id.insert(id, key);
         key
--- a/crates/jobs/src/board/forecast.rs
+++ b/crates/jobs/src/board/forecast.rs
@@ -81,7 +81,9 @@
     fn pool_loads(&self, now: Time) -> IndexMap<&str, PoolLoad> {
         let usable = || self.targets.values().filter(|target| accepts_runs(target, now));
         let mut loads: IndexMap<&str, PoolLoad> = IndexMap::new();
-        let is_known = |target: &&Target| target.report.state == TargetState::Ready && target.absent_since.is_none();
+        let is_known = |target: &&Target| {
+            target.report.state == TargetState::Ready && target.absent_since.is_none() && !target.evacuated
+        };
         for target in self.targets.values().filter(is_known) {
             loads.entry(target.report.pool.as_str()).or_default().known += 1;
         }
--- a/crates/jobs/src/ledger.rs
+++ b/crates/jobs/src/ledger.rs
@@ -1,8 +1,8 @@
 //! The replicated state: queues, targets, stored jobs, and the recorded ends of their tasks.
 
-use crate::{JobId, JobSpec, Phase, QueueSet, RunNumber, TargetReport, TargetState, TaskId};
+use crate::{Evacuations, JobId, JobSpec, Phase, QueueSet, RunNumber, TargetReport, TargetState, TaskId};
 use indexmap::{IndexMap, IndexSet};
-use mangogw_model::Version;
+use mangogw_model::{Version, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -59,6 +59,15 @@
         /// Incarnation that has left.
         incarnation: u64,
     },
+    /// Start or finish the evacuation of a zone, as [`Evacuations::order`] does.
+    Evacuate {
+        /// Zone whose targets get no new runs.
+        zone: Zone,
+        /// True to start the evacuation, false to finish it.
+        active: bool,
+        /// Latest revision of the evacuations that the host had seen when it received the order.
+        seen: u64,
+    },
 }
 
 /// Record of the end of one run that was done or failed.
@@ -102,6 +111,8 @@
     Unchanged,
     /// The job of the command is unknown.
     Unknown,
+    /// The command was given without knowledge of a later change, and changed nothing.
+    Outdated,
 }
 
 /// Result of an applied command, for the board.
@@ -124,6 +135,9 @@
     pub jobs: IndexMap<JobId, StoredJob>,
     /// Ids of absent targets: they are silent, and nothing that this group has started runs there.
     pub absent_targets: IndexSet<String>,
+    /// Evacuations of zones; after the other fields in a snapshot.
+    #[serde(skip)]
+    pub evacuations: Evacuations,
 }
 
 impl StoredJob {
@@ -257,6 +271,7 @@
                 Some(_) => ApplyStatus::Unchanged,
                 None => ApplyStatus::Unknown,
             },
+            Command::Evacuate { zone, active, seen } => self.evacuations.order(zone, *active, *seen),
             Command::Expire(before) => {
                 self.jobs.retain(|_, stored_job| stored_job.ended.is_none_or(|(_, at)| at >= *before));
                 ApplyStatus::Changed
@@ -301,12 +316,13 @@
         Some((id, phase))
     }
 
-    /// Encodes the state for a snapshot.
+    /// Encodes the state for a snapshot. Without evacuations the bytes are those of versions that know of none.
     ///
     /// # Errors
     /// Error of the encoder.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        postcard::to_stdvec(self)
+        let bytes = postcard::to_stdvec(self)?;
+        if self.evacuations.is_empty() { Ok(bytes) } else { postcard::to_extend(&self.evacuations, bytes) }
     }
 
     /// Decodes the state from the bytes of [`Ledger::encode`]; no bytes stand for the empty state.
@@ -320,6 +336,13 @@
     /// assert_eq!(Ledger::decode(&ledger.encode().unwrap()).unwrap(), ledger);
     /// ```
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        if bytes.is_empty() { Ok(Self::default()) } else { postcard::from_bytes(bytes) }
+        if bytes.is_empty() {
+            return Ok(Self::default());
+        }
+        let (mut ledger, rest) = postcard::take_from_bytes::<Self>(bytes)?;
+        if !rest.is_empty() {
+            ledger.evacuations = postcard::from_bytes(rest)?;
+        }
+        Ok(ledger)
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -14,6 +14,7 @@
 mod board;
 mod clock;
 mod counts;
+mod evacuation;
 mod health;
 mod ids;
 mod job;
@@ -28,6 +29,7 @@
 pub use board::{Board, JobEnd, Output, Refused, Submission};
 pub use clock::RemoteClock;
 pub use counts::Counts;
+pub use evacuation::{Evacuation, Evacuations};
 pub use health::Health;
 pub use ids::{BadId, JobId, RunNumber, TaskId};
 pub use job::{BadJob, JobSpec, Phase, Step};
--- a/crates/jobs/src/placement.rs
+++ b/crates/jobs/src/placement.rs
@@ -19,6 +19,7 @@
 /// Returns true if the target may be given a run, whatever the task needs.
 pub(crate) fn accepts_runs(target: &Target, now: Time) -> bool {
     target.confirmed
+        && !target.evacuated
         && !target.truncated
         && target.report.state == TargetState::Ready
         && target.orphans.is_empty()
--- a/crates/jobs/src/target.rs
+++ b/crates/jobs/src/target.rs
@@ -378,6 +378,8 @@
     pub(crate) orphans: IndexMap<TaskId, OrphanRun>,
     pub(crate) used: Resources,
     pub(crate) health: Health,
+    /// True while the zone of the target is evacuated: it gets no new runs.
+    pub(crate) evacuated: bool,
 }
 
 /// Run that a target lists and the board does not know.
@@ -418,6 +420,7 @@
             orphans: IndexMap::new(),
             used: Resources::default(),
             health: Health::default(),
+            evacuated: false,
         }
     }
 
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -50,6 +50,7 @@
         ("mangogw_learners", view.learners as u64),
         ("mangogw_voter", u64::from(view.is_voter)),
         ("mangogw_leader_known", u64::from(view.leader_known)),
+        ("mangogw_evacuations_seen", view.seen_evacuations),
         ("mangogw_stored_jobs", view.stored as u64),
         ("mangogw_open_calls", view.calls as u64),
         ("mangogw_targets", view.targets as u64),
@@ -60,6 +61,9 @@
     for (name, value) in gauges {
         gauge!(name).set(value as f64);
     }
+    for (zone, evacuation) in view.evacuations.iter() {
+        gauge!("mangogw_zone_evacuated", "zone" => zone.to_string()).set(f64::from(u8::from(evacuation.active)));
+    }
     let totals = [
         ("mangogw_starts_total", view.counts.starts),
         ("mangogw_starts_unsure_total", view.counts.unsure),
--- a/crates/mangogwd/tests/full_disk.rs
+++ b/crates/mangogwd/tests/full_disk.rs
@@ -111,6 +111,7 @@
         port: 1,
         seeds: Vec::new(),
         zone: Zone::from("a"),
+        zones: Vec::new(),
         cpu_millicores: 500,
         direct_targets: 100,
         voters: 3,
--- a/crates/mangogwd/tests/meters.rs
+++ b/crates/mangogwd/tests/meters.rs
@@ -1,13 +1,20 @@
 //! Guards against a metric of a control host that is not rendered, or that the documentation does not explain.
 
 use mangogw_control::HostMetrics;
-use mangogw_jobs::Counts;
+use mangogw_jobs::{Counts, Evacuations};
+use mangogw_model::Zone;
 use mangogwd::meters;
 
 #[test]
 fn each_metric_of_a_control_host_is_rendered_and_documented() {
     let counts = Counts { starts: 41, refused: 3, ..Counts::default() };
+    let mut evacuations = Evacuations::default();
+    for (zone, active, seen) in [("a", true, 0), ("b", true, 0), ("b", false, 2)] {
+        evacuations.order(&Zone::from(zone), active, seen);
+    }
     let view = HostMetrics {
+        evacuations,
+        seen_evacuations: 3,
         isolated: true,
         targets: 16,
         confirmed: 15,
@@ -34,6 +41,9 @@
         "mangogw_leader_known 1",
         "mangogw_membership_changes_total 9",
         "mangogw_elections_failed_total 6",
+        "mangogw_evacuations_seen 3",
+        "mangogw_zone_evacuated{zone=\"a\"} 1",
+        "mangogw_zone_evacuated{zone=\"b\"} 0",
     ] {
         assert!(text.lines().any(|shown| shown == line), "{line} in {text}");
     }
