--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -4,6 +4,7 @@
 //! resources, and against lost or wrongly refused jobs and stale queue sets. Such failures come from lost messages,
 //! crashes, paused hosts, lost data folders and isolated zones; the oracle checks for them at targets and clients only.
 
+mod evacuations;
 mod fake_target;
 mod group_faults;
 mod large_group;
--- a/crates/control/tests/group/oracle.rs
+++ b/crates/control/tests/group/oracle.rs
@@ -39,6 +39,10 @@
     pub acked_versions: Vec<(Time, u64)>,
     pub violations: Vec<String>,
     pub starts: u64,
+    /// Time and target of each start.
+    pub start_times: Vec<(Time, usize)>,
+    /// Time and target of each end of a run that was stopped or lost its lease.
+    pub broken: Vec<(Time, usize)>,
 }
 
 impl Oracle {
@@ -52,6 +56,7 @@
         resources: Resources,
     ) {
         self.starts += 1;
+        self.start_times.push((now, target.0));
         log::debug!(now = now.as_micros() / 1000, task:%, run = run.0, worker:? = target; "oracle: started");
         if !resources.can_fit(&used) {
             self.violation(now, &format!("LIMIT: {task} on worker {target:?}: {used:?} of {resources:?}"));
@@ -80,6 +85,7 @@
         match run_end {
             RunEnd::Done => log.done.push((now, target.0, target.1, number)),
             RunEnd::Failed => log.failed.push((now, target.0, target.1, number)),
+            RunEnd::Stopped | RunEnd::Lapsed => self.broken.push((now, target.0)),
             _ => {}
         }
     }
@@ -89,6 +95,12 @@
         self.tasks.values().map(|log| log.active.len()).sum()
     }
 
+    /// Returns the number of active runs on the targets of a zone of `zones`.
+    pub fn running_in(&self, zone: usize, zones: usize) -> usize {
+        let active = self.tasks.values().flat_map(|log| log.active.keys());
+        active.filter(|(target, _)| target % zones == zone).count()
+    }
+
     /// Removes the runs of a target's incarnation that has crashed.
     pub fn on_crash(&mut self, target: (usize, u64)) {
         self.tasks.values_mut().for_each(|log| log.active.retain(|at, _| *at != target));
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -1,5 +1,6 @@
 //! Simulation of control hosts, entry hosts, fake targets and clients over a lossy network, from one seed.
 
+mod evacuation;
 mod faults;
 mod group;
 
@@ -60,28 +61,74 @@
 #[derive(Debug)]
 enum Event {
     Tick(usize),
-    Frame { to: usize, from: HostId, incarnation: u64, messages: Vec<Message> },
-    Synced { host: usize, incarnation: u64, id: WriteId },
-    DiskFailed { host: usize, incarnation: u64 },
-    DiskReopened { host: usize, incarnation: u64 },
-    DeliverOrder { host: usize, incarnation: u64, order_id: OrderId, order: Box<Order>, sent: Time, answer: bool },
-    Outcome { host: usize, incarnation: u64, order_id: OrderId, outcome: Box<Outcome> },
-    CheckTarget { target: usize },
-    Heartbeat { target: usize, incarnation: u64 },
+    Frame {
+        to: usize,
+        from: HostId,
+        incarnation: u64,
+        messages: Vec<Message>,
+    },
+    Synced {
+        host: usize,
+        incarnation: u64,
+        id: WriteId,
+    },
+    DiskFailed {
+        host: usize,
+        incarnation: u64,
+    },
+    DiskReopened {
+        host: usize,
+        incarnation: u64,
+    },
+    DeliverOrder {
+        host: usize,
+        incarnation: u64,
+        order_id: OrderId,
+        order: Box<Order>,
+        sent: Time,
+        answer: bool,
+    },
+    Outcome {
+        host: usize,
+        incarnation: u64,
+        order_id: OrderId,
+        outcome: Box<Outcome>,
+    },
+    CheckTarget {
+        target: usize,
+    },
+    Heartbeat {
+        target: usize,
+        incarnation: u64,
+    },
     NewJob,
     SendJob(JobId),
     Config,
     Fault,
     Heal(usize),
-    Restart { host: usize },
+    Restart {
+        host: usize,
+    },
     Rejoin(usize),
-    Leave { target: usize, incarnation: Option<u64> },
-    Shutdown { target: usize, incarnation: u64 },
+    Leave {
+        target: usize,
+        incarnation: Option<u64>,
+    },
+    Shutdown {
+        target: usize,
+        incarnation: u64,
+    },
     RestartTarget,
     CrashTarget(usize),
     CutTarget(usize),
     JoinTarget(usize),
     LoseLeader,
+    /// A host reads an order of an operator on the evacuation of a zone.
+    Order {
+        host: usize,
+        zone: usize,
+        active: bool,
+    },
 }
 
 /// Control hosts of a simulation. The first `CONTROL_HOSTS` found the group, the others join it.
@@ -424,6 +471,7 @@
             Event::CutTarget(target) => self.cut_target(target),
             Event::JoinTarget(target) => self.cut_targets.retain(|(cut, ..)| *cut != target),
             Event::LoseLeader => self.lose_leader(),
+            Event::Order { host, zone, active } => drop(self.send_order(host, zone, active)),
         }
     }
 
--- a/crates/control/tests/group/simulation/group.rs
+++ b/crates/control/tests/group/simulation/group.rs
@@ -88,7 +88,7 @@
         self.nodes[host].control_host.is_some() && self.nodes[host].frozen_until <= self.now
     }
 
-    fn host_metrics(&self, host: usize) -> HostMetrics {
+    pub(super) fn host_metrics(&self, host: usize) -> HostMetrics {
         let control_host = self.nodes[host].control_host.as_ref();
         control_host.map(|control_host| control_host.metrics(self.now)).unwrap_or_default()
     }
