--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -7,7 +7,7 @@
 /// Maximum length of a payload.
 const MAX_PAYLOAD_BYTES: usize = 4000;
 /// Maximum number of tasks of a job: ten times the largest that is expected (660).
-pub(crate) const MAX_TASKS: u64 = 6600;
+pub const MAX_TASKS: u64 = 6600;
 
 /// Group of equal tasks of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -146,6 +146,21 @@
         ends.into_iter().max().unwrap_or(0)
     }
 
+    /// Returns the bytes of memory that the job takes, about.
+    ///
+    /// ```
+    /// use mangogw_jobs::{JobSpec, Step};
+    /// let job = JobSpec { payload: "p".repeat(100), steps: vec![Step::default(); 10], ..JobSpec::default() };
+    /// assert!(job.size() >= 100 + 10 * size_of::<Step>());
+    /// ```
+    pub fn size(&self) -> usize {
+        let text = |text: &Option<String>| text.as_ref().map_or(0, String::len);
+        let size = |step: &Step| {
+            size_of::<Step>() + step.depends_on.len() * size_of::<u32>() + text(&step.label) + text(&step.rack)
+        };
+        size_of::<Self>() + self.payload.len() + self.steps.iter().map(size).sum::<usize>()
+    }
+
     /// Returns the number of occurrences, at least 1.
     pub const fn occurrences(&self) -> u32 {
         if self.times == 0 { 1 } else { self.times }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,7 +30,7 @@
 pub use counts::Counts;
 pub use health::Health;
 pub use ids::{BadId, JobId, RunNumber, TaskId};
-pub use job::{BadJob, JobSpec, Phase, Step};
+pub use job::{BadJob, JobSpec, MAX_TASKS, Phase, Step};
 pub use ledger::{ApplyResult, ApplyStatus, Command, EndRecord, Ledger, StoredJob};
 pub use policy::{Deadlines, PriorityClass, Rank};
 pub use queue::{Pool, Queue, QueueSet};
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -1,17 +1,19 @@
 //! HTTP interface: turns requests into [`HostRequest`]s and [`Reply`]s into responses. `docs/API.md` is its reference.
 
+use crate::gate::{BadBody, Charge, Ticket, Work};
 use crate::meters;
 use crate::node::Node;
 use crate::operate;
 use crate::settings::Network;
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
 use mangogw_cluster::grants::{Echo, Target};
 use mangogw_host::{Host, HostRequest, JobRequest, Refused, Reply, TaskRequest};
 use mangogw_model::{Announcement, Code, Incarnation, JobState, JobView, Key, Outcome, TargetName, Usage, Zone};
 use mangogw_wire::{AnnounceBody, JobBody, LeaseBody, Problem, header};
+use std::fmt::Display;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -39,35 +41,35 @@
 type Handled = Result<Response<Full<Bytes>>, Refused>;
 
 impl Api {
-    /// Handles one request; a refusal is a response too.
-    pub async fn handle<B>(&self, request: Request<B>) -> Response<Full<Bytes>>
+    /// Handles one request on the connection of `ticket`; a refusal is a response too.
+    pub async fn handle<B>(&self, ticket: &Arc<Ticket>, request: Request<B>) -> Response<Full<Bytes>>
     where
-        B: http_body::Body<Data = Bytes> + Send,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+        B: http_body::Body<Data = Bytes, Error: Display> + Send,
     {
-        self.route(request).await.unwrap_or_else(|refused| refusal(&refused))
+        self.route(ticket, request).await.unwrap_or_else(|refused| refusal(&refused))
     }
 
-    async fn route<B>(&self, request: Request<B>) -> Handled
+    async fn route<B>(&self, ticket: &Arc<Ticket>, request: Request<B>) -> Handled
     where
-        B: http_body::Body<Data = Bytes> + Send,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+        B: http_body::Body<Data = Bytes, Error: Display> + Send,
     {
         let (head, body) = request.into_parts();
         let parts: Vec<&str> = head.uri.path().trim_matches('/').split('/').collect();
         let query = head.uri.query().unwrap_or("");
+        let work = body.is_end_stream().then(|| ticket.work());
+        let mut request = Held { ticket, full: overload(&head.headers, &head.uri), room: None, work };
         match (&head.method, parts.as_slice()) {
             (&Method::POST, ["v1", "run", entry]) => {
                 let host_request = HostRequest::Run {
                     entry: (*entry).into(),
                     key: parse_key(&head.headers)?,
                     timeout: parse_deadline(&head.headers)?,
-                    body: self.read(body).await?,
+                    body: self.read(&mut request, body).await?,
                 };
                 Ok(respond(self.node.request(host_request).await))
             }
             (&Method::POST, ["v1", "jobs"]) => {
-                let job = parse_job(&head.headers, &self.read(body).await?)?;
+                let job = parse_job(&head.headers, &self.read(&mut request, body).await?)?;
                 Ok(respond(self.node.request(HostRequest::Submit(job)).await))
             }
             (&Method::GET, ["v1", "jobs", key]) => {
@@ -78,16 +80,16 @@
                 Ok(respond(self.node.request(HostRequest::Cancel { key: Key::from(*key) }).await))
             }
             (&Method::PUT, ["v1", "targets", name]) => {
-                let (announcement, echo) = self.announcement(name, &self.read(body).await?)?;
+                let (announcement, echo) = self.announcement(name, &self.read(&mut request, body).await?)?;
                 Ok(respond(self.node.request(HostRequest::Announce { announcement, echo }).await))
             }
             (&Method::POST, ["v1", "targets", name, "leave"]) => {
-                self.read(body).await?;
+                self.read(&mut request, body).await?;
                 let (target, incarnation) = (self.target(name, query), parse_incarnation(query)?);
                 Ok(respond(self.node.request(HostRequest::Leave { target, incarnation }).await))
             }
             (&Method::POST, ["v1", "targets", name, "usage"]) => {
-                let usage: Usage = parse_json(&self.read(body).await?)?;
+                let usage: Usage = parse_json(&self.read(&mut request, body).await?)?;
                 Ok(respond(self.node.request(HostRequest::Usage { target: self.target(name, query), usage }).await))
             }
             (&Method::GET, ["v1", "hosts"]) => {
@@ -102,25 +104,28 @@
             (&Method::GET, ["readyz"]) if self.node.is_ready() => Ok(static_text(StatusCode::OK, "ready\n")),
             (&Method::GET, ["readyz"]) => Ok(static_text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")),
             (_, ["v1", root, ..]) if operate::ROOTS.contains(root) => {
-                let body = self.read(body).await?;
+                let body = self.read(&mut request, body).await?;
                 operate::handle(&self.node, &head, &body).await
             }
             (method, _) => Err(Refused::new(Code::NoRoute, format!("{method} {}", head.uri.path()))),
         }
     }
 
-    async fn read<B>(&self, body: B) -> Result<Bytes, Refused>
+    /// Reads a body. Room for it is taken until `held` is dropped.
+    async fn read<B>(&self, held: &mut Held<'_>, body: B) -> Result<Bytes, Refused>
     where
-        B: http_body::Body<Data = Bytes> + Send,
-        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+        B: http_body::Body<Data = Bytes, Error: Display> + Send,
     {
-        let collected = timeout(self.send_timeout, Limited::new(body, MAX_BODY_BYTES).collect());
-        match collected.await {
-            Ok(Ok(whole)) => Ok(whole.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(Refused::new(Code::BodyTooLarge, format!("the limit of any body is {MAX_BODY_BYTES} bytes")))
+        match timeout(self.send_timeout, held.ticket.read(body, MAX_BODY_BYTES)).await {
+            Ok(Ok((body, room))) => {
+                (held.room, held.work) = (Some(room), Some(held.ticket.work()));
+                Ok(body)
+            }
+            Ok(Err(error @ BadBody::TooLarge { .. })) => Err(Refused::new(Code::BodyTooLarge, error.to_string())),
+            Ok(Err(error @ BadBody::NoRoom)) => Err(Refused::new(held.full, error.to_string())),
+            Ok(Err(error @ BadBody::Broken { .. })) => {
+                Err(Refused::new(Code::BadRequest, format!("the body could not be read: {error}")))
             }
-            Ok(Err(error)) => Err(Refused::new(Code::BadRequest, format!("the body could not be read: {error}"))),
             Err(_elapsed) => Err(Refused::new(Code::SlowSender, format!("the body took over {:?}", self.send_timeout))),
         }
     }
@@ -148,6 +153,24 @@
     }
 }
 
+/// What a request holds until it is answered.
+#[derive(Debug)]
+struct Held<'a> {
+    ticket: &'a Arc<Ticket>,
+    /// Code of the refusal if there is no room.
+    full: Code,
+    room: Option<Charge>,
+    /// Set once the whole request is here.
+    work: Option<Work>,
+}
+
+/// Returns the code with which a host at its limit refuses. For a request with a key the host can't tell whether the
+/// submission ran before.
+pub(crate) fn overload(headers: &HeaderMap, uri: &Uri) -> Code {
+    let keyed = headers.contains_key(header::KEY) || uri.path().starts_with("/v1/jobs");
+    if keyed { Code::HomeUnknown } else { Code::Overloaded }
+}
+
 fn parse_json<T: serde::de::DeserializeOwned>(body: &[u8]) -> Result<T, Refused> {
     serde_json::from_slice(body).map_err(|error| Refused::new(Code::BadRequest, error.to_string()))
 }
@@ -198,7 +221,7 @@
 }
 
 fn parse_job(headers: &HeaderMap, body: &[u8]) -> Result<JobRequest, Refused> {
-    let bad = |error: &dyn std::fmt::Display| Refused::new(Code::BadRequest, error.to_string());
+    let bad = |error: &dyn Display| Refused::new(Code::BadRequest, error.to_string());
     let job = JobBody::parse(body).map_err(|error| bad(&error))?;
     let key = match job.key {
         Some(key) => Some(check_key(key.as_str())?),
--- a/crates/mangogwd/src/lib.rs
+++ b/crates/mangogwd/src/lib.rs
@@ -11,10 +11,12 @@
 //! ```
 
 pub mod api;
+pub mod budget;
 pub mod clock;
 pub mod contain;
 pub mod disk;
 pub mod flags;
+pub mod gate;
 pub mod links;
 pub mod logs;
 pub mod meters;
--- a/crates/mangogwd/src/links.rs
+++ b/crates/mangogwd/src/links.rs
@@ -1,5 +1,7 @@
 //! Links to other hosts: one stream of frames to each host, reopened when it breaks or pings stay unanswered.
 
+use crate::budget::Callers;
+use crate::gate::{Gate, Metered};
 use indexmap::IndexMap;
 use mangogw_model::{HostId, Incarnation};
 use mangogw_wire::link::{Frame, MAX_FRAME_BYTES, PROTOCOL_VERSION, Receipt};
@@ -12,7 +14,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{self, error::TrySendError};
 use tokio::task::{AbortHandle, JoinHandle};
-use tokio_stream::wrappers::{ReceiverStream, TcpListenerStream};
+use tokio_stream::wrappers::ReceiverStream;
 use tonic::transport::{Endpoint, Error, Server};
 use tonic::{Request, Response, Status, Streaming};
 
@@ -27,6 +29,9 @@
 /// Time between a failed connection attempt and the next one.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 
+/// Pause after a failed accept.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 /// Identity of a host, sent with each frame.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -210,8 +215,14 @@
     }
 }
 
-/// Receives frames from other hosts on `listener` and passes them to `inbox` until the returned handle is aborted.
-pub fn spawn<I: Inbox>(listener: TcpListener, links: &Links, inbox: Arc<I>) -> JoinHandle<Result<(), Error>> {
+/// Receives frames from other hosts on `listener`, for which `gate` keeps room, and passes them to `inbox` until the
+/// returned handle is aborted.
+pub fn spawn<I: Inbox>(
+    listener: TcpListener,
+    links: &Links,
+    inbox: Arc<I>,
+    gate: Arc<Gate>,
+) -> JoinHandle<Result<(), Error>> {
     let cluster = links.identity.cluster.clone();
     let link_service = LinkService { cluster, inbox, counts: Arc::clone(&links.counts) };
     let service = LinkServer::new(link_service).max_decoding_message_size(MAX_FRAME_BYTES);
@@ -219,5 +230,26 @@
         .tcp_nodelay(true)
         .http2_keepalive_interval(Some(PING_INTERVAL))
         .http2_keepalive_timeout(Some(PING_TIMEOUT));
-    tokio::spawn(async move { server.serve_with_incoming(service, TcpListenerStream::new(listener)).await })
+    let incoming = futures_util::stream::unfold((listener, gate), |(listener, gate)| async move {
+        let stream = accept(&listener, &gate).await;
+        Some((Ok::<_, std::io::Error>(stream), (listener, gate)))
+    });
+    tokio::spawn(async move { server.serve_with_incoming(service, incoming).await })
+}
+
+/// Accepts the next connection for which there is room.
+async fn accept(listener: &TcpListener, gate: &Arc<Gate>) -> Metered {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                if let Some(ticket) = gate.admit(Callers::Hosts).await {
+                    return Metered::new(stream, ticket).closing_itself();
+                }
+            }
+            Err(error) => {
+                log::warn!(error:%; "links: accepting a connection failed");
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
 }
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -1,5 +1,6 @@
 //! Metrics in Prometheus' text format; `docs/operate/metrics.md` explains each of them.
 
+use crate::budget::{Callers, View};
 use crate::links::Counts;
 use crate::node::Node;
 use mangogw_control::HostMetrics;
@@ -81,6 +82,24 @@
     handle.render()
 }
 
+/// Updates the metrics of what callers hold of this process.
+pub fn update_gate(view: &View) {
+    if handle().is_none() {
+        return;
+    }
+    for callers in Callers::ALL {
+        let (open, most) = (view.connections[callers as usize], view.most[callers as usize]);
+        gauge!("mangogw_connections", "callers" => callers.name()).set(open as f64);
+        gauge!("mangogw_connections_most", "callers" => callers.name()).set(most as f64);
+    }
+    gauge!("mangogw_held_bytes").set(view.bytes as f64);
+    let counts = &view.counts;
+    counter!("mangogw_connections_refused_total").absolute(counts.refused);
+    counter!("mangogw_connections_displaced_total").absolute(counts.displaced);
+    counter!("mangogw_connections_stalled_total").absolute(counts.stalled);
+    counter!("mangogw_bodies_refused_total").absolute(counts.unread);
+}
+
 fn count_links(counts: &Counts, labels: &[(&'static str, String)]) {
     let total = |name: &'static str, value: u64| counter!(name, labels).absolute(value);
     total("mangogw_link_frames_total", counts.sent.load(Ordering::Relaxed));
--- a/crates/mangogwd/src/pipeline.rs
+++ b/crates/mangogwd/src/pipeline.rs
@@ -1,6 +1,7 @@
 //! Service that each client connection runs: limits the open requests, calls the API and counts responses.
 
 use crate::api::{self, Api};
+use crate::gate::Ticket;
 use crate::meters;
 use crate::operate::ClientAddress;
 use bytes::Bytes;
@@ -9,7 +10,6 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use mangogw_host::Refused;
-use mangogw_model::Code;
 use mangogw_wire::header;
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -24,19 +24,15 @@
 pub struct Pipeline {
     api: Api,
     permits: Arc<Semaphore>,
-    peer: Option<ClientAddress>,
+    peer: ClientAddress,
+    ticket: Arc<Ticket>,
 }
 
 impl Pipeline {
-    /// Returns a pipeline that refuses requests while `max_requests` are open.
-    pub fn new(api: Api, max_requests: usize) -> Self {
-        Self { api, permits: Arc::new(Semaphore::new(max_requests)), peer: None }
-    }
-
-    /// Returns this pipeline for a connection from the client address `peer`; both share one limit.
-    #[must_use]
-    pub fn for_peer(&self, peer: SocketAddr) -> Self {
-        Self { peer: Some(ClientAddress(peer)), ..self.clone() }
+    /// Returns the pipeline of the connection of `ticket`, from the client address `peer`. It refuses requests while all
+    /// `permits` are taken.
+    pub const fn new(api: Api, permits: Arc<Semaphore>, peer: SocketAddr, ticket: Arc<Ticket>) -> Self {
+        Self { api, permits, peer: ClientAddress(peer), ticket }
     }
 }
 
@@ -50,15 +46,13 @@
     }
 
     fn call(&mut self, mut req: Request<Incoming>) -> Self::Future {
-        if let Some(peer) = self.peer {
-            req.extensions_mut().insert(peer);
-        }
-        let api = self.api.clone();
+        req.extensions_mut().insert(self.peer);
+        let (api, ticket) = (self.api.clone(), Arc::clone(&self.ticket));
         let permit = Arc::clone(&self.permits).try_acquire_owned();
         Box::pin(async move {
-            let (version, code) = (req.version(), overload(&req));
+            let (version, code) = (req.version(), api::overload(req.headers(), req.uri()));
             let mut response = match &permit {
-                Ok(_held) => api.handle(req).await,
+                Ok(_held) => api.handle(&ticket, req).await,
                 Err(_full) => api::refusal(&Refused::new(code, "too many open requests")),
             };
             count(&response);
@@ -72,13 +66,6 @@
     }
 }
 
-/// Returns the code with which a host at its limit refuses. For a request with a key the host can't tell whether the
-/// submission ran before.
-fn overload(request: &Request<Incoming>) -> Code {
-    let keyed = request.headers().contains_key(header::KEY) || request.uri().path().starts_with("/v1/jobs");
-    if keyed { Code::HomeUnknown } else { Code::Overloaded }
-}
-
 fn count(response: &Response<Full<Bytes>>) {
     let code = response.headers().get(header::CODE).and_then(|value| value.to_str().ok());
     if let Some(code) = code.and_then(|text| text.parse().ok()) {
--- a/crates/mangogwd/src/server.rs
+++ b/crates/mangogwd/src/server.rs
@@ -1,9 +1,12 @@
 //! Starts and stops the daemon: opens its listeners and data folder, serves HTTP, and drains before it ends.
 
 use crate::api::Api;
+use crate::budget::{Callers, Limits};
 use crate::disk::{self, BootstrapMode, OpenedFolder};
+use crate::gate::{Gate, Metered, Ticket};
 use crate::links;
 use crate::node::{MessageReceiver, Node};
+use crate::pipeline::Pipeline;
 use crate::settings::Settings;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::conn::auto;
@@ -17,11 +20,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
 use tokio::task::{AbortHandle, JoinHandle};
 
 /// Size of the largest request head that is read.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Requests that are open at once on one HTTP/2 connection, and bytes of their bodies that may wait unread.
+const MAX_STREAMS: u32 = 256;
+const WINDOW_BYTES: u32 = 128 * 1024;
 /// Validity of the first administrator's token.
 const TOKEN_VALIDITY_MS: u64 = 365 * 24 * 3_600_000;
 /// Time for the last messages to other hosts to be sent before the process ends.
@@ -98,7 +104,9 @@
         let node_settings = host_settings(settings, address, peer_address);
         let (node, timer) =
             Node::spawn(node_settings, opened, &settings.cluster, bootstrap_actions).context(SystemSnafu)?;
-        let links = links::spawn(peer_listener, node.links(), Arc::new(MessageReceiver(Arc::downgrade(&node))));
+        let (gate, stalls) = Gate::spawn(Limits::derive(settings.memory_mb << 20, settings.max_fds));
+        let inbox = Arc::new(MessageReceiver(Arc::downgrade(&node)));
+        let links = links::spawn(peer_listener, node.links(), inbox, Arc::clone(&gate));
         let api = Api {
             node: Arc::clone(&node),
             send_timeout: settings.send_timeout,
@@ -108,11 +116,12 @@
         let (stop, stopped) = watch::channel(false);
         log::info!(address:%, peers_at:% = peer_address, zone:% = settings.zone, host = settings.host; "server: listening");
         let served = Arc::clone(&node);
-        let tasks = [timer.abort_handle(), links.abort_handle()];
+        let tasks = [timer.abort_handle(), links.abort_handle(), stalls.abort_handle()];
         let serving = Serving {
             api,
             node: served,
             tasks,
+            gate,
             stopped,
             notice_period: settings.notice_period,
             drain_timeout: settings.drain_timeout,
@@ -220,7 +229,8 @@
 struct Serving {
     api: Api,
     node: Arc<Node>,
-    tasks: [AbortHandle; 2],
+    tasks: [AbortHandle; 3],
+    gate: Arc<Gate>,
     stopped: watch::Receiver<bool>,
     notice_period: Duration,
     drain_timeout: Duration,
@@ -229,7 +239,7 @@
 impl Serving {
     async fn run(mut self, listener: TcpListener, max_requests: usize) {
         let connections = GracefulShutdown::new();
-        let pipeline = crate::pipeline::Pipeline::new(self.api.clone(), max_requests);
+        let permits = Arc::new(Semaphore::new(max_requests));
         let mut stopping = self.stopped.clone();
         let mut halted = self.node.halted();
         let (node, notice_period) = (Arc::clone(&self.node), self.notice_period);
@@ -248,7 +258,14 @@
             tokio::select! {
                 () = &mut notice_ended => break,
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, peer)) => serve(stream, &pipeline.for_peer(peer), &connections),
+                    Ok((stream, peer)) => match self.gate.admit(Callers::Clients).await {
+                        Some(ticket) => {
+                            let pipeline = Pipeline::new(self.api.clone(), Arc::clone(&permits), peer, Arc::clone(&ticket));
+                            serve(stream, ticket, pipeline, &connections);
+                        }
+                        // The caller connects again; nothing of it was read.
+                        None => drop(stream),
+                    },
                     Err(error) => {
                         log::warn!(error:%; "server: failed to accept a connection; accepting goes on after a pause");
                         tokio::time::sleep(IDLE_POLL_INTERVAL).await;
@@ -284,19 +301,29 @@
     }
 }
 
-fn serve(stream: TcpStream, pipeline: &crate::pipeline::Pipeline, connections: &GracefulShutdown) {
-    // Without TCP_NODELAY a response may wait for a delayed acknowledgement. An error here means a closed socket, which
-    // the first read reports.
-    drop(stream.set_nodelay(true));
+fn serve(stream: TcpStream, ticket: Arc<Ticket>, pipeline: Pipeline, connections: &GracefulShutdown) {
     let mut builder = auto::Builder::new(TokioExecutor::new());
     builder.http1().timer(TokioTimer::new()).header_read_timeout(Duration::from_secs(10)).max_buf_size(MAX_HEAD_BYTES);
-    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
-    let service = TowerToHyperService::new(pipeline.clone());
-    let connection = builder.serve_connection(TokioIo::new(stream), service).into_owned();
+    builder
+        .http2()
+        .timer(TokioTimer::new())
+        .max_header_list_size(MAX_HEAD_BYTES as u32)
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_connection_window_size(WINDOW_BYTES)
+        .initial_stream_window_size(WINDOW_BYTES);
+    let service = TowerToHyperService::new(pipeline);
+    let stream = TokioIo::new(Metered::new(stream, Arc::clone(&ticket)));
+    let connection = builder.serve_connection(stream, service).into_owned();
     let connection = connections.watch(connection);
     drop(tokio::spawn(async move {
-        if let Err(error) = connection.await {
-            log::debug!(error:%; "server: client connection ended with an error");
+        tokio::select! {
+            biased;
+            () = ticket.closed() => {}
+            ended = connection => {
+                if let Err(error) = ended {
+                    log::debug!(error:%; "server: client connection ended with an error");
+                }
+            }
         }
     }));
 }
--- a/crates/mangogwd/src/settings.rs
+++ b/crates/mangogwd/src/settings.rs
@@ -3,11 +3,15 @@
 use crate::flags::{self, BadFlag, Flag, ParsedFlags, number_in_range};
 use crate::logs::Format;
 use mangogw_model::Zone;
+use rustix::process::{Resource, getrlimit};
 use std::ffi::OsStr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
+/// Descriptors that are counted on at most where the system has no limit.
+const MAX_DESCRIPTORS: usize = 1 << 20;
+
 /// All flags of `mangogwd`.
 pub const FLAGS: &[Flag] = &[
     Flag::new("Place", "zone", "ZONE", "zone-1", "availability zone of this host"),
@@ -21,6 +25,8 @@
     Flag::new("State", "found", "", "", "found a new control group if the data folder is new"),
     Flag::new("State", "catalogue", "FILE", "", "catalogue of a new control group, TOML"),
     Flag::new("Limits", "requests", "N", "20000", "open requests at once"),
+    Flag::new("Limits", "memory-mb", "MB", "2048", "memory of the process; callers may hold a quarter of it"),
+    Flag::new("Limits", "max-fds", "N", "0", "descriptors of the process; 0 for the limit of the system"),
     Flag::new("Limits", "send-ms", "MS", "10000", "time a sender has for a whole request"),
     Flag::new(
         "Targets",
@@ -63,6 +69,10 @@
     pub catalogue: Option<PathBuf>,
     /// Most requests that are open at once; further ones are refused.
     pub max_requests: usize,
+    /// Memory of the process, in MiB.
+    pub memory_mb: usize,
+    /// Descriptors of the process.
+    pub max_fds: usize,
     /// Longest time in which a sender must send a whole request body.
     pub send_timeout: Duration,
     /// Networks in which targets may announce addresses.
@@ -170,6 +180,8 @@
             found_group: given.is_set("found"),
             catalogue: path(given, "catalogue"),
             max_requests: given.parse("requests", number_in_range(1, 10_000_000))? as usize,
+            memory_mb: given.parse("memory-mb", number_in_range(64, 1 << 24))? as usize,
+            max_fds: descriptors(given.parse("max-fds", number_in_range(0, 1 << 24))? as usize),
             send_timeout: millis(given, "send-ms", 10, 600_000)?,
             networks: given.parse("target-networks", parse_networks)?,
             notice_period: millis(given, "notice-ms", 0, 60_000)?,
@@ -181,6 +193,15 @@
     }
 }
 
+/// Returns the limit of the system for 0, and `given` for any other number.
+fn descriptors(given: usize) -> usize {
+    let limit = || getrlimit(Resource::Nofile).current.and_then(|limit| usize::try_from(limit).ok());
+    match given {
+        0 => limit().unwrap_or(MAX_DESCRIPTORS).min(MAX_DESCRIPTORS),
+        given => given,
+    }
+}
+
 fn action(given: &ParsedFlags) -> Option<CliAction> {
     let actions = [("help", CliAction::Help), ("version", CliAction::Version), ("check", CliAction::Check)];
     actions.into_iter().find(|(name, _)| given.is_set(name)).map(|(_, action)| action)
--- a/crates/mangogwd/tests/links.rs
+++ b/crates/mangogwd/tests/links.rs
@@ -2,6 +2,8 @@
 //! and a connection that stops passing data without closing is replaced.
 
 use mangogw_model::{HostId, Incarnation};
+use mangogwd::budget::Limits;
+use mangogwd::gate::Gate;
 use mangogwd::links::{Identity, Inbox, Links, spawn};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -39,6 +41,10 @@
     Links::new(Identity { cluster: cluster.to_owned(), host: HostId(host), incarnation: Incarnation(1) })
 }
 
+fn gate() -> Arc<Gate> {
+    Gate::spawn(Limits::derive(256 << 20, 1024)).0
+}
+
 async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -49,7 +55,7 @@
 async fn frames_arrive_whole_and_in_order() {
     let (listener, address) = listen().await;
     let inbox = Arc::new(RecordingInbox::default());
-    let serving = spawn(listener, &links(2, "c"), Arc::clone(&inbox));
+    let serving = spawn(listener, &links(2, "c"), Arc::clone(&inbox), gate());
     let sender = links(1, "c");
     for number in 0..500u32 {
         sender.send(address, number.to_le_bytes().to_vec());
@@ -65,7 +71,7 @@
     let (listener, address) = listen().await;
     let inbox = Arc::new(RecordingInbox::default());
     let receiver = links(2, "c");
-    let serving = spawn(listener, &receiver, Arc::clone(&inbox));
+    let serving = spawn(listener, &receiver, Arc::clone(&inbox), gate());
     let other_cluster = links(1, "another");
     other_cluster.send(address, vec![1]);
     for _ in 0..1000 {
@@ -107,7 +113,7 @@
 async fn a_connection_that_stops_passing_data_is_replaced() {
     let (listener, address) = listen().await;
     let inbox = Arc::new(RecordingInbox::default());
-    let serving = spawn(listener, &links(2, "c"), Arc::clone(&inbox));
+    let serving = spawn(listener, &links(2, "c"), Arc::clone(&inbox), gate());
     let silent = Arc::new(AtomicBool::new(false));
     let proxy = silencing_proxy(address, Arc::clone(&silent)).await;
     let sender = links(1, "c");
