Jobs are held as soon as the leader owes an answer, and refused as not run

Cause: a leader that is gone is given up after 0.5 to 0.65 s; every job until then was sent to it, waited 1.1 s more and ended as 504, though it reached no target. Change: transient jobs are held once a leader query is unanswered for 0.1 s; they are refused as not run at the tick at which they can't be in time, or go to the next leader as first attempts, the most urgent first, a few in each tick. Retry-After without a leader is one decision.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,5 +1,6 @@
 //! Forwards the calls of this host's clients to the leader, tracks their replies and finds the leader.
 
+use crate::hold::{self, Contact, HeldJob};
 use crate::identity::ip_of;
 use crate::isolated_zone::term_of;
 use crate::{Call, HostInfo, Message, Reply};
@@ -15,10 +16,6 @@
 /// Time without a leader after which calls that no leader can have executed are refused. An election takes 0.3 to
 /// 0.6 s.
 const UNSENT_CALL_TIMEOUT: Duration = Duration::from_millis(600);
-/// Part of its run time that a job can wait and still be in time, and a constant part. The host of a client does not
-/// know the goal of the queue.
-const USEFUL_WAIT_RATIO: f64 = 0.5;
-const MIN_USEFUL_WAIT: Duration = Duration::from_millis(60);
 /// Time without a leader after which all other calls end as unclear. By then their runs are stopped or taken over, and
 /// clients send them again.
 const SENT_CALL_TIMEOUT: Duration = Duration::from_millis(1100);
@@ -28,8 +25,6 @@
 const LEADER_POLL_PERIOD: Duration = Duration::from_millis(150);
 /// Time without an answer of the leader after which it counts as lost.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Time after which a client refused for lack of a leader may retry.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A call that has no reply yet.
 #[derive(Debug)]
@@ -51,20 +46,32 @@
         self.uncertain_sends == 0 || self.call.is_read()
     }
 
-    /// Returns the time for which the call is worth holding while there is no leader to send it to.
-    fn useful_wait(&self) -> Duration {
+    /// Returns true if the call is a held job that can't be in time any more.
+    fn is_late(&self, now: Time) -> bool {
+        self.latest_start().is_some_and(|latest| now >= latest)
+    }
+
+    /// Returns the last instant at which a job that is not stored, and that nothing can have executed, can go to a leader
+    /// and be in time; `None` for all other calls, which are sent as soon as a leader is named.
+    fn latest_start(&self) -> Option<Time> {
         match &self.call {
-            Call::Submit { spec, .. } if spec.transient => {
-                let path = Duration::from_millis(spec.critical_path()).as_secs_f64();
-                Duration::try_from_secs_f64(path * USEFUL_WAIT_RATIO)
-                    .unwrap_or(Duration::MAX)
-                    .saturating_add(MIN_USEFUL_WAIT)
+            Call::Submit { spec, .. } if spec.transient && self.is_clean() => {
+                Some(self.received + hold::useful_wait(spec))
             }
-            _ => Duration::MAX,
+            _ => None,
         }
     }
 }
 
+/// Counts of the calls of a host that ended without a reply of a leader.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct CallCounts {
+    /// Calls refused at this host, which no leader can have executed.
+    pub(crate) refused: u64,
+    /// Calls that a leader may have executed.
+    pub(crate) unclear: u64,
+}
+
 /// The leader, as reported by another host or by this host's own log.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LeaderUpdate {
@@ -116,6 +123,13 @@
     /// queries that tell it of the zone's token.
     fenced_leader: Option<HostId>,
     last_poll: Option<Time>,
+    /// True if this host is a member of the control group, which learns from its own log that a leader is silent.
+    member: bool,
+    /// Whether `leader` still answers.
+    contact: Contact,
+    /// True if the last jobs were held since the leader was quiet.
+    holding: bool,
+    counts: CallCounts,
     /// Time since which no leader is known.
     leaderless_since: Option<Time>,
     last_check: Time,
@@ -126,7 +140,7 @@
 }
 
 impl Calls {
-    pub(crate) fn new(settings: &crate::Settings, hosts: Vec<HostId>, now: Time) -> Self {
+    pub(crate) fn new(settings: &crate::Settings, hosts: Vec<HostId>, member: bool, now: Time) -> Self {
         Self {
             zone: settings.zone.clone(),
             cpu_millicores: settings.cpu_millicores,
@@ -146,6 +160,10 @@
             isolated: false,
             fenced_leader: None,
             last_poll: None,
+            member,
+            contact: Contact::new(now),
+            holding: false,
+            counts: CallCounts::default(),
             leaderless_since: Some(now),
             last_check: now,
             hosts,
@@ -180,6 +198,27 @@
         self.open.len()
     }
 
+    /// Returns the number of jobs that wait at this host for a leader that answers.
+    pub(crate) fn held(&self) -> usize {
+        self.open.values().filter(|open| open.sent.is_none() && open.latest_start().is_some()).count()
+    }
+
+    pub(crate) const fn counts(&self) -> CallCounts {
+        self.counts
+    }
+
+    /// Returns true if what is sent to the leader now may never arrive, so that jobs are better held.
+    fn is_quiet(&self, now: Time) -> bool {
+        !self.member && (self.leader_seen.is_none() || self.contact.is_quiet(now))
+    }
+
+    /// Takes note of a message of another host, which may be the leader.
+    pub(crate) fn on_heard(&mut self, now: Time, from: HostId) {
+        if self.leader == Some(from) {
+            self.contact = Contact::new(now);
+        }
+    }
+
     /// Returns true if the leader has confirmed its role, or was named, within twice the leader timeout.
     pub(crate) fn has_leader(&self, now: Time) -> bool {
         self.leader.is_some() && now - self.leader_seen.unwrap_or(self.leader_named) < 2 * LEADER_TIMEOUT
@@ -197,6 +236,7 @@
             self.lost = Some(LostLeader { host, term: self.term, at: now });
         }
         (self.leader, self.isolated) = (None, false);
+        self.contact = Contact::new(now);
     }
 
     /// Takes note of hosts that `from` names as members of the control group. Only the leader's list is known to be
@@ -229,9 +269,30 @@
             serial,
             OpenCall { caller, call, received: now, deadline: now + timeout, sent: None, uncertain_sends: 0 },
         );
+        self.send_or_hold(now, serial);
+    }
+
+    /// Sends a call to the leader, unless it is a job and the leader is quiet.
+    fn send_or_hold(&mut self, now: Time, serial: u64) {
+        let is_job = self.open.get(&serial).is_some_and(|open| open.latest_start().is_some());
+        let Some(leader) = self.leader.filter(|_| !(is_job && self.is_quiet(now))) else {
+            return self.note_holding(now, is_job);
+        };
+        if is_job && !self.member && self.contact.is_probe_due(now) {
+            self.contact.on_asked(now);
+            self.sends.push((leader, self.leader_query(now)));
+        }
         self.send(now, serial);
     }
 
+    fn note_holding(&mut self, now: Time, is_job: bool) {
+        if is_job && !self.holding {
+            self.holding = true;
+            let silence = self.contact.silence(now).as_millis() as u64;
+            log::info!(leader = self.leader.map(|host| host.0), silence; "calls: no leader answers; jobs are held");
+        }
+    }
+
     /// Drops the call of a disconnected client and tells the leader if the call submits a job.
     pub(crate) fn on_disconnected(&mut self, caller: Caller) {
         let Some(serial) = self.by_caller.swap_remove(&caller) else { return };
@@ -247,7 +308,11 @@
             self.by_caller.swap_remove(&open.caller);
             // An earlier receiver may have executed the call that this one refuses.
             let reply = match reply {
-                Reply::Refused { .. } if open.uncertain_sends > 1 && !open.call.is_read() => Reply::Unclear,
+                Reply::Refused { .. } if open.uncertain_sends > 1 && !open.call.is_read() => {
+                    self.counts.unclear += 1;
+                    log::info!(serial, sends = open.uncertain_sends; "calls: an earlier leader may have executed a refused call");
+                    Reply::Unclear
+                }
                 reply => reply,
             };
             self.replies.push((open.caller, reply));
@@ -321,6 +386,9 @@
             (self.leader, self.isolated) = (None, false);
         }
         let same = term == self.term && self.leader.is_some() && self.leader == leader;
+        if !same {
+            self.contact = Contact::new(now);
+        }
         self.term = term;
         if direct {
             self.leader_seen = leader.map(|_| now);
@@ -356,6 +424,7 @@
                     "calls: using the leader of the isolated zone"
                 );
                 (self.leader, self.isolated, self.leader_seen) = (update.leader, true, Some(now));
+                self.contact = Contact::new(now);
                 self.isolated_token = self.isolated_token.max(update.isolated_token);
                 self.term = update.term;
                 self.resend(now);
@@ -365,14 +434,40 @@
         }
     }
 
-    /// Sends the current leader every open call that it has not been sent.
+    /// Sends the current leader every open call that it has not been sent: first those that an earlier leader may have
+    /// started, whose runs are stopped unless their jobs are known in time. Jobs that nothing can have executed follow as
+    /// [`Calls::release`] allows.
     fn resend(&mut self, now: Time) {
-        let elsewhere = |open: &OpenCall| open.sent.is_none_or(|(to, _)| Some(to) != self.leader);
+        let elsewhere =
+            |open: &OpenCall| open.latest_start().is_none() && open.sent.is_none_or(|(to, _)| Some(to) != self.leader);
         let serials: Vec<u64> =
             self.open.iter().filter(|(_, open)| elsewhere(open)).map(|(serial, _)| *serial).collect();
         for serial in serials {
             self.send(now, serial);
         }
+        self.release(now);
+    }
+
+    /// Sends some of the held jobs to a leader that answers.
+    fn release(&mut self, now: Time) {
+        if self.leader.is_none() || self.is_quiet(now) {
+            return;
+        }
+        let waiting = self.open.iter().filter(|(_, open)| open.sent.is_none());
+        let held: Vec<HeldJob> = waiting
+            .filter_map(|(serial, open)| Some(HeldJob { latest_start: open.latest_start()?, serial: *serial }))
+            .collect();
+        let (count, jobs) = (held.len(), hold::released(now, held));
+        if !jobs.is_empty() {
+            log::info!(
+                leader = self.leader.map(|host| host.0), held = count, sent = jobs.len();
+                "calls: held jobs go to the leader"
+            );
+        }
+        self.holding = false;
+        for job in jobs {
+            self.send_or_hold(now, job.serial);
+        }
     }
 
     fn send(&mut self, now: Time, serial: u64) {
@@ -397,6 +492,7 @@
             false => self.find_leader(now),
         }
         self.expire(now);
+        self.release(now);
         if now - self.last_check >= CALL_CHECK_PERIOD {
             self.last_check = now;
             self.check_open(now);
@@ -420,7 +516,10 @@
         self.last_poll = Some(now);
         let confirmed = self.leader_seen.is_some_and(|seen| now - seen < LEADER_TIMEOUT);
         match self.leader {
-            Some(leader) if confirmed => self.sends.push((leader, self.leader_query(now))),
+            Some(leader) if confirmed => {
+                self.contact.on_asked(now);
+                self.sends.push((leader, self.leader_query(now)));
+            }
             _ => {
                 let query = self.leader_query(now);
                 let lost = self.lost.map(|lost| lost.host).filter(|host| !self.hosts.contains(host));
@@ -439,12 +538,8 @@
         self.leaderless_since = if self.leader.is_some() { None } else { self.leaderless_since.or(Some(now)) };
         let leaderless = self.leaderless_since.map_or(Duration::ZERO, |since| now - since);
         let is_over = |open: &OpenCall| {
-            let held = open.received.max(self.leaderless_since.unwrap_or(now));
-            let (timeout, useful_wait) = match open.is_clean() {
-                true => (UNSENT_CALL_TIMEOUT, open.useful_wait()),
-                false => (SENT_CALL_TIMEOUT, Duration::MAX),
-            };
-            now >= open.deadline || leaderless >= timeout || now - held >= useful_wait
+            let timeout = if open.is_clean() { UNSENT_CALL_TIMEOUT } else { SENT_CALL_TIMEOUT };
+            now >= open.deadline || leaderless >= timeout || open.sent.is_none() && open.is_late(now)
         };
         let ended: Vec<u64> = self.open.iter().filter(|(_, open)| is_over(open)).map(|(serial, _)| *serial).collect();
         for serial in ended {
@@ -452,11 +547,25 @@
             self.by_caller.swap_remove(&open.caller);
             let clean = open.is_clean();
             let reply = match clean {
-                true => Reply::Refused { why: "no leader can be reached".to_owned(), wait: RETRY_AFTER },
-                false => Reply::Unclear,
+                true => {
+                    self.counts.refused += 1;
+                    let (why, wait) =
+                        ("not run: no leader can be reached".to_owned(), hold::retry_delay(leaderless, serial));
+                    Reply::Refused { why, wait }
+                }
+                false => {
+                    self.counts.unclear += 1;
+                    Reply::Unclear
+                }
+            };
+            let reason = match () {
+                () if now >= open.deadline => "deadline",
+                () if open.sent.is_none() && open.is_late(now) => "late",
+                () => "leaderless",
             };
             log::info!(
-                serial, waited = (now - open.received).as_millis() as u64, clean;
+                serial, waited = (now - open.received).as_millis() as u64, clean, reason,
+                leaderless = leaderless.as_millis() as u64, sends = open.uncertain_sends;
                 "calls: given up without a reply"
             );
             if let (Some((leader, _)), Call::Submit { .. }) = (open.sent, &open.call) {
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -91,7 +91,7 @@
     /// Opens a host. With a data folder's state, `stored`, the host is or asks to become a member of the control group.
     pub fn open(settings: Settings, stored: Option<DurableState>, now: Time) -> Self {
         let mut host = Self {
-            calls: Calls::new(&settings, hosts_at(&settings.seeds), now),
+            calls: Calls::new(&settings, hosts_at(&settings.seeds), stored.is_some(), now),
             member: stored.map(|stored| Member::open(settings.clone(), stored, now)),
             isolation: IsolationMonitor::new(&settings),
             listeners: IndexMap::new(),
@@ -133,6 +133,7 @@
     /// Handles a message of another host.
     pub fn on_message(&mut self, now: Time, from: HostId, message: Message) {
         self.catch_up(now);
+        self.calls.on_heard(now, from);
         self.forwarders.touch(now, from);
         self.receive(now, from, message);
     }
@@ -224,6 +225,9 @@
             ready: self.is_ready(now),
             leader_known: self.calls.has_leader(now),
             calls: self.calls.len(),
+            held: self.calls.held(),
+            calls_refused: self.calls.counts().refused,
+            calls_unclear: self.calls.counts().unclear,
             ..HostMetrics::default()
         };
         self.member.as_ref().map_or(calls, |member| member.metrics(calls))
--- a/crates/control/src/host_metrics.rs
+++ b/crates/control/src/host_metrics.rs
@@ -41,6 +41,12 @@
     pub jobs: usize,
     /// Number of these jobs with tasks that wait for a target.
     pub waiting: usize,
+    /// Number of jobs that wait at this host for a leader that answers.
+    pub held: usize,
+    /// Number of calls refused at this host for lack of a leader; nothing has executed them.
+    pub calls_refused: u64,
+    /// Number of calls that ended without a reply although a leader may have executed them.
+    pub calls_unclear: u64,
     /// Sum of the counts of all boards of this host.
     pub counts: Counts,
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod control_host;
 mod forwarders;
+mod hold;
 mod host_metrics;
 mod identity;
 mod isolated_zone;
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -216,3 +216,216 @@
     assert!(asked.contains(&address_of(removed, 7720)));
     assert!(asked.contains(&address_of(seed, 7720)), "in 5 s no other host was asked");
 }
+
+/// One job after another reaches an entry host.
+struct Stream {
+    /// Time between two jobs in milliseconds.
+    gap: u64,
+    /// Run times of the jobs in milliseconds, in turn.
+    estimates: &'static [u64],
+}
+
+/// What an entry host did with a stream of jobs.
+#[derive(Debug, Default)]
+struct Record {
+    /// Sends by time: serial number of the call, and whether no host that may have led had got it before.
+    sent: Vec<(u64, u64, bool)>,
+    /// Replies by time, with the time at which their job had arrived.
+    replies: Vec<(u64, u64, Reply)>,
+}
+
+impl Record {
+    fn unclear(&self) -> usize {
+        self.replies.iter().filter(|(.., reply)| *reply == Reply::Unclear).count()
+    }
+}
+
+/// Runs an entry host under a stream of jobs for `millis` milliseconds. `network` gets each message with its time and
+/// receiver, and returns answers, each with its delay in milliseconds.
+fn stream(
+    stream: &Stream,
+    millis: u64,
+    mut network: impl FnMut(u64, HostId, &Message) -> Vec<(u64, HostId, Message)>,
+) -> Record {
+    let (mut host, mut record) = (entry_host(Time::ZERO), Record::default());
+    let mut underway: Vec<(u64, HostId, Message)> = Vec::new();
+    for at in 0..millis {
+        let now = Time::from_millis(at);
+        let (due, rest): (Vec<_>, Vec<_>) = underway.into_iter().partition(|(time, ..)| *time <= at);
+        underway = rest;
+        for (_, from, message) in due {
+            host.on_message(now, from, message);
+        }
+        if at >= 500 && at % stream.gap == 0 {
+            let estimate = stream.estimates[(at / stream.gap) as usize % stream.estimates.len()];
+            host.on_call(now, Caller(at), submit(at, estimate, true));
+        }
+        if at % 10 == 0 {
+            host.on_tick(now);
+        }
+        for effect in host.drain(now) {
+            match effect {
+                Effect::Reply { caller, reply } => record.replies.push((at, caller.0, reply)),
+                Effect::Send { to, messages } => {
+                    let IpAddr::V4(ip) = to.ip() else { continue };
+                    for message in &messages {
+                        if let Message::Call { serial, first_attempt, .. } = message {
+                            record.sent.push((at, *serial, *first_attempt));
+                        }
+                        let answers = network(at, host_at(ip, 0), message);
+                        underway.extend(answers.into_iter().map(|(delay, from, answer)| (at + delay, from, answer)));
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+    record
+}
+
+/// Answers as a leader of `term` that completes each job after 30 ms.
+fn lead(leader: HostId, term: u64, delay: u64, message: &Message) -> Vec<(u64, HostId, Message)> {
+    match message {
+        Message::FindLeader(_) => vec![(delay, leader, leader_info(term, Some(leader)))],
+        Message::Call { serial, .. } => {
+            let reply = Reply::Ended(mangogw_jobs::Phase::Completed);
+            vec![(delay + 30, leader, Message::Answer { serial: *serial, reply })]
+        }
+        _ => Vec::new(),
+    }
+}
+
+const SHORT_JOBS: Stream = Stream { gap: 20, estimates: &[60] };
+
+/// Guards against jobs that are sent for half a second to a leader that is dead, and end as unclear though nothing ever
+/// ran: those that arrive after the first unanswered query are held, and refused once they can't be in time.
+#[test]
+fn jobs_are_held_from_a_leader_that_has_died() {
+    let leader = control_host(1);
+    let network = |at: u64, to: HostId, message: &Message| match to == leader && at < 1000 {
+        true => lead(leader, 3, 2, message),
+        false => Vec::new(),
+    };
+    let record = stream(&SHORT_JOBS, 4000, network);
+    let last = record.sent.last().expect("jobs are sent before the leader dies").0;
+    assert!(last < 1200, "a job was sent {} ms after the death of the leader", last - 1000);
+    let lost = record.sent.iter().filter(|(at, ..)| *at > 970).count();
+    assert!(record.unclear() <= lost, "{} unclear, {lost} sent without an answer", record.unclear());
+    for (at, arrived, reply) in record.replies.iter().filter(|(_, arrived, _)| *arrived > last) {
+        assert!(matches!(reply, Reply::Refused { .. }), "arrived at {arrived}: {reply:?}");
+        assert!(at - arrived <= 100, "refused only after {} ms", at - arrived);
+    }
+}
+
+/// Guards against jobs that wait at a host for a leader that is only slow to answer.
+#[test]
+fn no_job_is_held_from_a_leader_that_answers_after_80_ms() {
+    let leader = control_host(1);
+    let network = |_: u64, to: HostId, message: &Message| match to == leader {
+        true => lead(leader, 3, 80, message),
+        false => Vec::new(),
+    };
+    let record = stream(&SHORT_JOBS, 4000, network);
+    assert_eq!(record.replies.len(), record.replies.iter().filter(|(.., reply)| is_ended(reply)).count());
+    assert!(record.replies.iter().all(|(at, arrived, _)| at - arrived == 110));
+}
+
+fn is_ended(reply: &Reply) -> bool {
+    matches!(reply, Reply::Ended(_))
+}
+
+/// Guards against held jobs that all go to a leader at the moment in which it answers again, or in the order in which they
+/// came: those with the least time to spare go first, a few at a time, and those that are too late not at all.
+#[test]
+fn held_jobs_go_to_a_leader_that_was_frozen_in_the_order_of_their_spare_time() {
+    let leader = control_host(1);
+    let network = |at: u64, to: HostId, message: &Message| {
+        let thawed = 1300_u64.saturating_sub(at);
+        match to == leader {
+            true if (1000..1300).contains(&at) => lead(leader, 3, thawed + 2, message),
+            true => lead(leader, 3, 2, message),
+            false => Vec::new(),
+        }
+    };
+    let mixed = Stream { gap: 5, estimates: &[900, 60, 400] };
+    let record = stream(&mixed, 3000, network);
+    assert_eq!(record.unclear(), 0);
+    let held: Vec<_> = record.sent.iter().filter(|(at, ..)| (1300..1340).contains(at)).collect();
+    assert!(held.iter().all(|(.., first)| *first), "a held job doesn't count as sent before");
+    let at_once = held.iter().filter(|(at, ..)| *at == held[0].0).count();
+    assert!(at_once < 15, "{at_once} held jobs at once");
+    let refused = record.replies.iter().filter(|(.., reply)| matches!(reply, Reply::Refused { .. }));
+    let refused: Vec<_> = refused.map(|(at, arrived, _)| (*at, *arrived)).collect();
+    assert!(!refused.is_empty() && refused.iter().all(|(at, arrived)| at - arrived <= 100), "{refused:?}");
+    assert_eq!(record.replies.len() as u64, (3000 - 500) / 5 - 6, "each job but the last has one reply");
+}
+
+/// Guards against jobs that wait for the takeover though nothing can have run them: those that were held from the silent
+/// leader are first attempts at the next one; those that were sent come before them and are not.
+#[test]
+fn held_jobs_are_first_attempts_at_the_next_leader() {
+    let (old, new) = (control_host(1), control_host(2));
+    let network = |at: u64, to: HostId, message: &Message| match at {
+        ..1000 if to == old => lead(old, 3, 2, message),
+        1400.. if to == new => lead(new, 4, 2, message),
+        _ => Vec::new(),
+    };
+    let record = stream(&Stream { gap: 20, estimates: &[900] }, 3000, network);
+    let after: Vec<_> = record.sent.iter().filter(|(at, ..)| *at >= 1400).collect();
+    let again = after.iter().take_while(|(.., first)| !first).count();
+    assert!((1..12).contains(&again), "{again} jobs were sent to both leaders");
+    assert!(after[again..].iter().all(|(.., first)| *first));
+    assert!(record.replies.iter().all(|(.., reply)| is_ended(reply)), "{:?}", record.replies);
+}
+
+/// Guards against clients that wait while all control hosts are off, and come back all at the same moment, again and
+/// again.
+#[test]
+fn jobs_are_refused_at_once_while_all_control_hosts_are_off() {
+    let leader = control_host(1);
+    let network = |at: u64, to: HostId, message: &Message| match to == leader && !(1000..10_000).contains(&at) {
+        true => lead(leader, if at < 1000 { 3 } else { 4 }, 2, message),
+        false => Vec::new(),
+    };
+    let record = stream(&SHORT_JOBS, 12_000, network);
+    let off: Vec<_> = record.replies.iter().filter(|(_, arrived, _)| (2300..9900).contains(arrived)).collect();
+    assert_eq!(off.len(), (9900 - 2300) / 20);
+    let mut waits = std::collections::BTreeSet::new();
+    for (at, arrived, reply) in off {
+        let Reply::Refused { wait, .. } = reply else { panic!("arrived at {arrived}: {reply:?}") };
+        assert!(at - arrived <= 20, "refused only after {} ms", at - arrived);
+        assert!((Duration::from_secs(1)..=Duration::from_secs(8)).contains(wait), "{wait:?}");
+        if *arrived > 5000 {
+            waits.insert(*wait);
+        }
+    }
+    assert!(waits.len() >= 3, "clients come back after {waits:?}");
+    let back = record.replies.iter().filter(|(_, arrived, _)| *arrived >= 10_200);
+    assert!(back.clone().count() > 0 && back.clone().all(|(.., reply)| is_ended(reply)));
+}
+
+/// Guards against a job that is answered twice or refused although it may have run: its answer is lost with the link, and
+/// the leader, which lives on, gets the job again.
+#[test]
+fn a_job_whose_answer_was_lost_is_not_called_not_run() {
+    for duplicate in [false, true] {
+        let leader = control_host(1);
+        let network = |at: u64, to: HostId, message: &Message| match message {
+            _ if to != leader || (1000..1300).contains(&at) => Vec::new(),
+            Message::FindLeader(_) => lead(leader, 3, 2, message),
+            Message::OpenCalls(serials) => vec![(2, leader, Message::UnknownCalls(serials.clone()))],
+            Message::Call { first_attempt: true, .. } => Vec::new(),
+            Message::Call { serial, .. } => {
+                let reply = Reply::Refused { why: "no room in time".to_owned(), wait: Duration::from_secs(1) };
+                let answer = (2, leader, Message::Answer { serial: *serial, reply });
+                if duplicate { vec![answer.clone(), answer] } else { vec![answer] }
+            }
+            _ => Vec::new(),
+        };
+        let record = stream(&Stream { gap: 20, estimates: &[900] }, 1900, network);
+        let mut answered: Vec<u64> = record.replies.iter().map(|(_, arrived, _)| *arrived).collect();
+        answered.dedup();
+        assert_eq!(answered.len(), record.replies.len(), "a job has two replies");
+        assert!(record.unclear() > 10 && record.unclear() == record.replies.len(), "{:?}", record.replies);
+    }
+}
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -228,6 +228,30 @@
     }
 }
 
+/// Guards against jobs that go to a leader which can't get them any more, and end as unclear though nothing ever ran. A
+/// host sends jobs for one interval of its leader queries and the time for which it waits for an answer.
+#[test]
+fn jobs_that_no_leader_gets_are_not_called_unclear() {
+    trace();
+    for seed in seeds(310, 6) {
+        for fault in 0..3 {
+            let mut sim = Simulation::new(seed, Faults::default(), 36, 100, 0.0);
+            sim.run_for(Duration::from_secs(6));
+            let leader = sim.leader().expect("the group has a leader without faults");
+            let lost = sim.now;
+            match fault {
+                0 => sim.kill(leader, true, 5000),
+                1 => sim.set_isolated(Some(leader)),
+                _ => (0..CONTROL_HOSTS).for_each(|host| sim.kill(host, true, 9000)),
+            }
+            sim.run_for(Duration::from_secs(5));
+            let unclear = sim.oracle.unclear_without_a_start(lost + Duration::from_millis(300)..sim.now);
+            assert!(unclear.is_empty(), "seed {seed}, fault {fault}: {unclear:?}");
+            assert!(sim.oracle.violations.is_empty(), "seed {seed}, fault {fault}: {:#?}", sim.oracle.violations);
+        }
+    }
+}
+
 /// Guards against a mend of these that holds up jobs where no entry host is lost, or for longer than the takeover.
 #[test]
 fn jobs_are_served_around_the_loss_of_a_leader() {
--- a/crates/control/tests/group/oracle.rs
+++ b/crates/control/tests/group/oracle.rs
@@ -4,6 +4,7 @@
 use mangogw_jobs::{JobId, Phase, Resources, RunEnd, RunNumber, TaskId};
 use mangogw_model::Time;
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::time::Duration;
 
 /// Time after the acknowledged cancellation of a job after which none of its tasks may start.
@@ -24,6 +25,7 @@
     pub stored: bool,
     pub attempts: u32,
     pub sent: u32,
+    pub first_sent: Option<Time>,
     pub replies: Vec<Reply>,
     pub accepted: Option<Time>,
     pub canceled: Option<Time>,
@@ -89,6 +91,14 @@
         self.tasks.values().map(|log| log.active.len()).sum()
     }
 
+    /// Returns the jobs first sent in a span of time that ended as unclear although none of their tasks had started.
+    pub fn unclear_without_a_start(&self, sent: Range<Time>) -> Vec<JobId> {
+        let started = |id: &JobId| self.tasks.keys().any(|task| task.job == *id);
+        let jobs = self.jobs.iter().filter(|(_, job)| job.first_sent.is_some_and(|at| sent.contains(&at)));
+        let unclear = jobs.filter(|(id, job)| job.replies.contains(&Reply::Unclear) && !started(id));
+        unclear.map(|(id, _)| *id).collect()
+    }
+
     /// Removes the runs of a target's incarnation that has crashed.
     pub fn on_crash(&mut self, target: (usize, u64)) {
         self.tasks.values_mut().for_each(|log| log.active.retain(|at, _| *at != target));
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -799,7 +799,9 @@
         let entry = self.entry.unwrap_or_else(|| self.entry_of(id));
         log::debug!(now = self.now.as_micros() / 1000, job:% = id, entry; "client: sends");
         let spec = Arc::clone(&self.jobs[&id]);
-        self.oracle.jobs.get_mut(&id).expect("the job was created by the simulation").sent += 1;
+        let job = self.oracle.jobs.get_mut(&id).expect("the job was created by the simulation");
+        job.sent += 1;
+        job.first_sent.get_or_insert(self.now);
         let timeout = spec.transient.then_some(self.job_timeout);
         let (host, path) = ("h".to_owned(), format!("/p/{id}"));
         self.call(entry, Call::Submit { host, path, id, spec, timeout }, PendingCall::Job { id });
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -52,6 +52,7 @@
         ("mangogw_leader_known", u64::from(view.leader_known)),
         ("mangogw_stored_jobs", view.stored as u64),
         ("mangogw_open_calls", view.calls as u64),
+        ("mangogw_calls_held", view.held as u64),
         ("mangogw_targets", view.targets as u64),
         ("mangogw_targets_heard", view.confirmed as u64),
         ("mangogw_jobs", view.jobs as u64),
@@ -71,6 +72,8 @@
         ("mangogw_jobs_failed_total", view.counts.failed),
         ("mangogw_jobs_refused_total", view.counts.refused),
         ("mangogw_jobs_dropped_total", view.counts.dropped),
+        ("mangogw_calls_refused_total", view.calls_refused),
+        ("mangogw_calls_unclear_total", view.calls_unclear),
         ("mangogw_membership_changes_total", view.membership_changes),
         ("mangogw_elections_failed_total", view.failed_elections),
     ];
