Evacuation tests: the guards of an isolated zone and of a paused host are shown

Without the check of the latest revision in tick_isolated, and without the refusal after a pause, two of the tests passed by chance (changes of the queue set, and the order of events, hid it). Now both fail without them (tried on a scratch edit) and pass with them.

--- a/crates/control/tests/group/evacuations.rs
+++ b/crates/control/tests/group/evacuations.rs
@@ -78,10 +78,16 @@
 #[test]
 fn a_zone_that_is_cut_off_is_evacuated_once_it_can_be_reached() {
     let mut sim = serving(502, 100);
+    sim.keeps_queues = true;
+    sim.run_for(Duration::from_secs(1));
     sim.set_isolated(Some(ZONE));
     sim.run_for(Duration::from_millis(50));
     sim.order_until_acked(0, ZONE, true).expect("the other zones acknowledge the order");
-    sim.run_for(Duration::from_secs(6));
+    sim.run_for(Duration::from_secs(4));
+    let opened = sim.now;
+    sim.run_for(Duration::from_secs(2));
+    let alone = sim.starts_in(ZONE, opened, sim.now);
+    assert!(!alone.is_empty(), "the zone, which has not heard of the order, is not served on its own");
     sim.set_isolated(None);
     let joined = sim.now;
     sim.run_for(Duration::from_secs(10));
@@ -93,6 +99,8 @@
 #[test]
 fn a_zone_that_is_cut_off_after_its_evacuation_starts_nothing() {
     let mut sim = serving(503, 100);
+    sim.keeps_queues = true;
+    sim.run_for(Duration::from_secs(1));
     let acked = sim.order_until_acked(0, ZONE, true).expect("an order is acknowledged");
     sim.run_for(Duration::from_millis(300));
     sim.set_isolated(Some(ZONE));
@@ -109,6 +117,8 @@
         sim.cut_power(ZONE, 500);
         sim.run_for(Duration::from_secs(4));
     }
+    sim.keeps_queues = true;
+    sim.run_for(Duration::from_secs(1));
     (0..CONTROL_HOSTS).filter(|host| *host != ZONE).for_each(|host| sim.cut_hosts(ZONE, host));
     let acked =
         sim.order_until_acked((ZONE + 1) % CONTROL_HOSTS, ZONE, true).expect("a majority acknowledges the order");
@@ -215,17 +225,17 @@
 /// Guards against orders that a host finds in its sockets after a pause, when others have been obeyed meanwhile.
 #[test]
 fn a_host_that_was_paused_takes_no_orders_that_waited_for_it() {
-    for (seed, host) in [(513, 0), (514, 1), (515, 2)] {
+    for (seed, host, delay) in [(513, 0, 0), (514, 1, 5), (515, 2, 50), (516, 0, 20)] {
         let mut sim = serving(seed, 100);
         let other = (host + 1) % CONTROL_HOSTS;
         sim.order_until_acked(other, ZONE, true).expect("an order is acknowledged");
         sim.freeze(host, 3000);
         sim.run_for(Duration::from_secs(2));
         // An end that was sent to the paused host, then to another one, and taken back.
-        sim.order_at_wake(host, ZONE, false);
+        sim.order_after_wake(host, delay, ZONE, false);
         sim.order_until_acked(other, ZONE, false).expect("the end is acknowledged");
         let acked = sim.order_until_acked(other, ZONE, true).expect("an order is acknowledged");
-        check_evacuated(&mut sim, acked, &format!("seed {seed}: host {host} paused"));
+        check_evacuated(&mut sim, acked, &format!("seed {seed}: host {host} paused, order {delay} ms after"));
     }
 }
 
--- a/crates/control/tests/group/simulation.rs
+++ b/crates/control/tests/group/simulation.rs
@@ -221,6 +221,8 @@
     direct_targets: usize,
     stored_share: f64,
     pub job_timeout: Duration,
+    /// True if no queue sets are installed any more, which may keep a zone from being served on its own.
+    pub keeps_queues: bool,
     /// Number of starts carried out by a later incarnation than the one that they were meant for.
     pub misdelivered_starts: u64,
     /// Leaders are killed or frozen beside the restarts of targets.
@@ -273,6 +275,7 @@
             direct_targets,
             stored_share,
             job_timeout: Duration::from_millis(1500),
+            keeps_queues: false,
             misdelivered_starts: 0,
             loses_leaders: false,
             probe_replies: BTreeMap::new(),
@@ -859,7 +862,7 @@
             self.after(300, Event::Config);
         }
         let host = self.rng.random_range(0..self.size.control_hosts);
-        if self.version > 0 && self.rng.random_bool(0.5) {
+        if self.version > 0 && (self.rng.random_bool(0.5) || self.keeps_queues) {
             return self.call(host, Call::Fetch, PendingCall::Fetch { sent: self.now });
         }
         let (version, set) = self.next_queue_set();
--- a/crates/control/tests/group/simulation/evacuation.rs
+++ b/crates/control/tests/group/simulation/evacuation.rs
@@ -76,9 +76,9 @@
         self.cut_links.extend([(one, other), (other, one)]);
     }
 
-    /// Starts a read of an order that a frozen host will find when it wakes up, as from the buffer of a socket.
-    pub fn order_at_wake(&mut self, host: usize, zone: usize, active: bool) {
-        let wake = self.nodes[host].frozen_until;
+    /// Makes a frozen host read an order some time after it wakes up, as from the buffer of a socket.
+    pub fn order_after_wake(&mut self, host: usize, millis: u64, zone: usize, active: bool) {
+        let wake = self.nodes[host].frozen_until + Duration::from_millis(millis);
         self.at(wake, Event::Order { host, zone, active });
     }
 
