--- a/crates/mangogw/src/command.rs
+++ b/crates/mangogw/src/command.rs
@@ -46,6 +46,12 @@
     },
     Command { name: "job", args: "KEY", help: "read a job", flags: CALL_FLAGS },
     Command { name: "cancel", args: "KEY", help: "cancel a job", flags: CALL_FLAGS },
+    Command {
+        name: "evacuate",
+        args: "start ZONE|finish ZONE|list",
+        help: "send no new work to the targets of a zone, or take that back; by the control address of a platform host",
+        flags: EVACUATE_FLAGS,
+    },
     Command { name: "hosts", args: "", help: "the hosts that a host knows", flags: VIEW_FLAGS },
     Command { name: "targets", args: "", help: "the targets that a host owns", flags: VIEW_FLAGS },
     Command { name: "leases", args: "", help: "its leases on them", flags: VIEW_FLAGS },
@@ -62,6 +68,8 @@
 
 const HOST_FLAG: Flag = Flag::new("Host", "host", "IP:PORT", "127.0.0.1:7070", "entry host");
 
+const EVACUATE_FLAGS: &[Flag] = &[HOST_FLAG];
+
 const VIEW_FLAGS: &[Flag] = &[HOST_FLAG, Flag::new("Output", "json", "", "", "print JSON")];
 
 const LOAD_FLAGS: &[Flag] = &[
@@ -178,6 +186,7 @@
             operators::run(name, &parsed).await.context(OperationSnafu)
         }
         name if VIEWS.iter().any(|view| view.name == name) => view(name, &parsed).await,
+        "evacuate" => evacuate(&parsed).await,
         "target" => target(&parsed).await,
         "load" => load(&parsed).await,
         "demo" => demo(&parsed).await,
@@ -193,6 +202,14 @@
     ExitCode::SUCCESS
 }
 
+async fn evacuate(parsed: &ParsedFlags) -> Result<ExitCode, BadCommand> {
+    let host = parsed.parse("host", parse_host).context(FlagsSnafu)?;
+    let words: Vec<&str> = parsed.positional.iter().map(String::as_str).collect();
+    let request = crate::evacuate::request_of(&words)
+        .ok_or_else(|| BadCommand::Missing { command: "evacuate", args: "start ZONE, finish ZONE or list" })?;
+    crate::evacuate::run(host, request).await.context(CallSnafu)
+}
+
 async fn view(name: &str, parsed: &ParsedFlags) -> Result<ExitCode, BadCommand> {
     let host = parsed.parse("host", parse_host).context(FlagsSnafu)?;
     let view = VIEWS.iter().find(|view| view.name == name).unwrap_or(&VIEWS[0]);
--- a/crates/mangogw/src/lib.rs
+++ b/crates/mangogw/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod client;
 pub mod command;
 pub mod demo;
+pub mod evacuate;
 pub mod load;
 pub mod operators;
 pub mod target;
