--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -235,17 +235,17 @@
 
     /// Returns this host's metrics.
     pub fn metrics(&self, now: Time) -> HostMetrics {
-        let calls = HostMetrics {
+        let mut metrics = HostMetrics {
             ready: self.is_ready(now),
             leader_known: self.calls.has_leader(now),
             calls: self.calls.len(),
             seen_evacuations: self.calls.seen_evacuations(),
             ..HostMetrics::default()
         };
-        match &self.member {
-            Some(member) => member.metrics(calls),
-            None => calls,
+        if let Some(member) = &self.member {
+            member.fill_metrics(&mut metrics);
         }
+        metrics
     }
 
     /// Processes the inputs since the last call and returns the resulting effects. Inputs between two calls are
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -161,11 +161,11 @@
         self.board.is_some() && !self.isolated
     }
 
-    /// Fills the fields of `calls` that describe the member and its board.
-    pub(crate) fn metrics(&self, calls: HostMetrics) -> HostMetrics {
+    /// Fills the fields of `metrics` that describe the member and its board.
+    pub(crate) fn fill_metrics(&self, metrics: &mut HostMetrics) {
         let (jobs, waiting) = self.board.as_ref().map_or((0, 0), Board::job_counts);
         let status = self.raft.status();
-        HostMetrics {
+        *metrics = HostMetrics {
             is_leader: self.is_leader(),
             isolated: self.isolated,
             term: self.raft.term().0,
@@ -184,8 +184,10 @@
             jobs,
             waiting,
             counts: self.board.as_ref().map_or(self.counts, |board| self.counts + board.counts()),
-            ..calls
-        }
+            ready: metrics.ready,
+            calls: metrics.calls,
+            seen_evacuations: metrics.seen_evacuations,
+        };
     }
 
     /// Closes the board of the group or of an isolated zone and forgets its open calls.
--- a/crates/control/tests/group/simulation/evacuation.rs
+++ b/crates/control/tests/group/simulation/evacuation.rs
@@ -93,8 +93,8 @@
         for _ in 0..6 {
             let (version, set) = self.next_queue_set();
             let set = QueueSet { document: "x".repeat(1 << 20).into(), ..(*set).clone() };
-            let (id, sent) = (self.serial, self.now);
-            self.call(host, Call::Install(set.into()), PendingCall::Probe { id, sent, version: Some(version) });
+            let probe = PendingCall::Probe { id: self.serial, sent: self.now, version: Some(version) };
+            self.call(host, Call::Install(set.into()), probe);
             self.run_for(ATTEMPT);
         }
     }
