--- a/crates/control/tests/group/simulation/evacuation.rs
+++ b/crates/control/tests/group/simulation/evacuation.rs
@@ -76,9 +76,9 @@
         self.cut_links.extend([(one, other), (other, one)]);
     }
 
-    /// Starts a read of an order that a frozen host will find when it wakes up, as from the buffer of a socket.
-    pub fn order_at_wake(&mut self, host: usize, zone: usize, active: bool) {
-        let wake = self.nodes[host].frozen_until;
+    /// Makes a frozen host read an order some time after it wakes up, as from the buffer of a socket.
+    pub fn order_after_wake(&mut self, host: usize, millis: u64, zone: usize, active: bool) {
+        let wake = self.nodes[host].frozen_until + Duration::from_millis(millis);
         self.at(wake, Event::Order { host, zone, active });
     }
 
@@ -93,8 +93,8 @@
         for _ in 0..6 {
             let (version, set) = self.next_queue_set();
             let set = QueueSet { document: "x".repeat(1 << 20).into(), ..(*set).clone() };
-            let (id, sent) = (self.serial, self.now);
-            self.call(host, Call::Install(set.into()), PendingCall::Probe { id, sent, version: Some(version) });
+            let probe = PendingCall::Probe { id: self.serial, sent: self.now, version: Some(version) };
+            self.call(host, Call::Install(set.into()), probe);
             self.run_for(ATTEMPT);
         }
     }
