--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -575,9 +575,12 @@
             let reply = match clean {
                 true => {
                     self.counts.refused += 1;
-                    let (why, wait) =
-                        ("not run: no leader can be reached".to_owned(), hold::retry_delay(leaderless, serial));
-                    Reply::Refused { why, wait }
+                    let wait = match &open.call {
+                        Call::Submit { spec, .. } if spec.transient => hold::retry_delay(leaderless, serial),
+                        // Operators and targets are few, and move on to another host.
+                        _ => hold::MIN_RETRY_DELAY,
+                    };
+                    Reply::Refused { why: "not run: no leader can be reached".to_owned(), wait }
                 }
                 false => {
                     self.counts.unclear += 1;
--- a/crates/control/src/hold.rs
+++ b/crates/control/src/hold.rs
@@ -23,7 +23,7 @@
 const MIN_RELEASED: usize = 4;
 const RELEASED_PART: usize = 4;
 /// Shortest and longest time after which a client refused for lack of a leader may retry.
-const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
+pub(crate) const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(4);
 
 /// What a host knows of whether its leader still answers.
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -186,6 +186,9 @@
             counts: self.board.as_ref().map_or(self.counts, |board| self.counts + board.counts()),
             ready: metrics.ready,
             calls: metrics.calls,
+            held: metrics.held,
+            calls_refused: metrics.calls_refused,
+            calls_unclear: metrics.calls_unclear,
             seen_evacuations: metrics.seen_evacuations,
         };
     }
--- a/crates/control/tests/group/simulation/evacuation.rs
+++ b/crates/control/tests/group/simulation/evacuation.rs
@@ -103,4 +103,9 @@
     pub fn cut_all_power(&mut self) {
         (0..CONTROL_HOSTS).for_each(|host| self.kill(host, true, 1000 + host as u64 * 100));
     }
+
+    /// Joins all hosts again.
+    pub fn heal_links(&mut self) {
+        self.cut_links.clear();
+    }
 }
