Shortage: choose who is turned away by priority, time and work

Cause: each waiting job used up its spare time behind the others, so that answers were late or refused late, and priorities were not read. The backlog is kept in order, and a pass visits as many jobs as targets can take.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -1,5 +1,6 @@
 //! The leader's in-memory schedule: active jobs, targets, and the clients that wait for answers.
 
+mod backlog;
 mod forecast;
 mod outcome;
 mod renewal;
@@ -10,15 +11,18 @@
 
 use crate::health::Health;
 use crate::queue::RouteIndex;
+use crate::shortage::Shortage;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
     Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
     TargetKey, TargetReport, TargetState, TaskId,
 };
+use backlog::Backlog;
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
 use slotmap::SlotMap;
 use std::cmp::Ordering;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use table::{Job, JobKey};
@@ -28,12 +32,9 @@
 const JOB_END_RETENTION: Duration = Duration::from_secs(6);
 /// Number of targets or waiting jobs above which passes are throttled: each pass takes 10 to 40 microseconds.
 const THROTTLE_THRESHOLD: usize = 96;
-/// Minimum time between two throttled passes, added once more per [`THROTTLE_THRESHOLD`] waiting jobs: a pass visits
-/// each of them.
+/// Minimum time between two throttled passes, added once more per [`THROTTLE_THRESHOLD`] waiting jobs, as far as a pass
+/// visits them: at most as many as there are targets.
 const MIN_PASS_INTERVAL: Duration = Duration::from_millis(2);
-/// Time after which the client of a refused job may retry: 1 s, the shortest time that the header can express.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Action that the caller of the board has to take.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
@@ -109,6 +110,13 @@
     by_reply_to: IndexMap<u64, JobKey>,
     /// Jobs with tasks that wait for a target.
     waiting: IndexSet<JobKey>,
+    /// Those of them with a task whose step is ready, and those that may be refused, in the order of their ranks.
+    backlog: Backlog,
+    /// Jobs with occurrences that have not begun.
+    recurring: IndexSet<JobKey>,
+    /// Instants until which clients wait, by job.
+    client_deadlines: BTreeSet<(Time, JobKey)>,
+    shortage: Shortage,
     /// Lowest time ratio of the targets of each pool that may be given runs, as of the last tick.
     fastest: IndexMap<String, f64>,
     /// Targets of earlier leaders that have not listed their runs yet, and may run tasks that this board does not know;
@@ -147,6 +155,10 @@
             by_job: IndexMap::new(),
             by_reply_to: IndexMap::new(),
             waiting: IndexSet::new(),
+            backlog: Backlog::default(),
+            recurring: IndexSet::new(),
+            client_deadlines: BTreeSet::new(),
+            shortage: Shortage::default(),
             fastest: IndexMap::new(),
             unlisted: IndexMap::new(),
             unmatched_ends: IndexMap::new(),
@@ -210,14 +222,39 @@
             .is_some_and(|known| known.incarnation == report.incarnation && known.sequence > 0)
     }
 
+    /// Puts a job among those that wait, or to its new place among them.
+    fn enqueue(&mut self, now: Time, key: JobKey) {
+        let job = &self.jobs[key];
+        self.waiting.insert(key);
+        if !job.is_refusable() && !job.has_ready_task() {
+            self.backlog.remove(key);
+            return;
+        }
+        let rank = job.deadlines.rank(now, Duration::from_millis(job.remaining_path()));
+        self.backlog.insert(key, &job.pool, rank);
+    }
+
+    fn dequeue(&mut self, key: JobKey) {
+        self.waiting.swap_remove(&key);
+        self.backlog.remove(key);
+    }
+
     /// Replaces the set of queues.
     pub fn install(&mut self, set: &Arc<QueueSet>) {
         self.routes = RouteIndex::new(set);
         self.queue_set = Some(Arc::clone(set));
-        for job in self.jobs.values_mut().filter(|job| job.pool.is_empty()) {
+        let mut moved = Vec::new();
+        for (key, job) in self.jobs.iter_mut().filter(|(_, job)| job.pool.is_empty()) {
             if let Some(queue) = set.queues.iter().find(|queue| queue.name == job.queue) {
                 job.pool.clone_from(&queue.pool);
+                job.priority = queue.priority;
                 job.deadlines = deadlines_of(&job.spec, queue, job.arrived, None);
+                moved.push((key, job.arrived));
+            }
+        }
+        for (key, arrived) in moved {
+            if self.waiting.contains(&key) {
+                self.enqueue(arrived, key);
             }
         }
         self.dirty = true;
@@ -378,8 +415,9 @@
 
     /// Starts waiting tasks, renews leases that are due, and returns the actions since the last call.
     pub fn drain(&mut self, now: Time) -> Vec<Output> {
+        let visited = self.waiting.len().min(self.targets.len().max(THROTTLE_THRESHOLD));
         let throttled = self.targets.len() > THROTTLE_THRESHOLD || self.waiting.len() > THROTTLE_THRESHOLD;
-        let interval = MIN_PASS_INTERVAL * (1 + self.waiting.len() / THROTTLE_THRESHOLD) as u32;
+        let interval = MIN_PASS_INTERVAL * (1 + visited / THROTTLE_THRESHOLD) as u32;
         let early = throttled && now - self.last_pass < interval;
         if self.dirty && !self.fenced && !early {
             self.dirty = false;
@@ -417,7 +455,15 @@
         let id = job.id;
         let key = self.jobs.insert(job);
         self.by_job.insert(id, key);
-        self.waiting.insert(key);
+        let job = &mut self.jobs[key];
+        job.lane = self.shortage.arrive(now, &job.queue, &job.pool, job.priority, job.spec.work());
+        if job.next_occurrence < job.spec.occurrences() {
+            self.recurring.insert(key);
+        }
+        if let Some(deadline) = job.deadline {
+            self.client_deadlines.insert((deadline, key));
+        }
+        self.enqueue(now, key);
         self.dirty = true;
         key
     }
@@ -446,8 +492,14 @@
     fn drop_job(&mut self, now: Time, key: JobKey) {
         let Some(job) = self.jobs.remove(key) else { return };
         self.by_job.swap_remove(&job.id);
-        self.waiting.swap_remove(&key);
-        self.by_reply_to.retain(|_, other| *other != key);
+        self.dequeue(key);
+        self.recurring.swap_remove(&key);
+        if let Some(deadline) = job.deadline {
+            self.client_deadlines.remove(&(deadline, key));
+        }
+        for reply_to in &job.recipients {
+            self.by_reply_to.swap_remove(reply_to);
+        }
         for (task, target) in job.placed() {
             self.stop_run(now, target, task);
         }
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -366,6 +366,9 @@
         let job = &self.jobs[key];
         if job.is_complete() && !job.stored {
             self.answer(now, key, JobEnd::Completed);
+        } else if self.waiting.contains(&key) {
+            // A later step may be ready now.
+            self.enqueue(now, key);
         }
         self.dirty = true;
     }
@@ -388,7 +391,7 @@
                         TaskState::RecordingFailures(1) => {
                             task.state = TaskState::Waiting;
                             job.requeue(record.task);
-                            self.waiting.insert(key);
+                            self.enqueue(now, key);
                             self.stop_gang(now, key, record.task);
                         }
                         TaskState::RecordingFailures(count) => task.state = TaskState::RecordingFailures(count - 1),
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -1,12 +1,13 @@
 //! Timeouts of targets, runs and jobs, and the start of occurrences that are due.
 
-use super::start::EARLY_REFUSAL_MIN_JOBS;
+use super::forecast::PoolLoads;
 use super::table::JobKey;
-use super::{Board, JOB_END_RETENTION, JobEnd, Output, RETRY_AFTER, Refused};
+use super::{Board, JOB_END_RETENTION, JobEnd, Output, Refused};
 use crate::policy::PriorityClass;
+use crate::shortage::{Lane, RefusalReason};
 use crate::target::{Run, RunState};
 use crate::{Command, TargetKey, TargetState, TaskId};
-use indexmap::IndexSet;
+use indexmap::IndexMap;
 use mangogw_model::Time;
 use std::time::Duration;
 
@@ -127,41 +128,59 @@
     /// Refuses jobs that have not started and can be of no use any more, or will have no room in time, and drops those
     /// whose client waits no longer.
     fn expire_jobs(&mut self, now: Time) {
-        let crowded = self.waiting.len() >= EARLY_REFUSAL_MIN_JOBS;
-        let without_room = if crowded { self.jobs_without_room(now) } else { IndexSet::new() };
-        let over: Vec<(JobKey, bool)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| !job.stored)
-            .filter_map(|(key, job)| {
-                let left = Duration::from_millis(job.remaining_path());
-                let class = job.deadlines.rank(now, left).class();
-                let refused = !job.is_started()
-                    && (class == PriorityClass::Expired
-                        || crowded && class == PriorityClass::Late
-                        || without_room.contains(&key));
-                let timed_out = job.deadline.is_some_and(|deadline| now >= deadline);
-                (refused || timed_out).then_some((key, job.is_started()))
-            })
-            .collect();
-        for (key, started) in over {
-            if started {
+        let mut over: IndexMap<JobKey, (RefusalReason, Option<Lane>)> = IndexMap::new();
+        for key in self.backlog.overdue(now) {
+            self.enqueue(now, key);
+            let job = &self.jobs[key];
+            let class = job.deadlines.rank(now, Duration::from_millis(job.remaining_path())).class();
+            if class == PriorityClass::Expired && job.is_refusable() {
+                over.insert(key, (RefusalReason::Expired, None));
+            }
+        }
+        let loads = self.pool_loads(now);
+        for (key, reason, preferred) in self.jobs_without_room(now, &loads) {
+            over.entry(key).or_insert((reason, preferred));
+        }
+        let timed_out = self.client_deadlines.iter().take_while(|(deadline, _)| now >= *deadline);
+        for (_, key) in timed_out.filter(|(_, key)| !self.jobs[*key].stored) {
+            over.entry(*key).or_insert((RefusalReason::Expired, None));
+        }
+        for (key, (reason, preferred)) in over {
+            if self.jobs[key].is_started() {
                 log::info!(job:% = self.jobs[key].id; "board: job dropped; the deadline of its client has passed");
                 self.counts.dropped += 1;
                 self.drop_job(now, key);
             } else {
-                self.answer(now, key, JobEnd::Refused(Refused { wait: RETRY_AFTER }));
+                self.refuse(now, &loads, key, reason, preferred);
             }
         }
     }
 
+    /// Refuses a job that has not started.
+    fn refuse(&mut self, now: Time, loads: &PoolLoads, key: JobKey, reason: RefusalReason, preferred: Option<Lane>) {
+        let millis = self.pool_millis(loads, key);
+        let job = &self.jobs[key];
+        self.shortage.record_refusal(now, job.lane, job.spec.work());
+        let wait = self.shortage.retry_after(now, &job.pool, job.priority, millis);
+        let preferred = preferred.map_or("", |lane| self.shortage.queue(lane));
+        let (age, retry) = ((now - job.arrived).as_millis() as u64, wait.as_secs());
+        log::info!(job:% = job.id, queue = job.queue, priority = job.priority, reason:?, preferred, age, retry; "board: job refused");
+        self.counts.record_refusal(reason, now - job.arrived);
+        self.answer(now, key, JobEnd::Refused(Refused { wait }));
+    }
+
     /// Begins the occurrences that are due.
     fn begin_occurrences(&mut self, now: Time) {
         let wall_offset = self.settings.wall_offset;
-        for (key, job) in &mut self.jobs {
-            if job.next_occurrence < job.spec.occurrences() && job.begin_occurrences(wall_offset, now) {
-                self.waiting.insert(key);
+        let mut begun = Vec::new();
+        for key in &self.recurring {
+            if self.jobs[*key].begin_occurrences(wall_offset, now) {
+                begun.push(*key);
             }
         }
+        for key in begun {
+            self.enqueue(now, key);
+        }
+        self.recurring.retain(|key| self.jobs[*key].next_occurrence < self.jobs[*key].spec.occurrences());
     }
 }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,11 +23,12 @@
 mod queue;
 mod resources;
 mod settings;
+mod shortage;
 mod target;
 
 pub use board::{Board, JobEnd, Output, Refused, Submission};
 pub use clock::RemoteClock;
-pub use counts::Counts;
+pub use counts::{Counts, REFUSAL_AGE_BOUNDS_MILLIS};
 pub use health::Health;
 pub use ids::{BadId, JobId, RunNumber, TaskId};
 pub use job::{BadJob, JobSpec, Phase, Step};
@@ -36,6 +37,7 @@
 pub use queue::{Pool, Queue, QueueSet};
 pub use resources::Resources;
 pub use settings::Settings;
+pub use shortage::{Candidate, Lane, Refusal, RefusalReason, Room, Shortage, retry_in};
 pub use target::{
     ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport,
     TargetState,
--- a/crates/jobs/tests/driver/mod.rs
+++ b/crates/jobs/tests/driver/mod.rs
@@ -81,6 +81,34 @@
     kind: usize,
     goal: Duration,
     work: f64,
+    /// Processor need of a task times the number of tasks, in thousandths of a core.
+    cores: u64,
+}
+
+/// Result of one job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fate {
+    Timely,
+    Late,
+    Refused,
+    /// Failed, or dropped after a start.
+    Lost,
+}
+
+/// One job of a simulation and what became of it.
+#[derive(Debug, Clone, Copy)]
+#[allow(dead_code, reason = "some tests read the sums alone")]
+pub struct JobRecord {
+    pub kind: usize,
+    pub arrived: Time,
+    pub goal: Duration,
+    /// True work, in core-milliseconds.
+    pub work: f64,
+    pub fate: Fate,
+    /// Time from the arrival to the answer.
+    pub took: Duration,
+    /// Time after which the client of a refused job may send it again.
+    pub wait: Duration,
 }
 
 /// Results of the jobs that arrived within a period.
@@ -142,6 +170,8 @@
     /// Time spent in the board, by second.
     pub board_time: Vec<Duration>,
     pub starts: usize,
+    /// Every job, in the order of the answers.
+    pub records: Vec<JobRecord>,
 }
 
 impl ReplayResult {
@@ -166,6 +196,10 @@
     scenario: Scenario,
     board: Board,
     now: Time,
+    /// Queues of the kinds of jobs, in rotation.
+    queues: Vec<Queue>,
+    /// Share of the tasks that take longer, and how many times as long.
+    tail: (f64, f64),
     rng: Pcg64Mcg,
     workers: BTreeMap<String, Worker>,
     arrivals: BTreeMap<u64, Arrival>,
@@ -174,7 +208,25 @@
 
 impl Replay {
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let set = QueueSet { queues: vec![queue()], ..QueueSet::default() };
+        Self::with_queues(seed, scenario, vec![queue()])
+    }
+
+    #[allow(dead_code, reason = "some tests have one queue")]
+    /// Creates a simulation whose kinds of jobs have a queue each, with these priorities.
+    pub fn with_priorities(seed: u64, scenario: Scenario, priorities: &[u32]) -> Self {
+        let queue = |(at, priority): (usize, &u32)| Queue { name: format!("q{at}"), priority: *priority, ..queue() };
+        Self::with_queues(seed, scenario, priorities.iter().enumerate().map(queue).collect())
+    }
+
+    #[allow(dead_code, reason = "some tests have no such tasks")]
+    /// Lets this share of the tasks take so many times as long.
+    pub const fn with_tail(mut self, share: f64, factor: f64) -> Self {
+        self.tail = (share, factor);
+        self
+    }
+
+    fn with_queues(seed: u64, scenario: Scenario, queues: Vec<Queue>) -> Self {
+        let set = QueueSet { queues: queues.clone(), ..QueueSet::default() };
         let ledger = Ledger { queue_set: Some(Arc::new(set)), ..Ledger::default() };
         let now = Time::from_millis(1);
         let mut board = Board::open(Settings::default(), 1, &ledger, now);
@@ -197,17 +249,25 @@
             workers.insert(id, Worker { index, time_ratio, ..Worker::default() });
         }
         let rng = Pcg64Mcg::seed_from_u64(seed);
-        Self { scenario, board, now, rng, workers, arrivals: BTreeMap::new(), result: ReplayResult::default() }
+        let (arrivals, result) = (BTreeMap::new(), ReplayResult::default());
+        Self { scenario, board, now, queues, tail: (0.0, 1.0), rng, workers, arrivals, result }
     }
 
     /// Runs the given load for each second, and then no new jobs until all have ended.
-    pub fn run(mut self, loads: &[f64]) -> ReplayResult {
+    pub fn run(self, loads: &[f64]) -> ReplayResult {
+        let kinds = self.scenario.job_kinds.len();
+        self.run_kinds(&loads.iter().map(|load| vec![*load; kinds]).collect::<Vec<_>>())
+    }
+
+    /// Runs the given load of each kind of jobs for each second, and then no new jobs until all have ended.
+    pub fn run_kinds(mut self, loads: &[Vec<f64>]) -> ReplayResult {
         let end = self.now + Duration::from_secs(loads.len() as u64);
         let mut next: Vec<Time> = self.scenario.job_kinds.iter().map(|_| self.now).collect();
         let mut id = 0;
         while self.now < end + Duration::from_secs(8) {
-            let load = loads.get((self.now.as_micros() / 1_000_000) as usize).copied().unwrap_or_default();
+            let second = loads.get((self.now.as_micros() / 1_000_000) as usize);
             for (kind, due) in next.iter_mut().enumerate() {
+                let load = second.map_or(0.0, |loads| loads[kind]);
                 while self.now >= *due && self.now < end {
                     let rate = (self.scenario.job_kinds[kind].2 * load).max(1e-3);
                     *due += Duration::from_secs_f64(-self.rng.random::<f64>().max(1e-9).ln() / rate);
@@ -221,10 +281,17 @@
         for arrival in std::mem::take(&mut self.arrivals).into_values() {
             assert!(self.now - arrival.at > CLIENT_TIMEOUT, "a job has no answer");
             self.record(&arrival, |tally| tally.dropped += 1);
+            self.keep(&arrival, Fate::Lost, Duration::ZERO);
         }
         self.result
     }
 
+    fn keep(&mut self, arrival: &Arrival, fate: Fate, wait: Duration) {
+        let &Arrival { at: arrived, kind, goal, work, cores } = arrival;
+        let (work, took) = (work * cores as f64 / 1000.0, self.now - arrived);
+        self.result.records.push(JobRecord { kind, arrived, goal, work, fate, took, wait });
+    }
+
     fn record(&mut self, arrival: &Arrival, count: impl Fn(&mut Tally)) {
         let second = (arrival.at.as_micros() / 1_000_000) as usize;
         for (tallies, at) in [(&mut self.result.seconds, second), (&mut self.result.kinds, arrival.kind)] {
@@ -257,10 +324,11 @@
         let step = Step { count, need, estimate: estimate as u64, ..Step::default() };
         let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
         let goal = Duration::from_millis((work * 1.6) as u64 + 60);
-        self.arrivals.insert(id, Arrival { at: self.now, kind, goal, work });
+        self.arrivals.insert(id, Arrival { at: self.now, kind, goal, work, cores: cpu * u64::from(count) });
         let deadline = Some(self.now + CLIENT_TIMEOUT);
         let submission = Submission { id: JobId(id), spec, deadline, reply_to: id, first_attempt: true };
-        self.timed(|board, now| board.admit(now, submission, &queue()));
+        let queue = self.queues[kind % self.queues.len()].clone();
+        self.timed(|board, now| board.admit(now, submission, &queue));
     }
 
     /// Passes an input to the board and adds the time that the board takes.
@@ -331,6 +399,8 @@
             OrderKind::Start { task, run, .. } => {
                 let work = self.arrivals.get(&task.job.0).map_or(1.0, |arrival| arrival.work);
                 let uneven = f64::from(self.rng.random_range(80..121)) / 100.0;
+                let tail = self.tail.0 > 0.0 && self.rng.random::<f64>() < self.tail.0;
+                let uneven = if tail { uneven * self.tail.1 } else { uneven };
                 let place = worker.index as f64 / self.scenario.targets as f64;
                 let second = now.as_micros() as f64 / 1e6;
                 let within = |range: (f64, f64), at: f64| range.0 <= at && at < range.1;
@@ -365,6 +435,13 @@
         assert!(!self.board.has_job(JobId(reply_to)), "the board must remove an answered job");
         let held = self.now - arrival.at > arrival.goal / 4;
         let may_fail = self.scenario.troubles.iter().any(|trouble| matches!(trouble.kind, TroubleKind::Fail));
+        let (fate, wait) = match end {
+            JobEnd::Completed if timely => (Fate::Timely, Duration::ZERO),
+            JobEnd::Completed => (Fate::Late, Duration::ZERO),
+            JobEnd::Failed => (Fate::Lost, Duration::ZERO),
+            JobEnd::Refused(refused) => (Fate::Refused, refused.wait),
+        };
+        self.keep(&arrival, fate, wait);
         self.record(&arrival, |tally| match end {
             JobEnd::Completed if timely => tally.timely += 1,
             JobEnd::Completed => tally.late += 1,
