Shortage: jobs that fit nowhere, or wait for a step, hold up none behind them

Change: a pass goes on behind where the last one ended, and jobs without a ready task are not in its way. Two board tests.

--- a/crates/jobs/examples/shortage.rs
+++ b/crates/jobs/examples/shortage.rs
@@ -12,7 +12,9 @@
 
 fn main() {
     let seeds = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(12);
-    println!("targets burst      worth bound | worth timely late refused largest next at-once of the wide, long, short kind");
+    println!(
+        "targets burst      worth bound | worth timely late refused largest next at-once of the wide, long, short kind"
+    );
     for (targets, per) in [(35, 0.12), (48, 0.17), (350, 1.2)] {
         for (name, factors) in BURSTS {
             let result = burst(targets, per, factors, 1..1 + seeds * 35 / targets as u64 + 1);
--- a/crates/jobs/src/board/backlog.rs
+++ b/crates/jobs/src/board/backlog.rs
@@ -10,6 +10,9 @@
 use std::collections::BTreeSet;
 use std::ops::Bound;
 
+/// Number of jobs that are looked at for each that a pass visits, where some may not start during a takeover.
+const LOOKS_PER_VISIT: usize = 8;
+
 /// Waiting jobs of each pool by rank.
 #[derive(Debug, Default)]
 pub(super) struct Backlog {
@@ -73,19 +76,22 @@
         from.into_iter().flatten().copied().take_while(move |(rank, _)| rank.class() == class).take(most)
     }
 
-    /// Returns the jobs of a pool that a pass visits: the first `most`, and as many behind them from where the last pass
-    /// ended, so that jobs that fit nowhere hold up none behind them for long.
-    pub(super) fn visit(&mut self, pool: &str, most: usize) -> Vec<JobKey> {
+    /// Returns the jobs of a pool that a pass visits: the first `most` that may start, and as many behind them from where
+    /// the last pass ended, so that jobs that fit nowhere hold up none behind them for long.
+    pub(super) fn visit(&mut self, pool: &str, most: usize, may_start: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
         let Some(line) = self.pools.get_mut(pool) else { return Vec::new() };
-        let mut keys: Vec<JobKey> = line.order.iter().take(most).map(|(_, key)| *key).collect();
-        let Some(next) = line.order.iter().nth(most).copied() else {
-            line.resume = None;
-            return keys;
-        };
-        let from = line.resume.filter(|resume| *resume > next).unwrap_or(next);
-        let mut rest = line.order.range((Bound::Included(from), Bound::Unbounded));
-        keys.extend(rest.by_ref().take(most).map(|(_, key)| *key));
-        line.resume = rest.next().copied();
+        let looked = LOOKS_PER_VISIT * most;
+        let eligible = |key: &JobKey| may_start(*key);
+        let mut keys: Vec<JobKey> =
+            line.order.iter().take(looked).map(|(_, key)| *key).filter(eligible).take(most).collect();
+        let last = keys.last().and_then(|key| self.places.get(*key).map(|(rank, _)| (*rank, *key)));
+        let from = line.resume.max(last);
+        let lower = from.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = line.order.range((lower, Bound::Unbounded));
+        let behind = rest.by_ref().take(looked).map(|(_, key)| *key).filter(eligible).take(most);
+        keys.extend(behind);
+        line.resume =
+            rest.next().and_then(|_| keys.last()).and_then(|key| self.places.get(*key).map(|(rank, _)| (*rank, *key)));
         keys
     }
 }
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -49,8 +49,8 @@
             if !open.iter().any(|key| self.targets[*key].free() != Resources::default()) {
                 continue;
             }
-            let mut visited = self.backlog.visit(&pool, most);
-            visited.retain(|key| settled || self.jobs[*key].first_attempt);
+            let may_start = |key: JobKey| settled || self.jobs[key].first_attempt;
+            let visited = self.backlog.visit(&pool, most, may_start);
             let min_need = self.min_need(&visited);
             open.retain(|key| self.targets[*key].free().can_fit(&min_need));
             for key in visited {
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1800,3 +1800,68 @@
     let ended: Vec<_> = starts.iter().zip(1..).map(|(start, number)| failed(start, number)).collect();
     assert_eq!(answer_for(&mut harness, 1400, &ended[..2]).len(), 0, "two failed runs");
 }
+
+/// Returns a board with one target and these stored jobs, whose targets have listed their runs.
+fn open_with_stored(jobs: impl Iterator<Item = (u64, Vec<Step>)>) -> Harness {
+    let mut harness = Harness::open(&[]);
+    let targets = [("w1".to_owned(), report("w1"))].into_iter().collect();
+    let queues = QueueSet { queues: vec![harness.queue.clone()], ..QueueSet::default() };
+    let mut ledger = Ledger { queue_set: Some(Arc::new(queues)), targets, ..Ledger::default() };
+    for (id, steps) in jobs {
+        let spec = Arc::new(JobSpec { steps, ..JobSpec::default() });
+        ledger.apply(&Command::StoreJob { id: JobId(id), spec, queue: "q".to_owned(), attempts: 2, accepted_ms: 0 });
+    }
+    harness.board = Board::open(Settings::default(), 4, &ledger, harness.now);
+    let renewal = harness.orders().remove(0);
+    harness.answer_listing(&renewal, listing(500));
+    harness
+}
+
+fn step_of(cpu: u64) -> Step {
+    Step { count: 1, need: Resources { cpu, ..Resources::default() }, estimate: 100, ..Step::default() }
+}
+
+/// Runs the board for some time on a target that starts all and ends nothing, and returns the jobs of which a task is
+/// started.
+fn run_for(harness: &mut Harness, running: &mut Vec<ActiveRun>, millis: u64) -> Vec<JobId> {
+    for _ in 0..millis / 10 {
+        for order in harness.orders() {
+            let clock = harness.now.as_micros() / 1000 - 500;
+            let outcome = match order.kind {
+                OrderKind::Start { task, run, .. } => {
+                    running.push(ActiveRun { task, run, ..ActiveRun::default() });
+                    Outcome::Done { clock }
+                }
+                _ => Outcome::Listed(Listing { running: running.clone(), ..listing(clock) }),
+            };
+            harness.finish(&order, outcome);
+        }
+        harness.advance(10);
+        running.iter_mut().for_each(|run| run.percent += 1);
+    }
+    running.iter().map(|run| run.task.job).collect()
+}
+
+/// Guards against stored jobs that fit no target and hold up all behind them for good (`review/7`: 135 of them).
+#[test]
+fn jobs_that_fit_nowhere_hold_up_none_behind_them() {
+    let hopeless = (1..=1000).map(|id| (id, vec![step_of(64_000)]));
+    let mut harness = open_with_stored(hopeless.chain([(2000, vec![step_of(1000)])]));
+    assert_eq!(run_for(&mut harness, &mut Vec::new(), 600), [JobId(2000)]);
+}
+
+/// Guards against jobs whose next step has to wait and that hold up a later job (`starved` in `review/stand`: 128).
+#[test]
+fn jobs_whose_next_step_waits_hold_up_none_behind_them() {
+    let two_steps = || vec![step_of(50), Step { depends_on: vec![0], ..step_of(50) }];
+    let mut harness = open_with_stored((1..=200).map(|id| (id, two_steps())));
+    let mut running = Vec::new();
+    assert_eq!(run_for(&mut harness, &mut running, 400).len(), 200, "all fit, and their second steps wait");
+    let spec = Arc::new(JobSpec { steps: vec![step_of(50)], ..JobSpec::default() });
+    let mut ledger = Ledger::default();
+    ledger.apply(&Command::StoreJob { id: JobId(2000), spec, queue: "q".to_owned(), attempts: 2, accepted_ms: 0 });
+    // Restored late, so that it ranks behind the others, which are late by now.
+    let stored = Arc::new(ledger).jobs[&JobId(2000)].clone();
+    harness.board.restore(harness.now, JobId(2000), &stored, true);
+    assert!(run_for(&mut harness, &mut running, 500).contains(&JobId(2000)));
+}
--- a/crates/jobs/tests/shortage.rs
+++ b/crates/jobs/tests/shortage.rs
@@ -22,6 +22,14 @@
 #[test]
 fn print() {
     let bursts = bursts();
-    for burst in &bursts { println!("{burst:?}"); }
-    println!("late {:.3} urgent {:.3} worth {:.3} at once {:.3}", mean(&bursts, &[0, 1, 2], |share| share.late), mean(&bursts, &[0], |share| share.worth), mean(&bursts, &[0, 1, 2], |share| share.worth), mean(&bursts, &[0, 1, 2], |share| share.at_once));
+    for burst in &bursts {
+        println!("{burst:?}");
+    }
+    println!(
+        "late {:.3} urgent {:.3} worth {:.3} at once {:.3}",
+        mean(&bursts, &[0, 1, 2], |share| share.late),
+        mean(&bursts, &[0], |share| share.worth),
+        mean(&bursts, &[0, 1, 2], |share| share.worth),
+        mean(&bursts, &[0, 1, 2], |share| share.at_once)
+    );
 }
