--- a/crates/jobs/src/shortage.rs
+++ b/crates/jobs/src/shortage.rs
@@ -9,7 +9,7 @@
 
 /// Part of its spare time that a job may wait for room. The rest is for tasks that take longer than estimated, and lets
 /// slow targets still be of use to the job.
-const WAIT_SHARE: f64 = 0.35;
+const WAIT_SHARE: f64 = 0.5;
 
 /// Time over which the shares of the lanes are compared, as callers see them: longer than a burst.
 const MEMORY: Duration = Duration::from_secs(10);
