--- a/crates/jobs/src/counts.rs
+++ b/crates/jobs/src/counts.rs
@@ -29,9 +29,9 @@
     /// Jobs refused before any of their tasks had started.
     pub refused: u64,
     /// These, by reason: no room, displaced, late, expired.
-    pub refused_by_reason: [u64; 4],
+    pub refused_by_reason: [u32; 4],
     /// These, by their age at refusal, within [`REFUSAL_AGE_BOUNDS_MILLIS`] and beyond.
-    pub refused_by_age: [u64; REFUSAL_AGE_BOUNDS_MILLIS.len() + 1],
+    pub refused_by_age: [u32; REFUSAL_AGE_BOUNDS_MILLIS.len() + 1],
     /// Sum of these ages, in milliseconds.
     pub refusal_age: u64,
     /// Jobs dropped because no client waits for them any more.
@@ -60,7 +60,7 @@
     }
 }
 
-fn add<const N: usize>(a: [u64; N], b: [u64; N]) -> [u64; N] {
+fn add<const N: usize>(a: [u32; N], b: [u32; N]) -> [u32; N] {
     std::array::from_fn(|at| a[at] + b[at])
 }
 
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1837,7 +1837,9 @@
             harness.finish(&order, outcome);
         }
         harness.advance(10);
-        running.iter_mut().for_each(|run| run.percent += 1);
+        for run in running.iter_mut() {
+            run.percent += 1;
+        }
     }
     running.iter().map(|run| run.task.job).collect()
 }
