--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -10,6 +10,7 @@
 mod tick;
 
 use crate::health::Health;
+use crate::policy::PriorityClass;
 use crate::queue::RouteIndex;
 use crate::shortage::Shortage;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
@@ -112,6 +113,8 @@
     waiting: IndexSet<JobKey>,
     /// Those of them with a task whose step is ready, and those that may be refused, in the order of their ranks.
     backlog: Backlog,
+    /// Jobs of which it is known since the last tick that they can be of no use.
+    expired: Vec<JobKey>,
     /// Jobs with occurrences that have not begun.
     recurring: IndexSet<JobKey>,
     /// Instants until which clients wait, by job.
@@ -156,6 +159,7 @@
             by_reply_to: IndexMap::new(),
             waiting: IndexSet::new(),
             backlog: Backlog::default(),
+            expired: Vec::new(),
             recurring: IndexSet::new(),
             client_deadlines: BTreeSet::new(),
             shortage: Shortage::default(),
@@ -231,6 +235,9 @@
             return;
         }
         let rank = job.deadlines.rank(now, Duration::from_millis(job.remaining_path()));
+        if rank.class() == PriorityClass::Expired && job.is_refusable() {
+            self.expired.push(key);
+        }
         self.backlog.insert(key, &job.pool, rank);
     }
 
@@ -456,7 +463,10 @@
         let key = self.jobs.insert(job);
         self.by_job.insert(id, key);
         let job = &mut self.jobs[key];
-        job.lane = self.shortage.arrive(now, &job.queue, &job.pool, job.priority, job.spec.work());
+        job.lane = match job.stored {
+            true => self.shortage.lane(&job.queue, &job.pool, job.priority, job.spec.work()),
+            false => self.shortage.arrive(now, &job.queue, &job.pool, job.priority, job.spec.work()),
+        };
         if job.next_occurrence < job.spec.occurrences() {
             self.recurring.insert(key);
         }
--- a/crates/jobs/src/board/backlog.rs
+++ b/crates/jobs/src/board/backlog.rs
@@ -81,17 +81,32 @@
     pub(super) fn visit(&mut self, pool: &str, most: usize, may_start: impl Fn(JobKey) -> bool) -> Vec<JobKey> {
         let Some(line) = self.pools.get_mut(pool) else { return Vec::new() };
         let looked = LOOKS_PER_VISIT * most;
-        let eligible = |key: &JobKey| may_start(*key);
-        let mut keys: Vec<JobKey> =
-            line.order.iter().take(looked).map(|(_, key)| *key).filter(eligible).take(most).collect();
-        let last = keys.last().and_then(|key| self.places.get(*key).map(|(rank, _)| (*rank, *key)));
-        let from = line.resume.max(last);
-        let lower = from.map_or(Bound::Unbounded, Bound::Excluded);
-        let mut rest = line.order.range((lower, Bound::Unbounded));
-        let behind = rest.by_ref().take(looked).map(|(_, key)| *key).filter(eligible).take(most);
-        keys.extend(behind);
-        line.resume =
-            rest.next().and_then(|_| keys.last()).and_then(|key| self.places.get(*key).map(|(rank, _)| (*rank, *key)));
+        let mut keys = Vec::new();
+        let head = look(line.order.iter().take(looked), most, &may_start, &mut keys);
+        let lower = line.resume.max(head).map_or(Bound::Unbounded, Bound::Excluded);
+        let behind = look(line.order.range((lower, Bound::Unbounded)).take(looked), most, &may_start, &mut keys);
+        let last = behind.or(line.resume).max(head);
+        line.resume = last.filter(|last| line.order.last().is_some_and(|end| last < end));
         keys
     }
 }
+
+/// Adds the first `most` of `places` that may start to `keys`, and returns the last place that was looked at.
+fn look<'a>(
+    places: impl Iterator<Item = &'a (Rank, JobKey)>,
+    most: usize,
+    may_start: impl Fn(JobKey) -> bool,
+    keys: &mut Vec<JobKey>,
+) -> Option<(Rank, JobKey)> {
+    let (mut last, end) = (None, keys.len() + most);
+    for place in places {
+        last = Some(*place);
+        if may_start(place.1) {
+            keys.push(place.1);
+        }
+        if keys.len() == end {
+            break;
+        }
+    }
+    last
+}
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -53,11 +53,19 @@
             let visited = self.backlog.visit(&pool, most, may_start);
             let min_need = self.min_need(&visited);
             open.retain(|key| self.targets[*key].free().can_fit(&min_need));
+            // Needs that fit on no target; room only shrinks in a pass, so that whatever needs more fits on none either.
+            let mut too_large: Vec<Resources> = Vec::new();
             for key in visited {
                 if open.is_empty() {
                     break;
                 }
+                let is_too_large = |need: &Resources| too_large.iter().any(|least| need.can_fit(least));
+                if self.ready_needs(key).all(|need| is_too_large(&need)) {
+                    continue;
+                }
                 self.start_job(now, key, &mut open, &min_need, &conflicting);
+                let fits = |need: &Resources| open.iter().any(|at| self.targets[*at].free().can_fit(need));
+                too_large.extend(self.ready_needs(key).filter(|need| !fits(need)));
             }
         }
     }
@@ -76,6 +84,16 @@
         tasks
     }
 
+    /// Returns what the waiting tasks of a job need, for each of its steps that is ready.
+    fn ready_needs(&self, key: JobKey) -> impl Iterator<Item = Resources> {
+        let job = &self.jobs[key];
+        job.occurrences.iter().flat_map(move |(occurrence, state)| {
+            let steps = state.steps.iter().enumerate();
+            let ready = steps.filter(|(at, group)| !group.waiting.is_empty() && job.is_step_ready(*occurrence, *at));
+            ready.map(|(at, _)| required_resources(&job.spec.steps[at]))
+        })
+    }
+
     /// Returns, for each resource, the least that any task of the jobs needs.
     fn min_need(&self, jobs: &[JobKey]) -> Resources {
         let steps = jobs.iter().flat_map(|key| &self.jobs[*key].spec.steps).map(required_resources);
--- a/crates/jobs/src/shortage.rs
+++ b/crates/jobs/src/shortage.rs
@@ -20,6 +20,9 @@
 /// Weight of the newest job in the mean work of its queue.
 const NEWEST_JOB_WEIGHT: f64 = 0.02;
 
+/// Least quantile of the work of a queue, against its mean: that of a queue whose estimates are 0.
+const MIN_QUANTILE: f64 = 0.01;
+
 /// Fixed part of what a job is worth to its caller; the rest grows with its work against the mean of its queue.
 const FIXED_WORTH: f64 = 0.3;
 
@@ -144,7 +147,7 @@
         let ratio = work / self.mean.max(f64::MIN_POSITIVE);
         for (quantile, above) in self.quantiles.iter_mut().zip([0.3, 0.1]) {
             let step = if ratio > *quantile { 1.0 - above } else { -above };
-            *quantile *= 1.0 + 2.0 * NEWEST_JOB_WEIGHT * step;
+            *quantile = (*quantile * (1.0 + 2.0 * NEWEST_JOB_WEIGHT * step)).max(MIN_QUANTILE);
         }
         self.quantiles.iter().filter(|quantile| ratio > **quantile).count()
     }
@@ -160,8 +163,17 @@
 }
 
 impl Shortage {
-    /// Records a job of a queue that arrives, with its work in core-milliseconds, and returns its lane.
+    /// Records a job of a queue that arrives and may be refused, with its work in core-milliseconds, and returns its lane.
     pub fn arrive(&mut self, now: Time, queue: &str, pool: &str, priority: u32, work: f64) -> Lane {
+        let lane = self.lane(queue, pool, priority, work);
+        if let Some((_, kind)) = self.kinds.get_index_mut(lane.kind) {
+            kind.shares[lane.band].offered.add(now, work);
+        }
+        lane
+    }
+
+    /// Returns the lane of a job that has to be done, and so counts for no share of what is refused.
+    pub fn lane(&mut self, queue: &str, pool: &str, priority: u32, work: f64) -> Lane {
         let kind = match self.kinds.get_index_of(queue) {
             Some(kind) => kind,
             None => self.kinds.insert_full(queue.to_owned(), Kind::new(pool, priority, work)).0,
@@ -172,7 +184,6 @@
             pool.clone_into(&mut known.pool);
         }
         let band = known.band(work);
-        known.shares[band].offered.add(now, work);
         Lane { kind, band }
     }
 
@@ -211,11 +222,23 @@
         let mut accepted: IndexMap<Lane, Vec<&Candidate<K>>> = IndexMap::new();
         let mut refusals = Vec::new();
         let mut ahead = 0.0;
+        // Work that goes first whatever is refused, and the lane of the last such job.
+        let mut fixed = (0.0, None);
         for job in candidates {
             let spare = (job.latest_start - now).as_secs_f64() * 1000.0 * WAIT_SHARE * room.rate;
-            if job.refusable {
-                accepted.entry(job.lane).or_default().push(job);
+            if !job.refusable {
+                ahead += job.work;
+                fixed = (fixed.0 + job.work, Some(job.lane));
+                continue;
+            }
+            if let (work, Some(preferred)) = fixed
+                && work > spare
+            {
+                burdens.add(job.lane, job.size);
+                refusals.push(Refusal { key: job.key, reason: RefusalReason::NoRoom, preferred, work: job.work });
+                continue;
             }
+            accepted.entry(job.lane).or_default().push(job);
             ahead += job.work;
             while ahead - job.work > spare {
                 let Some(lane) = burdens.least(accepted.iter().filter(|(_, jobs)| !jobs.is_empty())) else { break };
