--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -1,13 +1,11 @@
 //! Timeouts of targets, runs and jobs, and the start of occurrences that are due.
 
 use super::forecast::PoolLoads;
-use super::table::JobKey;
+use super::table::{Job, JobKey};
 use super::{Board, JOB_END_RETENTION, JobEnd, Output, Refused};
-use crate::policy::PriorityClass;
 use crate::shortage::{Lane, RefusalReason};
 use crate::target::{Run, RunState};
 use crate::{Command, TargetKey, TargetState, TaskId};
-use indexmap::IndexMap;
 use mangogw_model::Time;
 use std::time::Duration;
 
@@ -128,31 +126,38 @@
     /// Refuses jobs that have not started and can be of no use any more, or will have no room in time, and drops those
     /// whose client waits no longer.
     fn expire_jobs(&mut self, now: Time) {
-        let mut over: IndexMap<JobKey, (RefusalReason, Option<Lane>)> = IndexMap::new();
         for key in self.backlog.overdue(now) {
             self.enqueue(now, key);
-            let job = &self.jobs[key];
-            let class = job.deadlines.rank(now, Duration::from_millis(job.remaining_path())).class();
-            if class == PriorityClass::Expired && job.is_refusable() {
-                over.insert(key, (RefusalReason::Expired, None));
+        }
+        let timed_out = self.client_deadlines.iter().take_while(|(deadline, _)| now >= *deadline).map(|(_, key)| *key);
+        let timed_out: Vec<JobKey> = timed_out.filter(|key| !self.jobs[*key].stored).collect();
+        let mut loads = self.pool_loads(now);
+        for key in std::mem::take(&mut self.expired) {
+            if self.jobs.get(key).is_some_and(Job::is_refusable) {
+                self.refuse(now, &loads, key, RefusalReason::Expired, None);
             }
         }
-        let loads = self.pool_loads(now);
-        for (key, reason, preferred) in self.jobs_without_room(now, &loads) {
-            over.entry(key).or_insert((reason, preferred));
+        for key in timed_out {
+            match self.jobs.get(key).map(Job::is_started) {
+                Some(true) => {
+                    log::info!(job:% = self.jobs[key].id; "board: job dropped; the deadline of its client has passed");
+                    self.counts.dropped += 1;
+                    self.drop_job(now, key);
+                }
+                Some(false) => self.refuse(now, &loads, key, RefusalReason::Expired, None),
+                None => {}
+            }
         }
-        let timed_out = self.client_deadlines.iter().take_while(|(deadline, _)| now >= *deadline);
-        for (_, key) in timed_out.filter(|(_, key)| !self.jobs[*key].stored) {
-            over.entry(*key).or_insert((RefusalReason::Expired, None));
+        let mut over = self.jobs_without_room(now, &loads);
+        // What has arrived since the last pass may have room.
+        if !over.is_empty() && self.dirty && !self.fenced {
+            self.last_pass = now;
+            self.start_waiting(now);
+            loads = self.pool_loads(now);
+            over = self.jobs_without_room(now, &loads);
         }
-        for (key, (reason, preferred)) in over {
-            if self.jobs[key].is_started() {
-                log::info!(job:% = self.jobs[key].id; "board: job dropped; the deadline of its client has passed");
-                self.counts.dropped += 1;
-                self.drop_job(now, key);
-            } else {
-                self.refuse(now, &loads, key, reason, preferred);
-            }
+        for (key, reason, preferred) in over {
+            self.refuse(now, &loads, key, reason, preferred);
         }
     }
 
