--- a/crates/mangogwd/src/budget.rs
+++ b/crates/mangogwd/src/budget.rs
@@ -17,7 +17,7 @@
 /// Time that a connection is kept at least, also if there is no room for others.
 const MIN_HOLD: Duration = Duration::from_millis(500);
 /// Part of the memory of the process that callers may hold.
-const MEMORY_SHARE: (usize, usize) = (3, 8);
+const MEMORY_SHARE: (usize, usize) = (5, 16);
 /// Sixteenths of the descriptors for the connections of each kind of callers. The rest is for connections to targets and
 /// to other hosts, and for the data folder.
 const CONNECTION_SHARES: [usize; 4] = [10, 10, 1, 2];
@@ -98,8 +98,8 @@
     /// ```
     /// use mangogwd::budget::Limits;
     /// let limits = Limits::derive(120 << 20, 2875);
-    /// assert_eq!(limits.bytes, 45 << 20);
-    /// assert_eq!(limits.connections, [480, 288, 179, 359]);
+    /// assert_eq!(limits.bytes, 75 << 19);
+    /// assert_eq!(limits.connections, [400, 240, 179, 359]);
     /// ```
     pub fn derive(memory: usize, descriptors: usize) -> Self {
         let bytes = memory / MEMORY_SHARE.1 * MEMORY_SHARE.0;
--- a/crates/mangogwd/src/server.rs
+++ b/crates/mangogwd/src/server.rs
@@ -104,7 +104,8 @@
         let node_settings = host_settings(settings, address, peer_address);
         let (node, timer) =
             Node::spawn(node_settings, opened, &settings.cluster, bootstrap_actions).context(SystemSnafu)?;
-        let (gate, stalls) = Gate::spawn(Limits::derive(settings.memory_mb << 20, settings.max_fds));
+        // The other half is for the read buffers of connections and what the allocator keeps for each thread.
+        let (gate, stalls) = Gate::spawn(Limits::derive((settings.memory_mb << 20) / 2, settings.max_fds));
         let inbox = Arc::new(MessageReceiver(Arc::downgrade(&node)));
         let links = links::spawn(peer_listener, node.links(), inbox, Arc::clone(&gate));
         let api = Api {
--- a/crates/mangogwd/src/settings.rs
+++ b/crates/mangogwd/src/settings.rs
@@ -25,7 +25,7 @@
     Flag::new("State", "found", "", "", "found a new control group if the data folder is new"),
     Flag::new("State", "catalogue", "FILE", "", "catalogue of a new control group, TOML"),
     Flag::new("Limits", "requests", "N", "20000", "open requests at once"),
-    Flag::new("Limits", "memory-mb", "MB", "2048", "memory of the process; callers may hold three eighths of it"),
+    Flag::new("Limits", "memory-mb", "MB", "2048", "memory of the process; callers may hold 5/32 of it"),
     Flag::new("Limits", "max-fds", "N", "0", "descriptors of the process; 0 for the limit of the system"),
     Flag::new("Limits", "send-ms", "MS", "10000", "time a sender has for a whole request"),
     Flag::new(
