--- a/crates/control/tests/group/evacuations.rs
+++ b/crates/control/tests/group/evacuations.rs
@@ -172,7 +172,7 @@
         match (sim.reply_to(finish), sim.reply_to(start)) {
             (Some(Reply::Refused { .. }), Some(Reply::Done)) => assert!(active, "{gap} ms: a refused end is in force"),
             (Some(Reply::Done), Some(Reply::Refused { .. })) => {
-                assert!(!active, "{gap} ms: a refused start is in force")
+                assert!(!active, "{gap} ms: a refused start is in force");
             }
             (Some(Reply::Done), Some(Reply::Done)) => assert!(active, "{gap} ms: the end undid a later start"),
             replies => panic!("{gap} ms: {replies:?}"),
