Run times are learned for each queue, and estimates drawn towards them

Change: crates/jobs/src/run_times.rs learns, for each queue and step, how estimates and work spread and how far the former predict the latter. Where that beats the estimates by a quarter of the squared error, estimates are drawn towards the median of the queue, unless they tell of work in the tail.

--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -10,10 +10,11 @@
 
 use crate::health::Health;
 use crate::queue::RouteIndex;
+use crate::run_times::RunTimes;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
-    Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
-    TargetKey, TargetReport, TargetState, TaskId,
+    Command, Counts, Deadlines, EndRecord, JobId, JobSpec, LearnedTimes, Ledger, Phase, Queue, QueueSet, RunEnd,
+    Settings, StoredJob, TargetKey, TargetReport, TargetState, TaskId,
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
@@ -102,6 +103,7 @@
     starts: u64,
     queue_set: Option<Arc<QueueSet>>,
     routes: RouteIndex,
+    run_times: RunTimes,
     targets: SlotMap<TargetKey, Target>,
     by_id: IndexMap<String, TargetKey>,
     jobs: SlotMap<JobKey, Job>,
@@ -141,6 +143,7 @@
             starts: 0,
             queue_set: None,
             routes: RouteIndex::default(),
+            run_times: RunTimes::default(),
             targets: SlotMap::with_key(),
             by_id: IndexMap::new(),
             jobs: SlotMap::with_key(),
@@ -213,6 +216,7 @@
     /// Replaces the set of queues.
     pub fn install(&mut self, set: &Arc<QueueSet>) {
         self.routes = RouteIndex::new(set);
+        self.run_times.retain(set);
         self.queue_set = Some(Arc::clone(set));
         for job in self.jobs.values_mut().filter(|job| job.pool.is_empty()) {
             if let Some(queue) = set.queues.iter().find(|queue| queue.name == job.queue) {
@@ -313,8 +317,10 @@
             self.by_reply_to.insert(reply_to, key);
             return;
         }
-        let deadlines = deadlines_of(&spec, queue, now, deadline);
+        let expected = self.run_times.expect(&spec, &queue.name);
+        let deadlines = deadlines_of(&expected, queue, now, deadline);
         let mut job = Job::new(id, spec, queue, now, deadlines, false);
+        job.spec = expected;
         job.recipients.push(reply_to);
         job.deadline = deadline;
         job.first_attempt = first_attempt;
@@ -333,8 +339,10 @@
         // A job whose queue is not in force has no pool until it is again.
         let mut queue = queue.cloned().unwrap_or_else(|| Queue { name: stored_job.queue.clone(), ..Queue::default() });
         queue.attempts = stored_job.attempts;
-        let deadlines = deadlines_of(&stored_job.spec, &queue, now, None);
+        let expected = self.run_times.expect(&stored_job.spec, &queue.name);
+        let deadlines = deadlines_of(&expected, &queue, now, None);
         let mut job = Job::new(id, Arc::clone(&stored_job.spec), &queue, now, deadlines, true);
+        job.spec = expected;
         job.restore_progress(stored_job);
         job.first_attempt = first_attempt;
         let key = self.insert_job(now, job);
@@ -445,6 +453,7 @@
     /// Removes a job and stops its runs.
     fn drop_job(&mut self, now: Time, key: JobKey) {
         let Some(job) = self.jobs.remove(key) else { return };
+        self.run_times.record_job(&job.queue, &job.estimates, &job.seen);
         self.by_job.swap_remove(&job.id);
         self.waiting.swap_remove(&key);
         self.by_reply_to.retain(|_, other| *other != key);
@@ -557,6 +566,11 @@
         self.counts
     }
 
+    /// Returns what is learned of the run times of each queue.
+    pub fn learned_times(&self) -> Vec<LearnedTimes> {
+        self.run_times.learned().collect()
+    }
+
     /// Returns the number of active jobs, and the number of those with tasks that wait for a target.
     pub fn job_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.waiting.len())
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -1,6 +1,7 @@
 //! Active jobs and the state of their tasks.
 
 use crate::job::MAX_TASKS;
+use crate::run_times::SeenSteps;
 use crate::{Deadlines, JobId, JobSpec, Queue, StoredJob, TargetKey, TaskId};
 use indexmap::IndexMap;
 use mangogw_model::Time;
@@ -17,7 +18,12 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
+    /// Steps with expected run times in place of the estimates of the client.
     pub(crate) spec: Arc<JobSpec>,
+    /// Estimates of the client, by step, in milliseconds.
+    pub(crate) estimates: SmallVec<[u64; 1]>,
+    /// Work of the tasks that have ended.
+    pub(crate) seen: SeenSteps,
     pub(crate) payload: Arc<str>,
     pub(crate) queue: String,
     pub(crate) pool: String,
@@ -91,6 +97,8 @@
         Self {
             id,
             payload: Arc::from(spec.payload.as_str()),
+            estimates: spec.steps.iter().map(|step| step.estimate).collect(),
+            seen: SeenSteps::new(),
             spec,
             queue: queue.name.clone(),
             pool: queue.pool.clone(),
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,19 +22,21 @@
 mod policy;
 mod queue;
 mod resources;
+mod run_times;
 mod settings;
 mod target;
 
 pub use board::{Board, JobEnd, Output, Refused, Submission};
 pub use clock::RemoteClock;
 pub use counts::Counts;
-pub use health::Health;
+pub use health::{Deviation, Health};
 pub use ids::{BadId, JobId, RunNumber, TaskId};
 pub use job::{BadJob, JobSpec, Phase, Step};
 pub use ledger::{ApplyResult, ApplyStatus, Command, EndRecord, Ledger, StoredJob};
 pub use policy::{Deadlines, PriorityClass, Rank};
 pub use queue::{Pool, Queue, QueueSet};
 pub use resources::Resources;
+pub use run_times::LearnedTimes;
 pub use settings::Settings;
 pub use target::{
     ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport,
--- a/crates/jobs/tests/driver/mod.rs
+++ b/crates/jobs/tests/driver/mod.rs
@@ -50,6 +50,31 @@
     Fail,
 }
 
+/// How run times differ from estimates and from job to job, where a scenario does not say it.
+#[derive(Debug, Clone, Copy)]
+pub struct RunTimeSpread {
+    /// Standard deviation of the logarithm of the work of the jobs of a kind.
+    pub work: f64,
+    /// The same of the ratio of estimate to work.
+    pub estimate: f64,
+    /// Share of jobs whose work is so many times as long.
+    pub tail: (f64, f64),
+    /// True if estimates tell of the tail.
+    pub tail_is_known: bool,
+    pub knowledge: Knowledge,
+}
+
+/// What a board knows of run times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Knowledge {
+    /// The estimates alone, since each job has a queue that is not in the set.
+    Estimates,
+    /// What it learns of the queue of each kind.
+    Learned,
+    /// The true work.
+    True,
+}
+
 struct SimulatedRun {
     task: TaskId,
     run: RunNumber,
@@ -170,11 +195,15 @@
     workers: BTreeMap<String, Worker>,
     arrivals: BTreeMap<u64, Arrival>,
     result: ReplayResult,
+    spread: Option<RunTimeSpread>,
+    /// Source of the run times under a spread, so that the same jobs arrive whatever the board starts.
+    run_rng: Pcg64Mcg,
 }
 
 impl Replay {
     pub fn new(seed: u64, scenario: Scenario) -> Self {
-        let set = QueueSet { queues: vec![queue()], ..QueueSet::default() };
+        let of_kinds = (0..scenario.job_kinds.len()).map(|kind| queue(&format!("q{kind}")));
+        let set = QueueSet { queues: of_kinds.chain([queue("q")]).collect(), ..QueueSet::default() };
         let ledger = Ledger { queue_set: Some(Arc::new(set)), ..Ledger::default() };
         let now = Time::from_millis(1);
         let mut board = Board::open(Settings::default(), 1, &ledger, now);
@@ -196,8 +225,15 @@
             board.on_report(now, &report);
             workers.insert(id, Worker { index, time_ratio, ..Worker::default() });
         }
-        let rng = Pcg64Mcg::seed_from_u64(seed);
-        Self { scenario, board, now, rng, workers, arrivals: BTreeMap::new(), result: ReplayResult::default() }
+        let (rng, run_rng) = (Pcg64Mcg::seed_from_u64(seed), Pcg64Mcg::seed_from_u64(!seed));
+        let result = ReplayResult::default();
+        Self { scenario, board, now, rng, workers, arrivals: BTreeMap::new(), result, spread: None, run_rng }
+    }
+
+    /// Sets how run times differ from estimates and from job to job.
+    pub const fn with_spread(mut self, spread: RunTimeSpread) -> Self {
+        self.spread = Some(spread);
+        self
     }
 
     /// Runs the given load for each second, and then no new jobs until all have ended.
@@ -240,7 +276,27 @@
         (by * (self.rng.random::<f64>() + self.rng.random::<f64>() - 1.0) * 2.45).exp()
     }
 
+    /// Returns the number of tasks of a job, the work of each, the estimate of it, and the queue.
+    fn draw(&mut self, kind: usize, spread: &RunTimeSpread) -> (u32, f64, f64, Queue) {
+        let (count, work, _) = self.scenario.job_kinds[kind];
+        let usual = work as f64 * self.random_factor(spread.work);
+        let work = if self.rng.random::<f64>() < spread.tail.0 { usual * spread.tail.1 } else { usual };
+        let count = (f64::from(count) * self.random_factor(0.4)).round().max(1.0) as u32;
+        let error = self.random_factor(spread.estimate);
+        let estimate = match spread.knowledge {
+            Knowledge::True => work,
+            _ if spread.tail_is_known => work * error,
+            _ => usual * error,
+        };
+        let name = if spread.knowledge == Knowledge::Learned { format!("q{kind}") } else { "unlisted".to_owned() };
+        (count, work, estimate, queue(&name))
+    }
+
     fn submit(&mut self, id: u64, kind: usize) {
+        if let Some(spread) = self.spread {
+            let (count, work, estimate, queue) = self.draw(kind, &spread);
+            return self.submit_drawn(id, kind, count, work, estimate, &queue);
+        }
         let (mut count, work, _) = self.scenario.job_kinds[kind];
         let mut work = work as f64;
         if self.scenario.varied {
@@ -251,6 +307,10 @@
             true => work * self.random_factor(0.4),
             false => work * f64::from(self.rng.random_range(70..140)) / 100.0,
         };
+        self.submit_drawn(id, kind, count, work, estimate, &queue("q"));
+    }
+
+    fn submit_drawn(&mut self, id: u64, kind: usize, count: u32, work: f64, estimate: f64, queue: &Queue) {
         let (min, max) = self.scenario.cpu;
         let cpu = if min == max { min } else { self.rng.random_range(min..=max) };
         let need = Resources { cpu, memory: 64, accelerators: 0 };
@@ -260,7 +320,7 @@
         self.arrivals.insert(id, Arrival { at: self.now, kind, goal, work });
         let deadline = Some(self.now + CLIENT_TIMEOUT);
         let submission = Submission { id: JobId(id), spec, deadline, reply_to: id, first_attempt: true };
-        self.timed(|board, now| board.admit(now, submission, &queue()));
+        self.timed(|board, now| board.admit(now, submission, queue));
     }
 
     /// Passes an input to the board and adds the time that the board takes.
@@ -330,7 +390,8 @@
         match order.kind.clone() {
             OrderKind::Start { task, run, .. } => {
                 let work = self.arrivals.get(&task.job.0).map_or(1.0, |arrival| arrival.work);
-                let uneven = f64::from(self.rng.random_range(80..121)) / 100.0;
+                let rng = if self.spread.is_some() { &mut self.run_rng } else { &mut self.rng };
+                let uneven = f64::from(rng.random_range(80..121)) / 100.0;
                 let place = worker.index as f64 / self.scenario.targets as f64;
                 let second = now.as_micros() as f64 / 1e6;
                 let within = |range: (f64, f64), at: f64| range.0 <= at && at < range.1;
@@ -378,6 +439,6 @@
     }
 }
 
-fn queue() -> Queue {
-    Queue { name: "q".to_owned(), pool: "pool".to_owned(), attempts: 2, stretch: 1.6, slack: 60, ..Queue::default() }
+fn queue(name: &str) -> Queue {
+    Queue { name: name.to_owned(), pool: "pool".to_owned(), attempts: 2, stretch: 1.6, slack: 60, ..Queue::default() }
 }
