A single long run tells of a slow target where no kind is long unforeseen

Change: the share of jobs is learned of which all tasks take far longer than expected; below 1 in 200 a single run far off moves the time ratio of its target at once.

--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -15,8 +15,8 @@
 const NEWEST_RUN_WEIGHT: f64 = 0.25;
 /// Weight of the first run.
 const FIRST_RUN_WEIGHT: f64 = 0.6;
-/// Weight of a run far from what was expected, once the one before it was too and was of another job.
-const CONFIRMED_RUN_WEIGHT: f64 = 0.6;
+/// Weight of a run far from what was expected that is not taken for a long one of its kind.
+const ODD_RUN_WEIGHT: f64 = 0.6;
 /// Standard deviations from the expected run time beyond which a run is either from the tail of its kind or on a target
 /// whose speed has changed.
 const ODD_DEVIATIONS: f64 = 3.0;
@@ -30,6 +30,8 @@
     pub log_ratio: f64,
     /// Standard deviation of that logarithm on a target that is as fast as expected.
     pub spread: f64,
+    /// True if jobs of this kind take far longer than expected now and then, for reasons of their own.
+    pub may_be_long: bool,
     /// Job of the run. Runs of one job may be slow for the same reason.
     pub job: JobId,
 }
@@ -96,7 +98,7 @@
     /// ```
     /// use mangogw_jobs::{Deviation, Health, JobId};
     /// let mut health = Health::default();
-    /// let slow = |job| Deviation { log_ratio: 2.0, spread: 0.3, job: JobId(job) };
+    /// let slow = |job| Deviation { log_ratio: 2.0, spread: 0.3, may_be_long: true, job: JobId(job) };
     /// health.record_deviation(slow(1));
     /// health.record_deviation(slow(1));
     /// assert_eq!(health.time_ratio(), 1.0, "the job may be long");
@@ -106,7 +108,8 @@
     pub fn record_deviation(&mut self, run: Deviation) {
         let odd = run.log_ratio.abs() > ODD_DEVIATIONS * run.spread;
         let weight = match self.odd_job {
-            Some(job) if odd && job != run.job => CONFIRMED_RUN_WEIGHT,
+            Some(job) if odd && job != run.job => ODD_RUN_WEIGHT,
+            _ if odd && !run.may_be_long => ODD_RUN_WEIGHT,
             _ if odd => 0.0,
             _ if self.runs == 0 => FIRST_RUN_WEIGHT,
             _ => NEWEST_RUN_WEIGHT,
--- a/crates/jobs/src/run_times.rs
+++ b/crates/jobs/src/run_times.rs
@@ -32,6 +32,10 @@
 const INITIAL_SPREAD: f64 = 0.5;
 /// Weight of the newest job in the tail in the typical ratio of those.
 const NEWEST_TAIL_WEIGHT: f64 = 0.05;
+/// Share of unforeseen jobs that is assumed before any of several tasks is known.
+const INITIAL_UNFORESEEN: f64 = 0.01;
+/// Share of unforeseen jobs from which on a single long run does not tell of a slow target.
+const MIN_UNFORESEEN: f64 = 0.005;
 /// Least ratio of run time to expected time.
 const MIN_RATIO: f64 = 1e-3;
 
@@ -60,6 +64,8 @@
     tail_share: f64,
     /// Logarithm of the typical ratio of the work of those to the median.
     tail_log: f64,
+    /// Share of the jobs of several tasks that all took far longer than expected.
+    unforeseen: f64,
     used: bool,
 }
 
@@ -93,6 +99,8 @@
     pub tail_share: f64,
     /// Typical ratio of the work of a job in the tail to the median.
     pub tail_ratio: f64,
+    /// Share of the jobs of several tasks that all took far longer than expected.
+    pub unforeseen: f64,
     /// Standard error of the logarithm of the estimates of clients.
     pub estimate_error: f64,
     /// The same of the learned times.
@@ -152,6 +160,7 @@
             errors: (0.0, 0.0),
             tail_share: 0.0,
             tail_log: 0.0,
+            unforeseen: INITIAL_UNFORESEEN,
             used: false,
         }
     }
@@ -179,7 +188,12 @@
             _ => (error * runs / (error * runs + uneven), error * uneven / (error * runs + uneven)),
         };
         let shift = if seen.runs == 0 { 0.0 } else { shift };
-        Deviation { log_ratio: log_ratio - trust * shift, spread: (left + uneven).sqrt(), job }
+        Deviation {
+            log_ratio: log_ratio - trust * shift,
+            spread: (left + uneven).sqrt(),
+            may_be_long: self.unforeseen >= MIN_UNFORESEEN,
+            job,
+        }
     }
 
     fn record(&mut self, log_estimate: f64, seen: &SeenWork) {
@@ -203,6 +217,9 @@
         self.work.record(weight, seen.mean);
         if seen.runs > 1 {
             let sample = seen.squares / f64::from(seen.runs - 1);
+            // One slow target does not make all tasks of a job slow.
+            let unforeseen = of_learned > limit && sample.sqrt() < limit;
+            self.unforeseen += weight * (f64::from(u8::from(unforeseen)) - self.unforeseen);
             let most = TAIL_DEVIATIONS * TAIL_DEVIATIONS * self.uneven.max(MIN_SPREAD * MIN_SPREAD);
             self.uneven += weight * (sample.min(most) - self.uneven);
         }
@@ -280,6 +297,7 @@
                 uneven: times.uneven.sqrt(),
                 tail_share: times.tail_share,
                 tail_ratio: times.tail_log.exp(),
+                unforeseen: times.unforeseen,
                 estimate_error: times.errors.0.sqrt(),
                 learned_error: times.errors.1.sqrt(),
                 used: times.used,
