--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -13,8 +13,8 @@
 use crate::run_times::RunTimes;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
-    Command, Counts, Deadlines, EndRecord, JobId, JobSpec, LearnedTimes, Ledger, Phase, Queue, QueueSet, RunEnd,
-    Settings, StoredJob, TargetKey, TargetReport, TargetState, TaskId,
+    Command, Counts, Deadlines, EndRecord, JobId, JobSpec, Ledger, Phase, Queue, QueueSet, RunEnd, Settings, StoredJob,
+    TargetKey, TargetReport, TargetState, TaskId,
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
@@ -566,11 +566,6 @@
         self.counts
     }
 
-    /// Returns what is learned of the run times of each queue.
-    pub fn learned_times(&self) -> Vec<LearnedTimes> {
-        self.run_times.learned().collect()
-    }
-
     /// Returns the number of active jobs, and the number of those with tasks that wait for a target.
     pub fn job_counts(&self) -> (usize, usize) {
         (self.jobs.len(), self.waiting.len())
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -36,7 +36,6 @@
 pub use policy::{Deadlines, PriorityClass, Rank};
 pub use queue::{Pool, Queue, QueueSet};
 pub use resources::Resources;
-pub use run_times::LearnedTimes;
 pub use settings::Settings;
 pub use target::{
     ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport,
--- a/crates/jobs/src/run_times.rs
+++ b/crates/jobs/src/run_times.rs
@@ -80,41 +80,12 @@
 /// Work of the ended tasks of a job, by step.
 pub(crate) type SeenSteps = SmallVec<[SeenWork; 1]>;
 
-/// What is known of the run times of one step of a queue, for logs and metrics.
-#[derive(Debug, Clone, PartialEq)]
-pub struct LearnedTimes {
-    /// Name of the queue.
-    pub queue: String,
-    /// Position of the step.
-    pub step: usize,
-    /// Number of jobs from which this is learned.
-    pub jobs: u32,
-    /// Median work of a task, in milliseconds on a target of time ratio 1.
-    pub median: f64,
-    /// Standard deviation of the logarithm of the work of jobs.
-    pub spread: f64,
-    /// Standard deviation of the logarithm of the work of the tasks of one job.
-    pub uneven: f64,
-    /// Share of the jobs in the tail, from 0 to 1.
-    pub tail_share: f64,
-    /// Typical ratio of the work of a job in the tail to the median.
-    pub tail_ratio: f64,
-    /// Share of the jobs of several tasks that all took far longer than expected.
-    pub unforeseen: f64,
-    /// Standard error of the logarithm of the estimates of clients.
-    pub estimate_error: f64,
-    /// The same of the learned times.
-    pub learned_error: f64,
-    /// True if the learned times are used in place of the estimates.
-    pub used: bool,
-}
-
 /// Run times of all queues.
 ///
 /// The load pattern is urgent work that fills the targets while the estimates of clients are far off, so that jobs that
 /// would be in time are taken for late ones, and late ones for jobs in time.
 #[derive(Debug, Clone, Default)]
-pub struct RunTimes {
+pub(crate) struct RunTimes {
     queues: IndexMap<String, Vec<StepTimes>>,
 }
 
@@ -196,7 +167,8 @@
         }
     }
 
-    fn record(&mut self, log_estimate: f64, seen: &SeenWork) {
+    /// Records the work of a job, and returns true if that is worth a line in the log.
+    fn record(&mut self, log_estimate: f64, seen: &SeenWork) -> bool {
         self.jobs = self.jobs.saturating_add(1);
         let weight = 1.0 / f64::from(self.jobs).min(MEMORY_JOBS);
         let limit = TAIL_DEVIATIONS * self.work.spread();
@@ -224,7 +196,21 @@
             self.uneven += weight * (sample.min(most) - self.uneven);
         }
         let share = self.errors.1 / self.errors.0.max(MIN_SPREAD * MIN_SPREAD);
-        self.used = self.jobs >= MIN_JOBS && share < if self.used { USE_UNTIL } else { USE_BELOW };
+        let before = self.used;
+        self.used = self.jobs >= MIN_JOBS && share < if before { USE_UNTIL } else { USE_BELOW };
+        self.used != before || self.jobs >= MIN_JOBS && self.jobs.is_power_of_two()
+    }
+
+    fn log(&self, queue: &str, step: usize) {
+        let millis = self.work.mean.exp() as u64;
+        let (spread, uneven) = (self.work.spread(), self.uneven.sqrt());
+        let (estimates, learned) = (self.errors.0.sqrt(), self.errors.1.sqrt());
+        let (tail, tail_ratio, unforeseen) = (self.tail_share, self.tail_log.exp(), self.unforeseen);
+        log::info!(
+            queue, step, jobs = self.jobs, millis, spread, uneven, estimates, learned, tail, tail_ratio, unforeseen,
+            used = self.used;
+            "board: run times learned"
+        );
     }
 }
 
@@ -279,31 +265,11 @@
             if steps.len() <= step {
                 steps.push(StepTimes::new(log_estimate));
             }
-            if seen.runs > 0 {
-                steps[step].record(log_estimate, seen);
+            if seen.runs > 0 && steps[step].record(log_estimate, seen) {
+                steps[step].log(queue, step);
             }
         }
     }
-
-    /// Returns what is known of each step of each queue.
-    pub(crate) fn learned(&self) -> impl Iterator<Item = LearnedTimes> {
-        self.queues.iter().flat_map(|(queue, steps)| {
-            steps.iter().enumerate().filter(|(_, times)| times.jobs > 0).map(|(step, times)| LearnedTimes {
-                queue: queue.clone(),
-                step,
-                jobs: times.jobs,
-                median: times.work.mean.exp(),
-                spread: times.work.spread(),
-                uneven: times.uneven.sqrt(),
-                tail_share: times.tail_share,
-                tail_ratio: times.tail_log.exp(),
-                unforeseen: times.unforeseen,
-                estimate_error: times.errors.0.sqrt(),
-                learned_error: times.errors.1.sqrt(),
-                used: times.used,
-            })
-        })
-    }
 }
 
 /// Returns the logarithm of a time in milliseconds.
