--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -37,7 +37,6 @@
 pub use policy::{Deadlines, PriorityClass, Rank};
 pub use queue::{Pool, Queue, QueueSet};
 pub use resources::Resources;
-pub use run_times::LearnedTimes;
 pub use settings::Settings;
 pub use shortage::{Candidate, Lane, Refusal, RefusalReason, Room, Shortage, retry_in};
 pub use target::{
