Shortage: idle targets take the first that wait; work that has to be done displaces others only where that helps

Change: jobs that fit on idle targets don't count as waiting; a job that has to be done displaces others while that can bring it in time.

--- a/crates/jobs/src/board/forecast.rs
+++ b/crates/jobs/src/board/forecast.rs
@@ -36,6 +36,8 @@
     known: usize,
     targets: usize,
     total: Resources,
+    /// Targets without a run, in targets of mean size.
+    idle: f64,
     /// Resources in use, in targets of mean size.
     busy: f64,
     /// Milliseconds of work that the pool does in a millisecond, in targets of mean size.
@@ -72,7 +74,13 @@
                 let (size, refusable) = (job.spec.work(), job.is_refusable());
                 Candidate { key, lane, latest_start: rank.latest_start(), work, size, refusable }
             };
-            let timely = self.backlog.of_class(pool, PriorityClass::Timely, most);
+            // Those that arrived since the last pass and start on idle targets at the next one.
+            let mut idle = load.idle;
+            let starts_at_once = |(_, key): &(Rank, JobKey)| {
+                idle -= waiting_share(&self.jobs[*key], load);
+                idle >= 0.0
+            };
+            let timely = self.backlog.of_class(pool, PriorityClass::Timely, most).skip_while(starts_at_once);
             let candidates: Vec<Candidate<JobKey>> = timely.map(candidate).collect();
             let mut backlog: f64 = candidates.iter().map(|job| job.work).sum();
             if settled && load.is_full() {
@@ -117,6 +125,9 @@
         }
         for target in usable() {
             let Some(load) = loads.get_mut(&target.report.pool) else { continue };
+            if target.runs.is_empty() {
+                load.idle += load.share(&target.report.resources);
+            }
             let share = load.share(&target.used);
             load.busy += share;
             load.rate += share / target.health.time_ratio();
@@ -127,12 +138,20 @@
 
 /// Returns the work of the tasks of a job that wait for room, in milliseconds of targets of mean size.
 fn waiting_work(job: &Job, load: &PoolLoad) -> f64 {
-    let work =
-        |waiting: usize, step: &Step| waiting as f64 * load.share(&required_resources(step)) * step.estimate as f64;
+    sum_waiting(job, |waiting, step| waiting * load.share(&required_resources(step)) * step.estimate as f64)
+}
+
+/// Returns the room that the tasks of a job wait for, in targets of mean size.
+fn waiting_share(job: &Job, load: &PoolLoad) -> f64 {
+    sum_waiting(job, |waiting, step| waiting * load.share(&required_resources(step)))
+}
+
+/// Sums `of_step` over the steps that are ready, with the number of their tasks that wait.
+fn sum_waiting(job: &Job, of_step: impl Fn(f64, &Step) -> f64) -> f64 {
     let of_occurrence = |(occurrence, state): (&u32, &super::table::Occurrence)| -> f64 {
         let steps = state.steps.iter().zip(&job.spec.steps).enumerate();
         let ready = steps.filter(|(index, _)| job.is_step_ready(*occurrence, *index));
-        ready.map(|(_, (group, step))| work(group.waiting.len(), step)).sum()
+        ready.map(|(_, (group, step))| of_step(group.waiting.len() as f64, step)).sum()
     };
     job.occurrences.iter().map(of_occurrence).sum()
 }
--- a/crates/jobs/src/shortage.rs
+++ b/crates/jobs/src/shortage.rs
@@ -226,20 +226,20 @@
         let mut fixed = (0.0, None);
         for job in candidates {
             let spare = (job.latest_start - now).as_secs_f64() * 1000.0 * WAIT_SHARE * room.rate;
-            if !job.refusable {
-                ahead += job.work;
-                fixed = (fixed.0 + job.work, Some(job.lane));
-                continue;
+            let is_hopeless = fixed.0 > spare;
+            match fixed.1 {
+                _ if !job.refusable => fixed = (fixed.0 + job.work, Some(job.lane)),
+                Some(preferred) if is_hopeless => {
+                    burdens.add(job.lane, job.size);
+                    refusals.push(Refusal { key: job.key, reason: RefusalReason::NoRoom, preferred, work: job.work });
+                    continue;
+                }
+                _ => accepted.entry(job.lane).or_default().push(job),
             }
-            if let (work, Some(preferred)) = fixed
-                && work > spare
-            {
-                burdens.add(job.lane, job.size);
-                refusals.push(Refusal { key: job.key, reason: RefusalReason::NoRoom, preferred, work: job.work });
+            ahead += job.work;
+            if is_hopeless {
                 continue;
             }
-            accepted.entry(job.lane).or_default().push(job);
-            ahead += job.work;
             while ahead - job.work > spare {
                 let Some(lane) = burdens.least(accepted.iter().filter(|(_, jobs)| !jobs.is_empty())) else { break };
                 let Some(given) = accepted.get_mut(&lane).and_then(Vec::pop) else { break };
