--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -12,6 +12,7 @@
 use crate::health::Health;
 use crate::policy::PriorityClass;
 use crate::queue::RouteIndex;
+use crate::run_times::RunTimes;
 use crate::shortage::Shortage;
 use crate::target::{ORDER_TIMEOUT, Order, OrderKind, Run, RunState, Target};
 use crate::{
@@ -104,6 +105,7 @@
     starts: u64,
     queue_set: Option<Arc<QueueSet>>,
     routes: RouteIndex,
+    run_times: RunTimes,
     targets: SlotMap<TargetKey, Target>,
     /// Zones whose targets get no new runs.
     evacuations: Evacuations,
@@ -154,6 +156,7 @@
             starts: 0,
             queue_set: None,
             routes: RouteIndex::default(),
+            run_times: RunTimes::default(),
             targets: SlotMap::with_key(),
             evacuations: ledger.evacuations.clone(),
             by_id: IndexMap::new(),
@@ -253,6 +256,7 @@
     /// Replaces the set of queues.
     pub fn install(&mut self, set: &Arc<QueueSet>) {
         self.routes = RouteIndex::new(set);
+        self.run_times.retain(set);
         self.queue_set = Some(Arc::clone(set));
         let mut moved = Vec::new();
         for (key, job) in self.jobs.iter_mut().filter(|(_, job)| job.pool.is_empty()) {
@@ -371,8 +375,10 @@
             self.by_reply_to.insert(reply_to, key);
             return;
         }
-        let deadlines = deadlines_of(&spec, queue, now, deadline);
+        let expected = self.run_times.expect(&spec, &queue.name);
+        let deadlines = deadlines_of(&expected, queue, now, deadline);
         let mut job = Job::new(id, spec, queue, now, deadlines, false);
+        job.spec = expected;
         job.recipients.push(reply_to);
         job.deadline = deadline;
         job.first_attempt = first_attempt;
@@ -391,6 +397,7 @@
         // A job whose queue is not in force has no pool until it is again.
         let mut queue = queue.cloned().unwrap_or_else(|| Queue { name: stored_job.queue.clone(), ..Queue::default() });
         queue.attempts = stored_job.attempts;
+        // Stored jobs keep the estimates of their clients: a copy of each spec would take more memory than it helps.
         let deadlines = deadlines_of(&stored_job.spec, &queue, now, None);
         let mut job = Job::new(id, Arc::clone(&stored_job.spec), &queue, now, deadlines, true);
         job.restore_progress(stored_job);
@@ -516,6 +523,7 @@
     /// Removes a job and stops its runs.
     fn drop_job(&mut self, now: Time, key: JobKey) {
         let Some(job) = self.jobs.remove(key) else { return };
+        self.run_times.record_job(&job.queue, &job.estimates, &job.seen);
         self.by_job.swap_remove(&job.id);
         self.dequeue(key);
         self.recurring.swap_remove(&key);
