--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -131,7 +131,7 @@
         }
         let timed_out = self.client_deadlines.iter().take_while(|(deadline, _)| now >= *deadline).map(|(_, key)| *key);
         let timed_out: Vec<JobKey> = timed_out.filter(|key| !self.jobs[*key].stored).collect();
-        let loads = self.pool_loads(now);
+        let mut loads = self.pool_loads(now);
         for key in std::mem::take(&mut self.expired) {
             if self.jobs.get(key).is_some_and(Job::is_refusable) {
                 self.refuse(now, &loads, key, RefusalReason::Expired, None);
@@ -148,7 +148,15 @@
                 None => {}
             }
         }
-        for (key, reason, preferred) in self.jobs_without_room(now, &loads) {
+        let mut over = self.jobs_without_room(now, &loads);
+        // What has arrived since the last pass may have room.
+        if !over.is_empty() && self.dirty && !self.fenced {
+            self.last_pass = now;
+            self.start_waiting(now);
+            loads = self.pool_loads(now);
+            over = self.jobs_without_room(now, &loads);
+        }
+        for (key, reason, preferred) in over {
             self.refuse(now, &loads, key, reason, preferred);
         }
     }
