--- a/crates/jobs/src/board/forecast.rs
+++ b/crates/jobs/src/board/forecast.rs
@@ -6,42 +6,33 @@
 use super::Board;
 use super::table::{Job, JobKey};
 use crate::placement::{accepts_runs, required_resources};
-use crate::policy::{PriorityClass, Rank};
-use crate::shortage::{Candidate, Lane, RefusalReason, Room};
+use crate::policy::PriorityClass;
 use crate::target::Target;
 use crate::{Resources, Step, TargetState};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use mangogw_model::Time;
+use std::time::Duration;
 
 /// Share of the resources of a pool in use below which its jobs wait for something else than room, such as the lists of
 /// runs after a takeover.
 const MIN_BUSY_SHARE: f64 = 0.5;
 
-/// Waiting work, in milliseconds of its pool, from which on the pool is short of room: what it takes from one decision to
-/// the next.
-const SHORT_BACKLOG_MILLIS: f64 = 10.0;
-
-/// Number of jobs that a decision looks at for each target of the pool: more than can be in time together.
-const JOBS_PER_TARGET: usize = 8;
-/// Least number of jobs that a decision looks at.
-const MIN_JOBS: usize = 256;
-
-/// Loads of the pools with waiting jobs.
-pub(super) type PoolLoads = IndexMap<String, PoolLoad>;
+/// Factor on the forecast wait, since jobs that arrive later may go first and targets may be lost.
+const WAIT_MARGIN: f64 = 1.3;
 
 /// Resources of the targets of a pool that may be given runs, and what is in use of them.
 #[derive(Debug, Clone, Copy, Default)]
-pub(super) struct PoolLoad {
+struct PoolLoad {
     /// Targets that report to be ready, whether they may be given runs now or not.
     known: usize,
     targets: usize,
     total: Resources,
-    /// Targets without a run, in targets of mean size.
-    idle: f64,
     /// Resources in use, in targets of mean size.
     busy: f64,
     /// Milliseconds of work that the pool does in a millisecond, in targets of mean size.
     rate: f64,
+    /// Milliseconds of work of the jobs that go first, in targets of mean size.
+    ahead: f64,
 }
 
 impl PoolLoad {
@@ -59,77 +50,50 @@
 }
 
 impl Board {
-    /// Returns the jobs to refuse now, each with the reason and the queue that was preferred: those that can't be in time
-    /// together with the others of their pool, and late ones while others wait that can be in time. Jobs of a pool whose
-    /// room is unknown, as in a takeover, are taken to have room.
-    pub(super) fn jobs_without_room(&self, now: Time, loads: &PoolLoads) -> Vec<(JobKey, RefusalReason, Option<Lane>)> {
-        let mut over = Vec::new();
-        let settled = self.unlisted.is_empty();
-        for pool in self.backlog.pools() {
-            let Some(load) = loads.get(pool.as_str()) else { continue };
-            let most = (JOBS_PER_TARGET * load.targets).max(MIN_JOBS);
-            let candidate = |(rank, key): (Rank, JobKey)| {
-                let job = &self.jobs[key];
-                let (lane, work) = (job.lane, waiting_work(job, load));
-                let (size, refusable) = (job.spec.work(), job.is_refusable());
-                Candidate { key, lane, latest_start: rank.latest_start(), work, size, refusable }
-            };
-            // Those that arrived since the last pass and start on idle targets at the next one.
-            let mut idle = load.idle;
-            let starts_at_once = |(_, key): &(Rank, JobKey)| {
-                idle -= waiting_share(&self.jobs[*key], load);
-                idle >= 0.0
-            };
-            let timely = self.backlog.of_class(pool, PriorityClass::Timely, most).skip_while(starts_at_once);
-            let candidates: Vec<Candidate<JobKey>> = timely.map(candidate).collect();
-            let mut backlog: f64 = candidates.iter().map(|job| job.work).sum();
-            if settled && load.is_full() {
-                for refusal in self.shortage.choose(now, Room { rate: load.rate }, &candidates) {
-                    backlog -= refusal.work;
-                    over.push((refusal.key, refusal.reason, Some(refusal.preferred)));
-                }
-            }
-            let short = load.is_full() && backlog > SHORT_BACKLOG_MILLIS * load.rate;
-            if short || !settled && !candidates.is_empty() {
-                let late = self.backlog.of_class(pool, PriorityClass::Late, most).map(|(_, key)| key);
-                let late = late.filter(|key| self.jobs[*key].is_refusable());
-                over.extend(late.map(|key| (key, RefusalReason::Late, None)));
+    /// Returns the jobs without a start that can be in time now, but not after the wait behind the jobs of their pool
+    /// that rank before them. Jobs that are returned do not count as waiting before others. Returns none during a
+    /// takeover, since the room of targets that have not listed their runs yet is unknown.
+    pub(super) fn jobs_without_room(&self, now: Time) -> IndexSet<JobKey> {
+        if !self.unlisted.is_empty() {
+            return IndexSet::new();
+        }
+        let mut loads = self.pool_loads(now);
+        let rank = |key: &JobKey| {
+            let job = &self.jobs[*key];
+            (job.deadlines.rank(now, Duration::from_millis(job.remaining_path())), *key)
+        };
+        let mut order: Vec<_> = self.waiting.iter().map(rank).collect();
+        order.sort_unstable();
+        let mut without_room = IndexSet::new();
+        for (rank, key) in order {
+            let job = &self.jobs[key];
+            let Some(load) = loads.get_mut(job.pool.as_str()).filter(|load| load.is_full()) else { continue };
+            let spare = (rank.latest_start() - now).as_secs_f64() * 1000.0;
+            let refusable = !job.stored && !job.is_started() && rank.class() == PriorityClass::Timely;
+            match WAIT_MARGIN * load.ahead / load.rate > spare {
+                true if refusable => drop(without_room.insert(key)),
+                _ => load.ahead += waiting_work(job, load),
             }
         }
-        over
-    }
-
-    /// Returns the time, in milliseconds, that the pool needs for the waiting tasks of a job.
-    pub(super) fn pool_millis(&self, loads: &PoolLoads, key: JobKey) -> f64 {
-        let job = &self.jobs[key];
-        let Some(load) = loads.get(job.pool.as_str()).filter(|load| load.rate > 0.0) else { return 0.0 };
-        waiting_work(job, load) / load.rate
+        without_room
     }
 
-    pub(super) fn pool_loads(&self, now: Time) -> PoolLoads {
+    fn pool_loads(&self, now: Time) -> IndexMap<&str, PoolLoad> {
         let usable = || self.targets.values().filter(|target| accepts_runs(target, now));
-        let mut loads = PoolLoads::new();
-        for pool in self.backlog.pools() {
-            loads.insert(pool.clone(), PoolLoad::default());
-        }
+        let mut loads: IndexMap<&str, PoolLoad> = IndexMap::new();
         let is_known = |target: &&Target| {
             target.report.state == TargetState::Ready && target.absent_since.is_none() && !target.evacuated
         };
         for target in self.targets.values().filter(is_known) {
-            if let Some(load) = loads.get_mut(&target.report.pool) {
-                load.known += 1;
-            }
+            loads.entry(target.report.pool.as_str()).or_default().known += 1;
         }
         for target in usable() {
-            let Some(load) = loads.get_mut(&target.report.pool) else { continue };
+            let load = loads.entry(target.report.pool.as_str()).or_default();
             load.targets += 1;
             load.total += target.report.resources;
         }
         for target in usable() {
-            let Some(load) = loads.get_mut(&target.report.pool) else { continue };
-            if target.runs.is_empty() {
-                load.idle += load.share(&target.report.resources);
-            }
+            let Some(load) = loads.get_mut(target.report.pool.as_str()) else { continue };
             let share = load.share(&target.used);
             load.busy += share;
             load.rate += share / target.health.time_ratio();
@@ -140,20 +104,12 @@
 
 /// Returns the work of the tasks of a job that wait for room, in milliseconds of targets of mean size.
 fn waiting_work(job: &Job, load: &PoolLoad) -> f64 {
-    sum_waiting(job, |waiting, step| waiting * load.share(&required_resources(step)) * step.estimate as f64)
-}
-
-/// Returns the room that the tasks of a job wait for, in targets of mean size.
-fn waiting_share(job: &Job, load: &PoolLoad) -> f64 {
-    sum_waiting(job, |waiting, step| waiting * load.share(&required_resources(step)))
-}
-
-/// Sums `of_step` over the steps that are ready, with the number of their tasks that wait.
-fn sum_waiting(job: &Job, of_step: impl Fn(f64, &Step) -> f64) -> f64 {
+    let work =
+        |waiting: usize, step: &Step| waiting as f64 * load.share(&required_resources(step)) * step.estimate as f64;
     let of_occurrence = |(occurrence, state): (&u32, &super::table::Occurrence)| -> f64 {
         let steps = state.steps.iter().zip(&job.spec.steps).enumerate();
         let ready = steps.filter(|(index, _)| job.is_step_ready(*occurrence, *index));
-        ready.map(|(_, (group, step))| of_step(group.waiting.len() as f64, step)).sum()
+        ready.map(|(_, (group, step))| work(group.waiting.len(), step)).sum()
     };
     job.occurrences.iter().map(of_occurrence).sum()
 }
--- a/crates/jobs/src/board/outcome.rs
+++ b/crates/jobs/src/board/outcome.rs
@@ -262,13 +262,15 @@
                 RunEnd::Done if target.listing_gap.as_secs_f64() * 1000.0 > took * MAX_LISTING_GAP_RATIO => {
                     target.health.record_success();
                 }
-                RunEnd::Done => self.record_run(key, end.task, run, took),
+                RunEnd::Done => {
+                    let ratio = target.health.time_ratio() * took / run.expected.max(1.0);
+                    target.health.record_run(ratio);
+                }
                 RunEnd::Failed => target.health.record_failure(now),
                 RunEnd::Lapsed => target.next_renewal = now,
                 RunEnd::Stopped | RunEnd::Broken | RunEnd::Alone => {}
             }
         }
-        let target = &mut self.targets[key];
         let ejected = target.health.is_ejected();
         log::debug!(
             task:% = end.task, run = end.run.0, how:? = end.run_end, target = target.report.id;
@@ -344,22 +346,6 @@
         }
     }
 
-    /// Records the run time of a completed run in the health of its target, and in its job.
-    fn record_run(&mut self, key: TargetKey, task: TaskId, run: &Run, took: f64) {
-        let health = &mut self.targets[key].health;
-        let ratio = took / run.expected.max(1.0);
-        let job = self.by_job.get(&task.job).map(|job| &mut self.jobs[*job]);
-        // The begin of an adopted run is not known, nor the work that a checkpoint saves or the wait for a gang.
-        let timed = job.filter(|job| {
-            let step = job.spec.steps.get(task.step as usize);
-            run.started_at.is_some() && !job.spec.endless && step.is_some_and(|step| !step.checkpoints && !step.gang)
-        });
-        match timed.and_then(|job| self.run_times.note_run(&job.queue, &job.spec, &mut job.seen, task, ratio)) {
-            Some(deviation) => health.record_deviation(deviation),
-            None => health.record_run(health.time_ratio() * ratio),
-        }
-    }
-
     /// Marks a task as done, and answers its job if that was the last task.
     pub(super) fn complete_task(&mut self, now: Time, id: TaskId) {
         let Some(key) = self.by_job.get(&id.job).copied() else { return };
@@ -380,9 +366,6 @@
         let job = &self.jobs[key];
         if job.is_complete() && !job.stored {
             self.answer(now, key, JobEnd::Completed);
-        } else if self.waiting.contains(&key) {
-            // A later step may be ready now.
-            self.enqueue(now, key);
         }
         self.dirty = true;
     }
@@ -405,7 +388,7 @@
                         TaskState::RecordingFailures(1) => {
                             task.state = TaskState::Waiting;
                             job.requeue(record.task);
-                            self.enqueue(now, key);
+                            self.waiting.insert(key);
                             self.stop_gang(now, key, record.task);
                         }
                         TaskState::RecordingFailures(count) => task.state = TaskState::RecordingFailures(count - 1),
--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -44,7 +44,7 @@
         if task.state == TaskState::Placed(target) {
             task.state = TaskState::Waiting;
             job.requeue(id);
-            self.enqueue(now, key);
+            self.waiting.insert(key);
             self.dirty = true;
             log::debug!(task:% = id, now = now.as_micros(); "board: task requeued");
             self.stop_gang(now, key, id);
--- a/crates/jobs/src/board/start.rs
+++ b/crates/jobs/src/board/start.rs
@@ -5,10 +5,9 @@
 use crate::placement::{
     accepts_runs, expected_millis, has_required_label, is_below_limit, required_resources, stall_timeout,
 };
-use crate::policy::{ESTIMATE_MARGIN, PriorityClass};
+use crate::policy::{ESTIMATE_MARGIN, PriorityClass, Rank};
 use crate::target::{Run, Target};
 use crate::{Resources, RunNumber, Step, TargetKey, TaskId};
-use indexmap::IndexMap;
 use mangogw_model::Time;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,11 +16,12 @@
 /// time: of equally fast targets the one that is filled best is chosen.
 const FRAGMENTATION_WEIGHT: f64 = 0.05;
 
-/// Number of jobs that a pass visits for each target that may be given runs: more than can start there between two
-/// inputs.
-const JOBS_PER_TARGET: usize = 4;
-/// Least number of jobs that a pass visits in each pool.
-const MIN_JOBS_PER_PASS: usize = 128;
+/// Maximum number of jobs considered in one pass: more than can start between two inputs, as 48 targets have room for
+/// 110 tasks.
+const MAX_JOBS_PER_PASS: usize = 128;
+
+/// Number of waiting jobs from which on jobs that can only be late are refused; fewer can start between two inputs.
+pub(super) const EARLY_REFUSAL_MIN_JOBS: usize = 8;
 
 /// Delay from which on the start of a whole step is logged.
 const MIN_LOGGED_DELAY: Duration = Duration::from_millis(20);
@@ -33,40 +33,19 @@
         if self.waiting.is_empty() {
             return;
         }
-        let mut pools: IndexMap<String, Vec<TargetKey>> = IndexMap::new();
-        for name in self.backlog.pools() {
-            pools.insert(name.clone(), Vec::new());
-        }
-        for (key, target) in self.targets.iter().filter(|(_, target)| accepts_runs(target, now)) {
-            if let Some(usable) = pools.get_mut(&target.report.pool) {
-                usable.push(key);
-            }
+        let min_need = self.min_need();
+        let usable = |target: &Target| accepts_runs(target, now) && target.free().can_fit(&min_need);
+        let mut open: Vec<TargetKey> =
+            self.targets.iter().filter(|(_, target)| usable(target)).map(|(key, _)| key).collect();
+        if open.is_empty() {
+            return;
         }
         let conflicting = self.conflicting_tasks();
-        let settled = self.unlisted.is_empty();
-        for (pool, mut open) in pools {
-            let most = (JOBS_PER_TARGET * open.len()).max(MIN_JOBS_PER_PASS);
-            if !open.iter().any(|key| self.targets[*key].free() != Resources::default()) {
-                continue;
-            }
-            let may_start = |key: JobKey| settled || self.jobs[key].first_attempt;
-            let visited = self.backlog.visit(&pool, most, may_start);
-            let min_need = self.min_need(&visited);
-            open.retain(|key| self.targets[*key].free().can_fit(&min_need));
-            // Needs that fit on no target; room only shrinks in a pass, so that whatever needs more fits on none either.
-            let mut too_large: Vec<Resources> = Vec::new();
-            for key in visited {
-                if open.is_empty() {
-                    break;
-                }
-                let is_too_large = |need: &Resources| too_large.iter().any(|least| need.can_fit(least));
-                if self.ready_needs(key).all(|need| is_too_large(&need)) {
-                    continue;
-                }
-                self.start_job(now, key, &mut open, &min_need, &conflicting);
-                let fits = |need: &Resources| open.iter().any(|at| self.targets[*at].free().can_fit(need));
-                too_large.extend(self.ready_needs(key).filter(|need| !fits(need)));
+        for (_, key) in self.ranked_jobs(now) {
+            if open.is_empty() {
+                return;
             }
+            self.start_job(now, key, &mut open, &min_need, &conflicting);
         }
     }
 
@@ -84,19 +63,9 @@
         tasks
     }
 
-    /// Returns what the waiting tasks of a job need, for each of its steps that is ready.
-    fn ready_needs(&self, key: JobKey) -> impl Iterator<Item = Resources> {
-        let job = &self.jobs[key];
-        job.occurrences.iter().flat_map(move |(occurrence, state)| {
-            let steps = state.steps.iter().enumerate();
-            let ready = steps.filter(|(at, group)| !group.waiting.is_empty() && job.is_step_ready(*occurrence, *at));
-            ready.map(|(at, _)| required_resources(&job.spec.steps[at]))
-        })
-    }
-
-    /// Returns, for each resource, the least that any task of the jobs needs.
-    fn min_need(&self, jobs: &[JobKey]) -> Resources {
-        let steps = jobs.iter().flat_map(|key| &self.jobs[*key].spec.steps).map(required_resources);
+    /// Returns, for each resource, the least that any waiting task needs.
+    fn min_need(&self) -> Resources {
+        let steps = self.waiting.iter().flat_map(|key| &self.jobs[*key].spec.steps).map(required_resources);
         let least = |a: Resources, b: Resources| Resources {
             cpu: a.cpu.min(b.cpu),
             memory: a.memory.min(b.memory),
@@ -105,6 +74,23 @@
         steps.reduce(least).unwrap_or_default()
     }
 
+    fn ranked_jobs(&self, now: Time) -> Vec<(Rank, JobKey)> {
+        let rank = |key: &JobKey| {
+            let job = &self.jobs[*key];
+            (job.deadlines.rank(now, Duration::from_millis(job.remaining_path())), *key)
+        };
+        let settled = self.unlisted.is_empty();
+        let may_start = |key: &&JobKey| settled || self.jobs[**key].first_attempt;
+        let mut order: Vec<_> = self.waiting.iter().filter(may_start).map(rank).collect();
+        // Of a long backlog only the first jobs can start.
+        if order.len() > MAX_JOBS_PER_PASS {
+            order.select_nth_unstable(MAX_JOBS_PER_PASS);
+            order.truncate(MAX_JOBS_PER_PASS);
+        }
+        order.sort_unstable();
+        order
+    }
+
     /// Starts the waiting tasks of one job, as far as they fit on the `open` targets.
     fn start_job(
         &mut self,
@@ -153,9 +139,7 @@
         }
         let job = &self.jobs[key];
         if job.occurrences.values().all(|occurrence| occurrence.steps.iter().all(|group| group.waiting.is_empty())) {
-            self.dequeue(key);
-        } else if !job.has_ready_task() {
-            self.backlog.remove(key);
+            self.waiting.swap_remove(&key);
         }
     }
 
--- a/crates/jobs/src/board/table.rs
+++ b/crates/jobs/src/board/table.rs
@@ -1,8 +1,6 @@
 //! Active jobs and the state of their tasks.
 
 use crate::job::MAX_TASKS;
-use crate::run_times::SeenSteps;
-use crate::shortage::Lane;
 use crate::{Deadlines, JobId, JobSpec, Queue, StoredJob, TargetKey, TaskId};
 use indexmap::IndexMap;
 use mangogw_model::Time;
@@ -19,19 +17,11 @@
 #[derive(Debug)]
 pub(crate) struct Job {
     pub(crate) id: JobId,
-    /// Steps with expected run times in place of the estimates of the client.
     pub(crate) spec: Arc<JobSpec>,
-    /// Estimates of the client, by step, in milliseconds.
-    pub(crate) estimates: SmallVec<[u64; 1]>,
-    /// Work of the tasks that have ended.
-    pub(crate) seen: SeenSteps,
     pub(crate) payload: Arc<str>,
     pub(crate) queue: String,
     pub(crate) pool: String,
     pub(crate) attempts: u32,
-    pub(crate) priority: u32,
-    /// Queue and size, for the decision on who is refused.
-    pub(crate) lane: Lane,
     pub(crate) arrived: Time,
     pub(crate) deadlines: Deadlines,
     /// Instant until which the client waits; `None` if it gave none.
@@ -101,14 +91,10 @@
         Self {
             id,
             payload: Arc::from(spec.payload.as_str()),
-            estimates: spec.steps.iter().map(|step| step.estimate).collect(),
-            seen: SeenSteps::new(),
             spec,
             queue: queue.name.clone(),
             pool: queue.pool.clone(),
             attempts: queue.attempts.max(1),
-            priority: queue.priority,
-            lane: Lane::default(),
             arrived,
             deadlines,
             deadline: None,
@@ -231,20 +217,6 @@
         self.spec.steps[step].depends_on.iter().all(done)
     }
 
-    /// Returns true if a task waits whose step is ready.
-    pub(crate) fn has_ready_task(&self) -> bool {
-        self.occurrences.iter().any(|(occurrence, state)| {
-            let waits =
-                |(step, group): (usize, &StepTasks)| !group.waiting.is_empty() && self.is_step_ready(*occurrence, step);
-            state.steps.iter().enumerate().any(waits)
-        })
-    }
-
-    /// Returns true if the job may be refused: it is not stored, and none of its tasks has started.
-    pub(crate) const fn is_refusable(&self) -> bool {
-        !self.stored && !self.is_started()
-    }
-
     /// Returns true if every task of every occurrence is done.
     pub(crate) fn is_complete(&self) -> bool {
         let complete = |occurrence: &Occurrence| occurrence.steps.iter().all(|group| group.remaining == 0);
--- a/crates/jobs/src/board/tick.rs
+++ b/crates/jobs/src/board/tick.rs
@@ -1,11 +1,12 @@
 //! Timeouts of targets, runs and jobs, and the start of occurrences that are due.
 
-use super::forecast::PoolLoads;
-use super::table::{Job, JobKey};
-use super::{Board, JOB_END_RETENTION, JobEnd, Output, Refused};
-use crate::shortage::{Lane, RefusalReason};
+use super::start::EARLY_REFUSAL_MIN_JOBS;
+use super::table::JobKey;
+use super::{Board, JOB_END_RETENTION, JobEnd, Output, RETRY_AFTER, Refused};
+use crate::policy::PriorityClass;
 use crate::target::{Run, RunState};
 use crate::{Command, TargetKey, TargetState, TaskId};
+use indexmap::IndexSet;
 use mangogw_model::Time;
 use std::time::Duration;
 
@@ -126,66 +127,41 @@
     /// Refuses jobs that have not started and can be of no use any more, or will have no room in time, and drops those
     /// whose client waits no longer.
     fn expire_jobs(&mut self, now: Time) {
-        for key in self.backlog.overdue(now) {
-            self.enqueue(now, key);
-        }
-        let timed_out = self.client_deadlines.iter().take_while(|(deadline, _)| now >= *deadline).map(|(_, key)| *key);
-        let timed_out: Vec<JobKey> = timed_out.filter(|key| !self.jobs[*key].stored).collect();
-        let mut loads = self.pool_loads(now);
-        for key in std::mem::take(&mut self.expired) {
-            if self.jobs.get(key).is_some_and(Job::is_refusable) {
-                self.refuse(now, &loads, key, RefusalReason::Expired, None);
-            }
-        }
-        for key in timed_out {
-            match self.jobs.get(key).map(Job::is_started) {
-                Some(true) => {
-                    log::info!(job:% = self.jobs[key].id; "board: job dropped; the deadline of its client has passed");
-                    self.counts.dropped += 1;
-                    self.drop_job(now, key);
-                }
-                Some(false) => self.refuse(now, &loads, key, RefusalReason::Expired, None),
-                None => {}
+        let crowded = self.waiting.len() >= EARLY_REFUSAL_MIN_JOBS;
+        let without_room = if crowded { self.jobs_without_room(now) } else { IndexSet::new() };
+        let over: Vec<(JobKey, bool)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| !job.stored)
+            .filter_map(|(key, job)| {
+                let left = Duration::from_millis(job.remaining_path());
+                let class = job.deadlines.rank(now, left).class();
+                let refused = !job.is_started()
+                    && (class == PriorityClass::Expired
+                        || crowded && class == PriorityClass::Late
+                        || without_room.contains(&key));
+                let timed_out = job.deadline.is_some_and(|deadline| now >= deadline);
+                (refused || timed_out).then_some((key, job.is_started()))
+            })
+            .collect();
+        for (key, started) in over {
+            if started {
+                log::info!(job:% = self.jobs[key].id; "board: job dropped; the deadline of its client has passed");
+                self.counts.dropped += 1;
+                self.drop_job(now, key);
+            } else {
+                self.answer(now, key, JobEnd::Refused(Refused { wait: RETRY_AFTER }));
             }
         }
-        let mut over = self.jobs_without_room(now, &loads);
-        // What has arrived since the last pass may have room.
-        if !over.is_empty() && self.dirty && !self.fenced {
-            self.last_pass = now;
-            self.start_waiting(now);
-            loads = self.pool_loads(now);
-            over = self.jobs_without_room(now, &loads);
-        }
-        for (key, reason, preferred) in over {
-            self.refuse(now, &loads, key, reason, preferred);
-        }
-    }
-
-    /// Refuses a job that has not started.
-    fn refuse(&mut self, now: Time, loads: &PoolLoads, key: JobKey, reason: RefusalReason, preferred: Option<Lane>) {
-        let millis = self.pool_millis(loads, key);
-        let job = &self.jobs[key];
-        self.shortage.record_refusal(now, job.lane, job.spec.work());
-        let wait = self.shortage.retry_after(now, &job.pool, job.priority, millis);
-        let preferred = preferred.map_or("", |lane| self.shortage.queue(lane));
-        let (age, retry) = ((now - job.arrived).as_millis() as u64, wait.as_secs());
-        log::info!(job:% = job.id, queue = job.queue, priority = job.priority, reason:?, preferred, age, retry; "board: job refused");
-        self.counts.record_refusal(reason, now - job.arrived);
-        self.answer(now, key, JobEnd::Refused(Refused { wait }));
     }
 
     /// Begins the occurrences that are due.
     fn begin_occurrences(&mut self, now: Time) {
         let wall_offset = self.settings.wall_offset;
-        let mut begun = Vec::new();
-        for key in &self.recurring {
-            if self.jobs[*key].begin_occurrences(wall_offset, now) {
-                begun.push(*key);
+        for (key, job) in &mut self.jobs {
+            if job.next_occurrence < job.spec.occurrences() && job.begin_occurrences(wall_offset, now) {
+                self.waiting.insert(key);
             }
         }
-        for key in begun {
-            self.enqueue(now, key);
-        }
-        self.recurring.retain(|key| self.jobs[*key].next_occurrence < self.jobs[*key].spec.occurrences());
     }
 }
--- a/crates/jobs/src/health.rs
+++ b/crates/jobs/src/health.rs
@@ -1,6 +1,5 @@
 //! Health of a target, learned from its runs: speed, consecutive failures, and ejection.
 
-use crate::JobId;
 use mangogw_model::Time;
 use std::time::Duration;
 
@@ -13,37 +12,15 @@
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(8);
 /// Weight of the newest run in the learned time ratio.
 const NEWEST_RUN_WEIGHT: f64 = 0.25;
-/// Weight of the first run.
-const FIRST_RUN_WEIGHT: f64 = 0.6;
-/// Weight of a run far from what was expected that is not taken for a long one of its kind.
-const ODD_RUN_WEIGHT: f64 = 0.6;
-/// Standard deviations from the expected run time beyond which a run is either from the tail of its kind or on a target
-/// whose speed has changed.
-const ODD_DEVIATIONS: f64 = 3.0;
 /// Range to which the time ratio of a run is clamped, because values outside are accidents of one run.
 const TIME_RATIO_RANGE: std::ops::RangeInclusive<f64> = 0.2..=12.0;
 
-/// Deviation of a run from its expected time.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Deviation {
-    /// Logarithm of the ratio of run time to expected time.
-    pub log_ratio: f64,
-    /// Standard deviation of that logarithm on a target that is as fast as expected.
-    pub spread: f64,
-    /// True if jobs of this kind take far longer than expected now and then, for reasons of their own.
-    pub may_be_long: bool,
-    /// Job of the run. Runs of one job may be slow for the same reason.
-    pub job: JobId,
-}
-
 /// Health of one target.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Health {
     /// Learned ratio of run time to expected run time; 1 before the first run.
     time_ratio: f64,
     runs: u32,
-    /// Job of the last run, if that run was far from what was expected, and whether it was longer.
-    odd_job: Option<(JobId, bool)>,
     failures: u32,
     ejection_time: Duration,
     ejected_until: Option<Time>,
@@ -55,7 +32,6 @@
         Self {
             time_ratio: 1.0,
             runs: 0,
-            odd_job: None,
             failures: 0,
             ejection_time: EJECTION_TIME,
             ejected_until: None,
@@ -86,41 +62,12 @@
     /// ```
     pub fn record_run(&mut self, ratio: f64) {
         let ratio = ratio.clamp(*TIME_RATIO_RANGE.start(), *TIME_RATIO_RANGE.end());
-        let weight = if self.runs == 0 { FIRST_RUN_WEIGHT } else { NEWEST_RUN_WEIGHT };
+        let weight = if self.runs == 0 { 0.6 } else { NEWEST_RUN_WEIGHT };
         self.time_ratio += weight * (ratio - self.time_ratio);
         self.runs = self.runs.saturating_add(1);
         self.record_success();
     }
 
-    /// Records a successful run whose time is known to spread. The load pattern is a kind of work of which one task in thirty
-    /// takes seven times as long: one such run says nothing about its target, a second one of another job does.
-    ///
-    /// ```
-    /// use mangogw_jobs::{Deviation, Health, JobId};
-    /// let mut health = Health::default();
-    /// let slow = |job| Deviation { log_ratio: 2.0, spread: 0.3, may_be_long: true, job: JobId(job) };
-    /// health.record_deviation(slow(1));
-    /// health.record_deviation(slow(1));
-    /// assert_eq!(health.time_ratio(), 1.0, "the job may be long");
-    /// health.record_deviation(slow(2));
-    /// assert!(health.time_ratio() > 3.0, "the target is slow");
-    /// ```
-    pub fn record_deviation(&mut self, run: Deviation) {
-        let odd = run.log_ratio.abs() > ODD_DEVIATIONS * run.spread;
-        let weight = match self.odd_job {
-            Some((job, longer)) if odd && job != run.job && longer == (run.log_ratio > 0.0) => ODD_RUN_WEIGHT,
-            _ if odd && !run.may_be_long => ODD_RUN_WEIGHT,
-            _ if odd => 0.0,
-            _ if self.runs == 0 => FIRST_RUN_WEIGHT,
-            _ => NEWEST_RUN_WEIGHT,
-        };
-        self.odd_job = odd.then_some((run.job, run.log_ratio > 0.0));
-        let ratio = self.time_ratio * (weight * run.log_ratio).exp();
-        self.time_ratio = ratio.clamp(*TIME_RATIO_RANGE.start(), *TIME_RATIO_RANGE.end());
-        self.runs = self.runs.saturating_add(1);
-        self.record_success();
-    }
-
     /// Records a successful run without its time, and ends an ejection.
     pub const fn record_success(&mut self) {
         *self = Self { failures: 0, ejection_time: EJECTION_TIME, ejected_until: None, probing: false, ..*self };
--- a/crates/jobs/src/job.rs
+++ b/crates/jobs/src/job.rs
@@ -9,9 +9,6 @@
 /// Maximum number of tasks of a job: ten times the largest that is expected (660).
 pub const MAX_TASKS: u64 = 6600;
 
-/// Cores that an accelerator counts as.
-const ACCELERATOR_CORES: f64 = 8.0;
-
 /// Group of equal tasks of a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
@@ -164,19 +161,6 @@
         size_of::<Self>() + self.payload.len() + self.steps.iter().map(size).sum::<usize>()
     }
 
-    /// Returns the estimated work of one occurrence, in core-milliseconds; an accelerator counts as 8 cores.
-    ///
-    /// ```
-    /// use mangogw_jobs::{JobSpec, Resources, Step};
-    /// let need = Resources { cpu: 500, ..Resources::default() };
-    /// let step = Step { count: 4, estimate: 100, need, ..Step::default() };
-    /// assert_eq!(JobSpec { steps: vec![step], ..JobSpec::default() }.work(), 200.0);
-    /// ```
-    pub fn work(&self) -> f64 {
-        let cores = |step: &Step| step.need.cpu as f64 / 1000.0 + ACCELERATOR_CORES * step.need.accelerators as f64;
-        self.steps.iter().map(|step| f64::from(step.count) * step.estimate as f64 * cores(step)).sum()
-    }
-
     /// Returns the number of occurrences, at least 1.
     pub const fn occurrences(&self) -> u32 {
         if self.times == 0 { 1 } else { self.times }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -23,16 +23,14 @@
 mod policy;
 mod queue;
 mod resources;
-mod run_times;
 mod settings;
-mod shortage;
 mod target;
 
 pub use board::{Board, JobEnd, Output, Refused, Submission};
 pub use clock::RemoteClock;
-pub use counts::{Counts, REFUSAL_AGE_BOUNDS_MILLIS};
+pub use counts::Counts;
 pub use evacuation::{Evacuation, Evacuations};
-pub use health::{Deviation, Health};
+pub use health::Health;
 pub use ids::{BadId, JobId, RunNumber, TaskId};
 pub use job::{BadJob, JobSpec, MAX_TASKS, Phase, Step};
 pub use ledger::{ApplyResult, ApplyStatus, Command, EndRecord, Ledger, StoredJob};
@@ -40,7 +38,6 @@
 pub use queue::{Pool, Queue, QueueSet};
 pub use resources::Resources;
 pub use settings::Settings;
-pub use shortage::{Candidate, Lane, Refusal, RefusalReason, Room, Shortage, retry_in};
 pub use target::{
     ActiveRun, Denial, EndedRun, Listing, ORDER_TIMEOUT, Order, OrderKind, Outcome, RunEnd, TargetKey, TargetReport,
     TargetState,
--- a/crates/jobs/src/policy.rs
+++ b/crates/jobs/src/policy.rs
@@ -77,11 +77,6 @@
 }
 
 impl Rank {
-    /// Returns the first rank of a class.
-    pub(crate) const fn first(class: PriorityClass) -> Self {
-        Self { class, latest_start: Time::ZERO }
-    }
-
     /// Returns the last instant at which the job can start and still reach what its class says.
     pub const fn latest_start(&self) -> Time {
         self.latest_start
--- a/crates/mangogwd/src/meters.rs
+++ b/crates/mangogwd/src/meters.rs
@@ -85,7 +85,6 @@
     for (name, value) in totals {
         counter!(name).absolute(value);
     }
-    count_refusals(&view.counts);
     count_links(links, &[]);
     handle.render()
 }
@@ -108,21 +107,6 @@
     counter!("mangogw_bodies_refused_total").absolute(counts.unread);
 }
 
-/// Sets the refused jobs by reason, and the histogram of their ages.
-fn count_refusals(counts: &mangogw_jobs::Counts) {
-    for (reason, value) in ["no-room", "displaced", "late", "expired"].into_iter().zip(counts.refused_by_reason) {
-        counter!("mangogw_jobs_refused_by_reason_total", "reason" => reason).absolute(value.into());
-    }
-    let bounds = mangogw_jobs::REFUSAL_AGE_BOUNDS_MILLIS.iter().map(u64::to_string).chain(["+Inf".to_owned()]);
-    let mut below = 0;
-    for (bound, value) in bounds.zip(counts.refused_by_age) {
-        below += u64::from(value);
-        counter!("mangogw_refusal_age_ms_bucket", "le" => bound).absolute(below);
-    }
-    counter!("mangogw_refusal_age_ms_sum").absolute(counts.refusal_age);
-    counter!("mangogw_refusal_age_ms_count").absolute(below);
-}
-
 fn count_links(counts: &Counts, labels: &[(&'static str, String)]) {
     let total = |name: &'static str, value: u64| counter!(name, labels).absolute(value);
     total("mangogw_link_frames_total", counts.sent.load(Ordering::Relaxed));
