--- a/review/stand-3/check.rs
+++ b/review/stand-3/check.rs
@@ -60,20 +60,3 @@
     }
     best
 }
-
-/// Returns the highest sum of what runs take between `from` and `to` on executors that `counts` names.
-pub fn most_used(
-    spans: &[Span],
-    counts: impl Fn(&str) -> bool,
-    need: impl Fn(&str) -> u64,
-    from: Duration,
-    to: Duration,
-) -> u64 {
-    let at: Vec<Duration> =
-        spans.iter().map(|span| span.from).filter(|at| *at > from && *at < to).chain([from]).collect();
-    let used = |now: Duration| -> u64 {
-        let active = spans.iter().filter(|span| counts(&span.executor) && span.from <= now && now < span.to);
-        active.map(|span| need(&span.task)).sum()
-    };
-    at.into_iter().map(used).max().unwrap_or(0)
-}
--- a/review/stand-3/executor.rs
+++ b/review/stand-3/executor.rs
@@ -41,7 +41,6 @@
     saved_done: Duration,
     saved: String,
     stop_at: Option<Instant>,
-    fail: bool,
     gang: Option<Gang>,
 }
 
@@ -105,6 +104,8 @@
     draining: bool,
     drain_acked: bool,
     cut_off: bool,
+    /// Fencing tokens of the hosts that reach the executor while a zone is cut off; it is silent to all others.
+    reach: (u64, u64),
     next_heartbeat: Instant,
     streams: Vec<TcpStream>,
 }
@@ -118,7 +119,7 @@
     pub labels: Vec<String>,
     pub cpu: u64,
     timing: Timing,
-    controls: Vec<SocketAddr>,
+    controls: Mutex<Vec<SocketAddr>>,
     record: Arc<Record>,
     state: Mutex<State>,
     changed: Condvar,
@@ -155,6 +156,7 @@
             draining: false,
             drain_acked: false,
             cut_off: false,
+            reach: (0, u64::MAX),
             next_heartbeat: now,
             streams: Vec::new(),
         };
@@ -166,7 +168,7 @@
             labels: labels.iter().map(|label| (*label).to_owned()).collect(),
             cpu: 16_000,
             timing,
-            controls,
+            controls: Mutex::new(controls),
             record: Arc::clone(record),
             state: Mutex::new(state),
             changed: Condvar::new(),
@@ -243,7 +245,6 @@
             }
             let how = match () {
                 () if lapsed => "lapsed",
-                () if run.fail => "failed",
                 () if member.is_some_and(|(_, _, broken)| broken) => "broken",
                 () if member.is_some_and(|(begun, whole, _)| whole.is_none() && now - begun >= GANG_TIMEOUT) => "alone",
                 () if run.stop_at.is_some_and(|stop| now >= stop) => "stopped",
@@ -313,6 +314,11 @@
         }
         self.settle(&mut state);
         let token = body.get("fencingToken").number().unwrap_or(0);
+        if token < state.reach.0 || token > state.reach.1 {
+            drop(state);
+            thread::sleep(Duration::from_secs(6));
+            return None;
+        }
         if token < state.token {
             return Self::refuse(&state, "fence");
         }
@@ -367,7 +373,6 @@
                     saved_done,
                     saved: checkpoint,
                     stop_at: None,
-                    fail: spec.starts_with("hopeless"),
                     gang,
                 });
                 Some((200, format!("{{{}}}", Self::stamp(&state))))
@@ -456,8 +461,9 @@
             );
             drop(state);
             let path = format!("/Instances.Heartbeat/{}", self.id);
-            let acked = (0..self.controls.len()).any(|_| {
-                let to = self.controls[at % self.controls.len()];
+            let controls = self.controls.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+            let acked = (0..controls.len()).any(|_| {
+                let to = controls[at % controls.len()];
                 let response = http::call(to, "POST", &path, &host_header(to), &body, Duration::from_secs(1));
                 let acked = matches!(response, Some((200..=299, _)));
                 at += usize::from(!acked);
@@ -482,7 +488,7 @@
         thread::sleep(serve);
         let body = format!("{{\"born\":{}}}", self.lock().born);
         let path = format!("/Instances.Deregister/{}", self.id);
-        for to in &self.controls {
+        for to in &self.controls.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone() {
             if let Some((200..=299, _)) =
                 http::call(*to, "POST", &path, &host_header(*to), &body, Duration::from_secs(1))
             {
@@ -520,6 +526,12 @@
         self.record.note(&format!("{} is cut off: {cut_off}", self.id));
     }
 
+    /// Leaves all orders unanswered but those with fencing tokens in `reach`, and reports to `controls` only.
+    pub fn set_reach(&self, reach: (u64, u64), controls: Vec<SocketAddr>) {
+        self.lock().reach = reach;
+        *self.controls.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = controls;
+    }
+
     /// Waits while the executor is cut off; returns false if it was, since the bytes are lost.
     fn is_reached(&self) -> bool {
         let mut state = self.lock();
@@ -530,13 +542,6 @@
         reached
     }
 
-    /// Ends the first run of a job as failed. Returns false if there is none.
-    pub fn fail_one(&self, job: &str) -> bool {
-        let mut state = self.lock();
-        let run = state.running.iter_mut().find(|run| run.task.starts_with(job));
-        run.map(|run| run.fail = true).is_some()
-    }
-
     /// Returns the tasks that run here; `None` once the executor has ended.
     pub fn tasks(&self) -> Option<Vec<String>> {
         let state = self.lock();
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -9,6 +9,7 @@
 mod hosts;
 mod http;
 mod json;
+mod proxy;
 mod record;
 
 fn main() {
