--- a/review/stand-3/cases.rs
+++ b/review/stand-3/cases.rs
@@ -219,21 +219,31 @@
     broken
 }
 
-/// An entry machine loses power, and the leader's zone is cut off; the client sends its job again, elsewhere.
+/// Three times, an entry machine loses power and the leader's zone is cut off; the client sends its job again, elsewhere.
 fn twice(record: &Arc<Record>, trouble: bool) -> bool {
     let set = config(7, &[("r-3hwrr6x", PREFIX, "huvo11a")], &["huvo11a"]);
     let mut play = Play::start_at(LANTERN, record, &[("huvo11a", "a"); 9], &set, true);
+    for round in 1..=3 {
+        lose_entry(record, &mut play, &format!("00000000000000a{round}"), trouble);
+        // The hosts count as back 4 s after the cut.
+        sleep(seconds(8.0));
+    }
+    overlaps(record)
+}
+
+/// Plays one loss of an entry machine and one cut of the leader's zone around a job.
+fn lose_entry(record: &Arc<Record>, play: &mut Play, job: &str, trouble: bool) {
     let Some(leader) = play.hosts.leader() else { play.hosts.fail("no host leads") };
     let zone = play.hosts.zone(leader);
     let outside: Vec<usize> = (0..3).filter(|at| *at != leader).collect();
     let fronts = play.hosts.fronts();
     record.note(&format!("the leader is in zone {zone}"));
-    let job = "00000000000000a1";
+    let own_job = job.to_owned();
     // One entry host after the other, in the two other zones.
     let client = Client { fronts: vec![fronts[outside[0]], fronts[outside[1]]], ..play.client.clone() };
     let waiting = std::thread::spawn(move || {
         client.submit(
-            job,
+            &own_job,
             "{\"spec\":\"w0=2500\",\"bestEffort\":true,\"phases\":[{\"count\":13,\"cpu\":6800,\"memMb\":64,\"estimateMs\":2500}]}",
             6000,
         )
@@ -266,7 +276,10 @@
         record.note(&format!("zone {zone} is joined again"));
     }
     let _ = waiting.join();
-    sleep(seconds(2.0));
+}
+
+/// Returns true if two runs of a task went on at the same time.
+fn overlaps(record: &Record) -> bool {
     let all = spans(&record.events(), record.now());
     let mut broken = false;
     for (at, one) in all.iter().enumerate() {
--- a/review/stand-3/hosts.rs
+++ b/review/stand-3/hosts.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -44,6 +44,17 @@
     std::process::exit(2);
 }
 
+/// Ids of the processes that run.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Kills all processes that the script has started.
+pub fn kill_all() {
+    let ids = std::mem::take(&mut *RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner));
+    for id in ids {
+        let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {id}")).status();
+    }
+}
+
 fn random() -> u64 {
     let mut bytes = [0; 8];
     let mut file = fs::File::open("/dev/urandom").expect("random numbers");
@@ -133,6 +144,7 @@
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("{PROGRAM}: {error}")));
         self.record.note(&format!("process {} starts", host.name));
+        RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner).push(child.id());
         self.list[at].child = Some(child);
     }
 
@@ -175,6 +187,7 @@
     pub fn kill(&mut self, at: usize) {
         let host = &mut self.list[at];
         if let Some(mut child) = host.child.take() {
+            RUNNING.lock().unwrap_or_else(std::sync::PoisonError::into_inner).retain(|id| *id != child.id());
             let _ = child.kill();
             let _ = child.wait();
             self.record.note(&format!("process {} is killed", host.name));
@@ -223,11 +236,8 @@
 
     pub fn fail(&self, why: &str) -> ! {
         self.record.note(why);
-        for host in &self.list {
-            if let Some(child) = &host.child {
-                let _ = Command::new("sh").arg("-c").arg(format!("kill -KILL {}", child.id())).status();
-            }
-        }
+        kill_all();
+        let _ = fs::remove_dir_all(&self.folder);
         cannot_run(why)
     }
 
--- a/review/stand-3/main.rs
+++ b/review/stand-3/main.rs
@@ -19,9 +19,12 @@
     // Ends a script that hangs.
     std::thread::spawn(|| {
         std::thread::sleep(std::time::Duration::from_secs(118));
-        eprintln!("could not run: 118 s are over");
-        std::process::exit(2);
+        hosts::kill_all();
+        hosts::cannot_run("118 s are over");
     });
-    let broken = cases::run(case, record, !trouble);
+    let Ok(broken) = std::panic::catch_unwind(|| cases::run(case, record, !trouble)) else {
+        hosts::kill_all();
+        hosts::cannot_run("a fault of the script");
+    };
     std::process::exit(i32::from(broken));
 }
