Stop the runs for lost hosts after the end of a leadership

Cause: clients wait before they send again so that the leader can miss a lost host (0.78 s) and stop the runs for its clients. A leader that stepped down in between forgot its open calls, so nobody stopped these runs, while its leases went on for up to 1 s.

Ruled out from the logs: renewals after the end of the leadership (none), stops that did not arrive (none were sent; the zone of the old leader was reachable). That the next leader takes the job for a first attempt is true and can't be told there.

Change: a leader keeps the runs of silent hosts when its leadership ends, and stops those whose hosts stay silent, until its leases are over. The stops carry its own token; targets that the next leader has reached refuse them.

--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -362,7 +362,7 @@
                     || member.is_fenced()
                     || member.ledger.evacuations.revision() < self.calls.seen_evacuations() =>
             {
-                member.close_isolated();
+                member.close_isolated(now);
                 self.isolation.on_closed(now);
             }
             None | Some(_) => {}
@@ -488,7 +488,8 @@
 
     /// Issues an order: to the shell of this host, or to a forwarder if there are many targets.
     fn dispatch(&mut self, now: Time, order: Order) {
-        let forward = self.member.as_ref().is_some_and(|member| member.target_count() > self.settings.direct_targets);
+        let forward =
+            self.member.as_ref().is_some_and(|member| member.ordered_targets() > self.settings.direct_targets);
         let (number, forwarder) = self.forwarders.assign(now, &order, forward);
         match forwarder {
             None => {
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -1,11 +1,13 @@
 //! A member of the control group: the replicated log, the ledger built from it and, on the leader, the board.
 
 mod entries;
+mod expiring;
 mod isolated;
 mod membership_log;
 
 use crate::membership::Membership;
 use crate::{Call, HostInfo, HostMetrics, Message, Reply, Settings};
+use expiring::ExpiringRuns;
 use indexmap::IndexMap;
 use mangogw_jobs::Order;
 use mangogw_jobs::{
@@ -37,6 +39,14 @@
     pub(crate) serial: u64,
 }
 
+/// What this member knows of a host that has asked for the leader.
+#[derive(Debug)]
+struct KnownHost {
+    incarnation: u64,
+    /// Time of its last query.
+    heard: Time,
+}
+
 /// A call received by a new leader before its board was open.
 #[derive(Debug)]
 struct EarlyCall {
@@ -93,8 +103,10 @@
     /// Open calls by the number under which the board replies.
     by_reply_to: IndexMap<u64, CallId>,
     by_call_id: IndexMap<CallId, u64>,
-    /// Last incarnation of each host that has asked for the leader.
-    incarnations: IndexMap<HostId, u64>,
+    /// Hosts that have asked for the leader.
+    hosts: IndexMap<HostId, KnownHost>,
+    /// Runs of ended leaderships of this member, whose leases may not be over.
+    expiring: ExpiringRuns,
     /// Calls received before the board was open.
     early_calls: Vec<EarlyCall>,
     /// Commands that the log refused for now; they are proposed again at the next tick.
@@ -133,7 +145,8 @@
             serial: settings.seed << 24,
             by_reply_to: IndexMap::new(),
             by_call_id: IndexMap::new(),
-            incarnations: IndexMap::new(),
+            hosts: IndexMap::new(),
+            expiring: ExpiringRuns::default(),
             early_calls: Vec::new(),
             retries: Vec::new(),
             waiting_reads: Vec::new(),
@@ -193,10 +206,12 @@
         };
     }
 
-    /// Closes the board of the group or of an isolated zone and forgets its open calls.
-    fn close_board(&mut self) {
+    /// Closes the board of the group or of an isolated zone and forgets its open calls. The runs for their clients go on
+    /// until their leases end, unless their hosts are lost before.
+    fn close_board(&mut self, now: Time) {
         if let Some(board) = self.board.take() {
             self.counts = self.counts + board.counts();
+            self.expire_runs(now, &board);
         }
         self.isolated = false;
         self.by_reply_to.clear();
@@ -204,10 +219,15 @@
     }
 
     /// Returns the number of targets on the board, 0 without a board.
-    pub(crate) fn target_count(&self) -> usize {
+    fn target_count(&self) -> usize {
         self.board.as_ref().map_or(0, Board::target_count)
     }
 
+    /// Returns the number of targets that the orders of this member may be for: without a board, those of the ended one.
+    pub(crate) fn ordered_targets(&self) -> usize {
+        self.board.as_ref().map_or(self.ledger.targets.len(), Board::target_count)
+    }
+
     pub(crate) fn drain(&mut self, now: Time) -> Vec<MemberOutput> {
         self.process_outputs(now);
         std::mem::take(&mut self.outputs)
@@ -254,14 +274,16 @@
     }
 
     pub(crate) fn on_outcome(&mut self, now: Time, order: &Order, sent: Time, outcome: Outcome) {
-        if let Some(board) = self.board.as_mut().filter(|board| board.token() == order.token) {
-            board.on_outcome(now, order, sent, outcome);
+        match self.board.as_mut().filter(|board| board.token() == order.token) {
+            Some(board) => board.on_outcome(now, order, sent, outcome),
+            None => self.expiring.on_outcome(now, order, &outcome),
         }
     }
 
     pub(crate) fn on_tick(&mut self, now: Time) {
         self.raft.on_tick(now);
         self.process_outputs(now);
+        self.outputs.extend(self.expiring.due(now).into_iter().map(MemberOutput::Order));
         let Some(board) = &mut self.board else { return };
         board.on_tick(now);
         if self.isolated {
@@ -350,6 +372,7 @@
     /// Drops a call whose client has disconnected.
     pub(crate) fn on_disconnected(&mut self, now: Time, call_id: CallId) {
         self.early_calls.retain(|early| early.call_id != call_id);
+        self.expiring.on_disconnected(now, call_id);
         if let (Some(reply_to), Some(board)) = (self.by_call_id.swap_remove(&call_id), &mut self.board) {
             self.by_reply_to.swap_remove(&reply_to);
             board.on_disconnected(now, reply_to);
@@ -359,16 +382,17 @@
 
     /// Records the leader query of a host, and drops the calls of its earlier incarnation.
     pub(crate) fn on_host_info(&mut self, now: Time, host: HostId, info: &HostInfo) {
-        if self.incarnations.get(&host).is_some_and(|known| *known != info.incarnation) {
+        if self.hosts.get(&host).is_some_and(|known| known.incarnation != info.incarnation) {
             log::info!(host = host.0; "member: host has started again");
             self.on_host_lost(now, host);
         }
-        self.incarnations.insert(host, info.incarnation);
+        self.hosts.insert(host, KnownHost { incarnation: info.incarnation, heard: now });
     }
 
     /// Forgets a lost host and drops all its calls.
     pub(crate) fn on_host_lost(&mut self, now: Time, host: HostId) {
-        self.incarnations.swap_remove(&host);
+        self.hosts.swap_remove(&host);
+        self.expiring.on_host_lost(now, host);
         let call_ids: Vec<CallId> = self.by_call_id.keys().copied().filter(|call_id| call_id.host == host).collect();
         if !call_ids.is_empty() {
             log::info!(host = host.0, calls = call_ids.len(); "member: host lost, its calls are dropped");
--- a/crates/control/src/member/entries.rs
+++ b/crates/control/src/member/entries.rs
@@ -78,7 +78,7 @@
             }
             Output::Refused { tag, why, .. } => self.on_refused(now, tag, why),
             Output::Transferred { .. } => {}
-            Output::Role { role, term, leader } => self.on_role(role, term.0, leader),
+            Output::Role { role, term, leader } => self.on_role(now, role, term.0, leader),
             Output::Compact { index } => match self.ledger.encode() {
                 Ok(state) => self.raft.compact(now, index, state.into()),
                 Err(error) => log::error!(error:%; "member: can't encode the replicated state for a snapshot"),
@@ -87,17 +87,17 @@
         self.open_board(now);
     }
 
-    fn on_role(&mut self, role: Role, term: u64, leader: Option<HostId>) {
+    fn on_role(&mut self, now: Time, role: Role, term: u64, leader: Option<HostId>) {
         log::info!(role:?, term, leader = leader.map(|host| host.0); "member: role in the control group");
         let token = self.board.as_ref().map(Board::token);
         // An isolated zone keeps its leader until a leader of the group is known.
         match leader {
             None if self.isolated => return,
-            Some(_) if self.isolated => self.close_isolated(),
+            Some(_) if self.isolated => self.close_isolated(now),
             _ => {}
         }
         if role != Role::Leader || token.is_some_and(|token| token != token_of(term)) {
-            self.close_board();
+            self.close_board(now);
             self.retries.clear();
             for (call_id, ..) in std::mem::take(&mut self.waiting_reads) {
                 self.outputs.push(MemberOutput::Send(call_id.host, Message::NotLeader { serial: call_id.serial }));
@@ -113,7 +113,7 @@
     /// Opens the board once this member leads and has applied all entries of earlier terms.
     fn open_board(&mut self, now: Time) {
         if self.isolated && self.raft.role() == Role::Leader {
-            self.close_isolated();
+            self.close_isolated(now);
         }
         if self.board.is_some() || self.raft.leader_applied_index().is_none_or(|index| index > self.applied) {
             return;
--- a/crates/control/src/member/isolated.rs
+++ b/crates/control/src/member/isolated.rs
@@ -30,9 +30,9 @@
 
     /// Stops leading the isolated zone. Its runs are taken over by the next leader or end with their leases. Hosts
     /// learn of it from the answer to their next leader query and keep their calls open, since these may have started.
-    pub(crate) fn close_isolated(&mut self) {
+    pub(crate) fn close_isolated(&mut self, now: Time) {
         log::info!(calls = self.by_call_id.len(); "member: stopped serving this zone as an isolated zone");
-        self.close_board();
+        self.close_board(now);
     }
 
     /// Passes a target's report to the board of an isolated zone. The group receives it from the target later.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -47,6 +47,12 @@
         MAX_HOST_TIMEOUT.min(self.resend_delay.mul_f64(HOST_TIMEOUT_RATIO))
     }
 
+    /// Returns the silence of a host at the end of a leadership up to which the runs for its clients need no stop: were the
+    /// host lost with its last message, its clients would send again only after the last lease of that leadership.
+    pub(crate) fn harmless_silence(&self) -> Duration {
+        self.resend_delay.saturating_sub(self.jobs.lease_expiry())
+    }
+
     /// Returns the time without a leader after which a host uses an isolated zone. Before it is over, the leader has
     /// dropped the calls of the lost host, and their runs are stopped or have lost their lease by the slowest clock.
     pub fn isolation_timeout(&self) -> Duration {
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -13,7 +13,7 @@
 mod simulation;
 
 use mangogw_control::Reply;
-use simulation::{CONTROL_HOSTS, Faults, Simulation};
+use simulation::{CONTROL_HOSTS, Faults, HOSTS, Simulation};
 use std::time::Duration;
 
 /// All kinds of faults but draining targets and isolated zones, one of each kind at a time.
@@ -206,6 +206,101 @@
     }
 }
 
+/// Guards against two runs of one job: the leader has lost an entry host, and the order to stop the runs for its clients
+/// is lost before the leader is cut off.
+#[test]
+fn stops_without_an_answer_are_repeated_after_the_leadership() {
+    trace();
+    for seed in 200..206 {
+        let (mut sim, leader, entries) = serving_through_another_zone(seed);
+        sim.kill(entries[0], true, 5000);
+        sim.entry = Some(entries[1]);
+        sim.run_for(Duration::from_millis(700));
+        sim.cut_targets_of(leader, std::iter::once(leader), true);
+        sim.run_for(Duration::from_millis(50));
+        sim.set_isolated(Some(leader));
+        sim.run_for(Duration::from_millis(350));
+        sim.cut_targets_of(leader, std::iter::once(leader), false);
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}: {:#?}", sim.oracle.violations);
+    }
+}
+
+/// Guards against two runs of one job: an entry host dies, the leader hands over before it misses that host, and the next
+/// leader can't reach a part of the targets.
+#[test]
+fn runs_for_a_dead_host_end_beside_a_hand_over() {
+    trace();
+    for (seed, delay) in (200..206).flat_map(|seed| [300, 600].map(|delay| (seed, delay))) {
+        let (mut sim, leader, entries) = serving_through_another_zone(seed);
+        sim.kill(entries[0], true, 5000);
+        sim.entry = Some(entries[1]);
+        sim.run_for(Duration::from_millis(delay));
+        sim.cut_targets_of(leader, (0..HOSTS).filter(|host| *host != leader), true);
+        sim.hand_over(leader);
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}, {delay} ms: {:#?}", sim.oracle.violations);
+    }
+}
+
+/// Guards against runs that are given up though their clients wait: their host is silent for a moment beside a hand-over.
+#[test]
+fn runs_for_a_paused_host_go_on_over_a_hand_over() {
+    trace();
+    let mut running = 0;
+    for seed in 200..206 {
+        let mut sim = Simulation::new(seed, Faults::default(), 36, 100, 0.0);
+        sim.job_timeout = Duration::from_secs(8);
+        sim.entry = Some(CONTROL_HOSTS);
+        sim.run_for(Duration::from_secs(6));
+        let leader = sim.leader().expect("the group has a leader without faults");
+        while sim.oracle.running() < 6 {
+            sim.run_for(Duration::from_millis(10));
+        }
+        sim.freeze(CONTROL_HOSTS, 450);
+        sim.run_for(Duration::from_millis(300));
+        running += sim.oracle.running();
+        let from = sim.now;
+        sim.hand_over(leader);
+        sim.run_for(Duration::from_secs(2));
+        let broken: Vec<_> = sim.oracle.broken.iter().filter(|(at, _)| *at >= from).collect();
+        assert!(broken.is_empty(), "seed {seed}: {broken:?}");
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}: {:#?}", sim.oracle.violations);
+    }
+    assert!(running >= 6, "only {running} runs over the hand-overs");
+}
+
+/// Guards against two runs of one job: an entry host dies, then the leader with its zone cut off, so that nobody stops the
+/// runs for clients that send again before the last lease is over.
+#[test]
+fn jobs_of_a_dead_entry_host_start_after_the_leases_of_a_dead_leader() {
+    trace();
+    for (seed, delay) in (200..206).flat_map(|seed| [300, 400, 600].map(|delay| (seed, delay))) {
+        let (mut sim, leader, entries) = serving_through_another_zone(seed);
+        sim.kill(entries[0], true, 5000);
+        sim.entry = Some(entries[1]);
+        sim.run_for(Duration::from_millis(delay));
+        sim.set_isolated(Some(leader));
+        sim.kill(leader, true, 5000);
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}, {delay} ms: {:#?}", sim.oracle.violations);
+    }
+}
+
+/// Guards against two runs of one job: the leader misses a dead entry host only after its zone is cut off, and the next
+/// leader starts what clients send again before targets that run it have listed their runs.
+#[test]
+fn jobs_of_a_dead_entry_host_start_after_the_lists_of_targets() {
+    trace();
+    let (mut sim, leader, entries) = serving_through_another_zone(206);
+    sim.kill(entries[0], true, 5000);
+    sim.entry = Some(entries[1]);
+    sim.run_for(Duration::from_millis(700));
+    sim.set_isolated(Some(leader));
+    sim.run_for(Duration::from_secs(3));
+    assert!(sim.oracle.violations.is_empty(), "{:#?}", sim.oracle.violations);
+}
+
 /// Guards against runs that go on for clients that are gone: the host is back before the leader misses it.
 #[test]
 fn runs_for_a_host_that_starts_again_end_within_a_second() {
--- a/crates/control/tests/group/simulation/faults.rs
+++ b/crates/control/tests/group/simulation/faults.rs
@@ -54,6 +54,20 @@
         self.process_effects(host);
     }
 
+    /// Loses all orders of the hosts, and the answers to them, at the targets of a zone; or no more.
+    pub fn cut_targets_of(&mut self, zone: usize, hosts: impl Iterator<Item = usize>, cut: bool) {
+        for host in hosts {
+            for target in (0..self.targets.len()).filter(|target| target % ZONES == zone) {
+                for link in [(target, host, true), (target, host, false)] {
+                    match cut {
+                        true => drop(self.cut_targets.insert(link)),
+                        false => drop(self.cut_targets.remove(&link)),
+                    }
+                }
+            }
+        }
+    }
+
     /// Crashes a target for good.
     pub fn lose_target(&mut self, target: usize) {
         self.oracle.on_crash((target, self.targets[target].report.incarnation));
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -17,6 +17,7 @@
 };
 use indexmap::{IndexMap, IndexSet};
 use mangogw_model::{Time, Zone};
+pub use runs::LeasedRun;
 use slotmap::SlotMap;
 use std::cmp::Ordering;
 use std::sync::Arc;
@@ -473,8 +474,13 @@
         if self.fenced {
             return;
         }
+        let order = self.order_to(key, kind);
+        self.outputs.push(Output::Order(order));
+    }
+
+    fn order_to(&self, key: TargetKey, kind: OrderKind) -> Order {
         let Target { report, call_timeout, .. } = &self.targets[key];
-        let order = Order {
+        Order {
             target: key,
             id: report.id.clone(),
             incarnation: report.incarnation,
@@ -483,8 +489,7 @@
             token: self.token,
             time_limit: call_timeout.as_millis() as u64,
             kind,
-        };
-        self.outputs.push(Output::Order(order));
+        }
     }
 
     /// Removes an incarnation of a target that has ended, and requeues the tasks that ran there.
--- a/crates/jobs/src/board/runs.rs
+++ b/crates/jobs/src/board/runs.rs
@@ -2,12 +2,50 @@
 
 use super::Board;
 use super::table::{JobKey, TaskState};
+use super::tick::ORPHAN_GRACE_PERIOD;
 use crate::placement::{expected_millis, required_resources, stall_timeout};
-use crate::target::{Denial, OrderKind, OrphanRun, Outcome, Run, RunState};
+use crate::target::{Denial, ORDER_TIMEOUT, Order, OrderKind, OrphanRun, Outcome, Run, RunState};
 use crate::{RunEnd, RunNumber, TargetKey, TaskId};
 use mangogw_model::Time;
 
+/// Run that goes on under its lease after the leadership that started it, and that no later leader knows to be its own.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LeasedRun {
+    /// Order to stop the run, under the fencing token of that leadership.
+    pub stop: Order,
+    /// Numbers under which answers to the clients of its job are due; empty if nobody waits for it.
+    pub recipients: Vec<u64>,
+    /// Time of the first stop if nobody waits for the run.
+    pub stop_at: Time,
+}
+
 impl Board {
+    /// Returns the runs whose clients only this leadership knows: those of jobs that are not stored, and those that it stops
+    /// or has found without a job. Runs of stored jobs are in the ledger, which the next leader has.
+    pub fn leased_runs(&self, now: Time) -> Vec<LeasedRun> {
+        let mut leased = Vec::new();
+        for (key, target) in &self.targets {
+            let stop = |task: &TaskId, run| self.order_to(key, OrderKind::Stop { task: *task, run });
+            for (task, run) in &target.runs {
+                let job = self.by_job.get(&task.job).map(|job| &self.jobs[*job]);
+                let (recipients, stop_at) = match job {
+                    Some(job) if job.stored => continue,
+                    Some(job) => (job.recipients.to_vec(), now),
+                    // The target has answered that it stops the run.
+                    None if run.state == RunState::Stopping && run.started_at.is_some() => continue,
+                    None if run.state == RunState::Stopping => (Vec::new(), run.sent + ORDER_TIMEOUT),
+                    None => (Vec::new(), now),
+                };
+                leased.push(LeasedRun { stop: stop(task, run.number), recipients, stop_at });
+            }
+            for (task, orphan) in &target.orphans {
+                let stop_at = orphan.stop_sent.map_or(orphan.found + ORPHAN_GRACE_PERIOD, |sent| sent + ORDER_TIMEOUT);
+                leased.push(LeasedRun { stop: stop(task, orphan.run), recipients: Vec::new(), stop_at });
+            }
+        }
+        leased
+    }
+
     /// Orders a target to stop a run, which holds its resources until its end is listed.
     pub(super) fn stop_run(&mut self, now: Time, key: TargetKey, task: TaskId) {
         let Some(target) = self.targets.get_mut(key) else { return };
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,7 +26,7 @@
 mod settings;
 mod target;
 
-pub use board::{Board, JobEnd, Output, Refused, Submission};
+pub use board::{Board, JobEnd, LeasedRun, Output, Refused, Submission};
 pub use clock::RemoteClock;
 pub use counts::Counts;
 pub use evacuation::{Evacuation, Evacuations};
