Don't call a call unknown whose answer is about to be sent

Cause: an entry host asks every 200 ms for its open calls. Between the refusal and the moment at which it is sent, the leader has forgotten the call; it answered UnknownCalls, which went out before the refusal. The entry host sent the call again and then couldn't promise any more that no send of it had been executed.

Ruled out: a change of the leader (none), a lost message (the links keep their order).

Change: a call whose answer waits in the outputs counts as open.

Measured: a_call_with_an_answer_on_its_way_is_not_unknown fails before, with UnknownCalls and then the refusal in one frame, and passes after.

--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -406,9 +406,12 @@
 
     /// Returns the serials of a host's calls that are not open on this member.
     pub(crate) fn unknown_calls(&self, host: HostId, serials: &[u64]) -> Vec<u64> {
+        // An answer that is about to be sent must not meet the call that was sent again.
+        let answers = |output: &MemberOutput, call_id| matches!(output, MemberOutput::Answer(to, _) if *to == call_id);
         let is_open = |call_id: CallId| {
             self.by_call_id.contains_key(&call_id)
                 || self.early_calls.iter().any(|early| early.call_id == call_id)
+                || self.outputs.iter().any(|output| answers(output, call_id))
                 || self.waiting_reads.iter().any(|(other, ..)| *other == call_id)
                 || self.pending.values().chain(&self.retries).any(|pending| pending.call_id() == Some(call_id))
         };
--- a/crates/control/tests/leader.rs
+++ b/crates/control/tests/leader.rs
@@ -212,3 +212,33 @@
         assert!(silence < Duration::from_millis(1500), "resend delay {resend_delay:?}: no order for {silence:?}");
     }
 }
+
+/// Guards against a refusal that its client doesn't get: an entry host that is told that its call is unknown, while the
+/// refusal is on its way, sends the call again and can't promise any more that it was not run.
+#[test]
+fn a_call_with_an_answer_on_its_way_is_not_unknown() {
+    let mut leader = Leader::open(100, RESEND_DELAY);
+    let need = Resources { cpu: 160_000, memory: 1, accelerators: 0 };
+    let step = Step { count: 1, need, estimate: 100, ..Step::default() };
+    let spec = Arc::new(JobSpec { steps: vec![step], transient: true, ..JobSpec::default() });
+    let timeout = Some(Duration::from_millis(200));
+    let call = Call::Submit { host: "h".to_owned(), path: "/p/".to_owned(), id: JobId(5), spec, timeout };
+    leader.host.on_message(leader.now, entry_host(1), Message::Call { serial: 5, first_attempt: true, call });
+    let mut answers = 0;
+    for _ in 0..40 {
+        leader.now += TICK;
+        leader.host.on_tick(leader.now);
+        leader.host.on_message(leader.now, entry_host(1), Message::OpenCalls(vec![5]));
+        let sent = leader.host.drain(leader.now).into_iter().filter_map(|effect| match effect {
+            Effect::Send { messages, .. } => Some(messages),
+            _ => None,
+        });
+        let sent: Vec<Message> = sent.flatten().collect();
+        if sent.iter().any(|message| matches!(message, Message::Answer { serial: 5, .. })) {
+            answers += 1;
+            assert!(!sent.iter().any(|message| matches!(message, Message::UnknownCalls(_))), "{sent:?}");
+            break;
+        }
+    }
+    assert_eq!(answers, 1);
+}
