Answer every request before a host that stops is gone

Cause: the end of the process is a deadline of each call that it holds, and nothing treated it as one. The leader went on waiting for the deadline of the client, 20 s; the entry host gave a call up at that deadline too, or for lack of a leader, and ended.

Change: the calls of a host that stops end 0.2 s before it, and the leader learns by when (Message::Deadlines, repeated every 0.2 s). So jobs that can end in time still run, those that can't are refused when that is known, and what runs at the end is stopped and answered as unclear. Bodies that have not arrived are given up. Log lines and counts of a stop.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -23,6 +23,10 @@
 const CALL_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Interval of the leader queries of a host.
 const LEADER_POLL_PERIOD: Duration = Duration::from_millis(150);
+/// Why a host that stops refuses a call.
+const STOPPING: &str = "not run: this host stops";
+/// Time by which the leader ends the calls of a host that stops before that host does, so that its answers arrive.
+const LEADER_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Time without an answer of the leader after which it counts as lost.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -135,6 +139,8 @@
     /// Time since which no leader is known.
     leaderless_since: Option<Time>,
     last_check: Time,
+    /// Time by which this host, which stops, ends its calls.
+    end_by: Option<Time>,
     /// Hosts that may be members of the control group.
     hosts: Vec<HostId>,
     pub(crate) sends: Vec<(HostId, Message)>,
@@ -169,6 +175,7 @@
             counts: CallCounts::default(),
             leaderless_since: Some(now),
             last_check: now,
+            end_by: None,
             hosts,
             sends: Vec::new(),
             replies: Vec::new(),
@@ -279,6 +286,12 @@
 
     /// Sends a call to the leader, now or once there is one. The call ends after its own timeout or `reply_timeout`.
     pub(crate) fn call(&mut self, now: Time, caller: Caller, call: Call, reply_timeout: Duration) {
+        if self.end_by.is_some_and(|end_by| now + LEADER_ANSWER_MARGIN >= end_by) {
+            self.counts.refused += 1;
+            return self
+                .replies
+                .push((caller, Reply::Refused { why: STOPPING.to_owned(), wait: hold::MIN_RETRY_DELAY }));
+        }
         let timeout = match &call {
             Call::Submit { timeout: Some(timeout), .. } => *timeout,
             _ => reply_timeout,
@@ -286,13 +299,34 @@
         self.serial += 1;
         let serial = self.serial;
         self.by_caller.insert(caller, serial);
-        self.open.insert(
-            serial,
-            OpenCall { caller, call, received: now, deadline: now + timeout, sent: None, uncertain_sends: 0 },
-        );
+        let deadline = (now + timeout).min(self.end_by.unwrap_or(Time::MAX));
+        self.open.insert(serial, OpenCall { caller, call, received: now, deadline, sent: None, uncertain_sends: 0 });
         self.send_or_hold(now, serial);
     }
 
+    /// Ends all calls, also those still to come, by `deadline`, and asks the leader to do so.
+    pub(crate) fn end_by(&mut self, now: Time, deadline: Time) {
+        log::info!(open = self.open.len(), left = (deadline - now).as_millis() as u64; "calls: this host stops and ends its calls");
+        self.end_by = Some(deadline);
+        for open in self.open.values_mut() {
+            open.deadline = open.deadline.min(deadline);
+        }
+        self.send_deadlines(now);
+    }
+
+    /// Tells the leader by when this host, if it stops, ends the jobs that are not stored.
+    fn send_deadlines(&mut self, now: Time) {
+        let (Some(leader), Some(_)) = (self.leader, self.end_by) else { return };
+        let is_transient = |call: &Call| matches!(call, Call::Submit { spec, .. } if spec.transient);
+        let sent = |open: &OpenCall| open.sent.is_some_and(|(to, _)| to == leader) && is_transient(&open.call);
+        let left = |open: &OpenCall| (open.deadline - now).saturating_sub(LEADER_ANSWER_MARGIN);
+        let calls: Vec<(u64, Duration)> =
+            self.open.iter().filter(|(_, open)| sent(open)).map(|(serial, open)| (*serial, left(open))).collect();
+        if !calls.is_empty() {
+            self.sends.push((leader, Message::Deadlines(calls)));
+        }
+    }
+
     /// Sends a call to the leader, unless it is a job and the leader is quiet.
     fn send_or_hold(&mut self, now: Time, serial: u64) {
         let is_job = self.open.get(&serial).is_some_and(|open| open.latest_start().is_some());
@@ -493,9 +527,10 @@
 
     fn send(&mut self, now: Time, serial: u64) {
         let (Some(leader), Some(open)) = (self.leader, self.open.get_mut(&serial)) else { return };
-        let remaining = open.deadline - now;
+        let margin = self.end_by.map_or(Duration::ZERO, |_| LEADER_ANSWER_MARGIN);
+        let remaining = (open.deadline - now).saturating_sub(margin);
         let call = match &open.call {
-            Call::Submit { host, path, id, spec, timeout: Some(_) } => {
+            Call::Submit { host, path, id, spec, timeout } if timeout.is_some() || self.end_by.is_some() => {
                 let (host, path, spec) = (host.clone(), path.clone(), std::sync::Arc::clone(spec));
                 Call::Submit { host, path, id: *id, spec, timeout: Some(remaining) }
             }
@@ -580,7 +615,11 @@
                         // Operators and targets are few, and move on to another host.
                         _ => hold::MIN_RETRY_DELAY,
                     };
-                    Reply::Refused { why: "not run: no leader can be reached".to_owned(), wait }
+                    let why = match self.end_by {
+                        Some(end_by) if now >= end_by => STOPPING,
+                        _ => "not run: no leader can be reached",
+                    };
+                    Reply::Refused { why: why.to_owned(), wait }
                 }
                 false => {
                     self.counts.unclear += 1;
@@ -588,12 +627,17 @@
                 }
             };
             let reason = match () {
+                () if self.end_by == Some(open.deadline) && now >= open.deadline => "stopping",
                 () if now >= open.deadline => "deadline",
                 () if open.sent.is_none() && open.is_late(now) => "late",
                 () => "leaderless",
             };
+            let job = match &open.call {
+                Call::Submit { id, .. } => Some(id.to_string()),
+                _ => None,
+            };
             log::info!(
-                serial, waited = (now - open.received).as_millis() as u64, clean, reason,
+                serial, job, waited = (now - open.received).as_millis() as u64, clean, reason,
                 leaderless = leaderless.as_millis() as u64, sends = open.uncertain_sends;
                 "calls: given up without a reply"
             );
@@ -606,6 +650,7 @@
 
     /// Asks the leader whether it still knows the calls that it was sent at least one check period ago.
     fn check_open(&mut self, now: Time) {
+        self.send_deadlines(now);
         let Some(leader) = self.leader else { return };
         let old = |open: &OpenCall| open.sent.is_some_and(|(to, at)| to == leader && now - at >= CALL_CHECK_PERIOD);
         let serials: Vec<u64> = self.open.iter().filter(|(_, open)| old(open)).map(|(serial, _)| *serial).collect();
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -221,6 +221,12 @@
         }
     }
 
+    /// Ends the calls of this host by `deadline`, before the process stops: jobs that can't be done by then are refused,
+    /// at once if that is known; calls whose outcome is not known by then end as unclear.
+    pub fn on_stopping(&mut self, now: Time, deadline: Time) {
+        self.calls.end_by(now, deadline);
+    }
+
     /// Returns true if this host leads the control group or has a leader to send calls to.
     pub fn is_ready(&self, now: Time) -> bool {
         match &self.member {
@@ -294,6 +300,11 @@
                 }
             }
             (Message::Disconnected(serial), Some(member)) => member.on_disconnected(now, CallId { host: from, serial }),
+            (Message::Deadlines(calls), Some(member)) => {
+                for (serial, left) in calls {
+                    member.on_deadline(now, CallId { host: from, serial }, left);
+                }
+            }
             (Message::FindLeader(info), Some(_)) => self.on_find_leader(now, from, &info),
             (Message::Orders(orders), _) => {
                 let order = |(number, order)| Effect::Order { id: OrderId { host: from, number }, order };
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -380,6 +380,18 @@
         self.process_outputs(now);
     }
 
+    /// Ends a call earlier than its client asked for.
+    pub(crate) fn on_deadline(&mut self, now: Time, call_id: CallId, left: Duration) {
+        for early in self.early_calls.iter_mut().filter(|early| early.call_id == call_id) {
+            if let Call::Submit { timeout, .. } = &mut early.call {
+                *timeout = Some(timeout.map_or(left, |timeout| timeout.min(left)));
+            }
+        }
+        if let (Some(reply_to), Some(board)) = (self.by_call_id.get(&call_id), &mut self.board) {
+            board.shorten(*reply_to, now + left);
+        }
+    }
+
     /// Records the leader query of a host, and drops the calls of its earlier incarnation.
     pub(crate) fn on_host_info(&mut self, now: Time, host: HostId, info: &HostInfo) {
         if self.hosts.get(&host).is_some_and(|known| known.incarnation != info.incarnation) {
--- a/crates/control/tests/calls.rs
+++ b/crates/control/tests/calls.rs
@@ -430,3 +430,38 @@
         assert!(record.unclear() > 10 && record.unclear() == record.replies.len(), "{:?}", record.replies);
     }
 }
+
+/// Guards against calls that are cut off without a reply when their host stops: they end by then, and the leader learns of
+/// it, again if the message is lost.
+#[test]
+fn calls_of_a_host_that_stops_end_before_it() {
+    let mut host = entry_host(Time::ZERO);
+    let deadlines = std::cell::RefCell::new(Vec::new());
+    let answer = |at: u64, to: IpAddr, message: &Message| match message {
+        Message::FindLeader(_) if to == IpAddr::V4(Ipv4Addr::new(10, 1, 0, 1)) => {
+            vec![leader_info(3, Some(control_host(1)))]
+        }
+        Message::Deadlines(calls) => {
+            deadlines.borrow_mut().extend(calls.iter().map(|(_, left)| (at, left.as_millis() as u64)));
+            Vec::new()
+        }
+        Message::Call { call: Call::Submit { timeout, .. }, .. } if at >= 500 => {
+            assert!(timeout.is_some_and(|timeout| timeout <= Duration::from_millis(2000 - at)), "{timeout:?} at {at}");
+            Vec::new()
+        }
+        _ => Vec::new(),
+    };
+    host.on_message(Time::ZERO, control_host(1), leader_info(3, Some(control_host(1))));
+    host.on_call(Time::ZERO, Caller(1), submit(1, 900, true));
+    run(&mut host, 0, 500, answer);
+    host.on_stopping(Time::from_millis(500), Time::from_millis(2000));
+    host.on_call(Time::from_millis(500), Caller(2), submit(2, 900, true));
+    let (replies, _) = run(&mut host, 500, 1600, answer);
+    assert_eq!(replies, [(2000, Reply::Unclear), (2000, Reply::Unclear)]);
+    let of_first = [(500, 1400), (600, 1300)];
+    assert!(of_first.iter().all(|expected| deadlines.borrow().contains(expected)), "{:?}", deadlines.borrow());
+    // What arrives later is not passed on.
+    host.on_call(Time::from_millis(2100), Caller(3), submit(3, 900, true));
+    let (replies, _) = run(&mut host, 2100, 20, answer);
+    assert!(matches!(replies.as_slice(), [(_, Reply::Refused { .. })]), "{replies:?}");
+}
--- a/crates/control/tests/group/main.rs
+++ b/crates/control/tests/group/main.rs
@@ -301,6 +301,34 @@
     assert!(sim.oracle.violations.is_empty(), "{:#?}", sim.oracle.violations);
 }
 
+/// Guards against calls without a reply, and against two runs of one job, when an entry host stops beside other faults.
+#[test]
+fn calls_at_hosts_that_stop_end_before_these() {
+    trace();
+    let mut ended = 0;
+    for (seed, fault) in (200..206).flat_map(|seed| [0, 1, 2, 3].map(|fault| (seed, fault))) {
+        let (mut sim, leader, entries) = serving_through_another_zone(seed);
+        sim.begin_stop(entries[0], Duration::from_secs(2));
+        sim.run_for(Duration::from_millis(300));
+        match fault {
+            0 => {}
+            1 => sim.set_isolated(Some(leader)),
+            2 => sim.kill(leader, true, 5000),
+            _ => sim.freeze(leader, 2500),
+        }
+        sim.run_for(Duration::from_millis(1690));
+        ended += sim.host_metrics(entries[0]).calls;
+        sim.run_for(Duration::from_millis(40));
+        assert!(sim.is_up(entries[0]));
+        assert_eq!(sim.host_metrics(entries[0]).calls, 0, "seed {seed}, fault {fault}");
+        sim.kill(entries[0], false, 5000);
+        sim.entry = Some(entries[1]);
+        sim.run_for(Duration::from_secs(4));
+        assert!(sim.oracle.violations.is_empty(), "seed {seed}, fault {fault}: {:#?}", sim.oracle.violations);
+    }
+    assert!(ended > 0, "no call was open at the end");
+}
+
 /// Guards against runs that go on for clients that are gone: the host is back before the leader misses it.
 #[test]
 fn runs_for_a_host_that_starts_again_end_within_a_second() {
--- a/crates/control/tests/group/simulation/group.rs
+++ b/crates/control/tests/group/simulation/group.rs
@@ -88,7 +88,7 @@
         self.nodes[host].control_host.is_some() && self.nodes[host].frozen_until <= self.now
     }
 
-    pub(super) fn host_metrics(&self, host: usize) -> HostMetrics {
+    pub fn host_metrics(&self, host: usize) -> HostMetrics {
         let control_host = self.nodes[host].control_host.as_ref();
         control_host.map(|control_host| control_host.metrics(self.now)).unwrap_or_default()
     }
@@ -153,6 +153,16 @@
         self.process_effects(host);
     }
 
+    /// Begins the stop of a host, which has to end its calls within `left`.
+    pub fn begin_stop(&mut self, host: usize, left: Duration) {
+        let now = self.now;
+        if let Some(control_host) = &mut self.nodes[host].control_host {
+            control_host.on_leaving(now);
+            control_host.on_stopping(now, now + left);
+        }
+        self.process_effects(host);
+    }
+
     /// Describes the control hosts, one a line.
     pub fn describe_group(&self) -> String {
         let state = |host| {
--- a/crates/jobs/src/board.rs
+++ b/crates/jobs/src/board.rs
@@ -324,7 +324,15 @@
             return;
         }
         if let Some(key) = self.by_job.get(&id).copied() {
-            self.jobs[key].recipients.push(reply_to);
+            let job = &mut self.jobs[key];
+            job.recipients.push(reply_to);
+            // The job goes on for the client that waits longest.
+            if let Some(earlier) = job.deadline
+                && deadline.is_none_or(|deadline| deadline > earlier)
+            {
+                job.deadline = deadline;
+                job.deadlines = deadlines_of(&job.spec, queue, job.arrived, deadline);
+            }
             self.by_reply_to.insert(reply_to, key);
             return;
         }
@@ -338,6 +346,17 @@
         self.adopt_runs(now, key);
     }
 
+    /// Ends a job that is not stored by `deadline`, earlier than its client asked for, unless other clients wait for it too.
+    pub fn shorten(&mut self, reply_to: u64, deadline: Time) {
+        let Some(job) = self.by_reply_to.get(&reply_to).and_then(|key| self.jobs.get_mut(*key)) else { return };
+        if job.recipients.len() > 1 || job.deadline.is_some_and(|earlier| earlier <= deadline) {
+            return;
+        }
+        job.deadline = Some(deadline);
+        job.deadlines = job.deadlines.until(deadline);
+        self.dirty = true;
+    }
+
     /// Loads a job that the ledger has stored; `first_attempt` is true if it was stored under this leadership.
     pub fn restore(&mut self, now: Time, id: JobId, stored_job: &StoredJob, first_attempt: bool) {
         if self.by_job.contains_key(&id) {
--- a/crates/jobs/src/policy.rs
+++ b/crates/jobs/src/policy.rs
@@ -59,8 +59,22 @@
         let path = critical_path.as_secs_f64() * stretch.max(1.0);
         let goal = Duration::try_from_secs_f64(path).unwrap_or(Duration::MAX).saturating_add(slack);
         let late = goal.saturating_mul(LATE_GOAL_MULTIPLE);
-        let end = deadline.unwrap_or(Time::MAX);
-        Self { goal: (arrived + goal).min(end), late_until: (arrived + late).min(end) }
+        Self { goal: arrived + goal, late_until: arrived + late }.until(deadline.unwrap_or(Time::MAX))
+    }
+
+    /// Returns the deadlines of the same job for a client that waits until `end` at most.
+    ///
+    /// ```
+    /// use mangogw_jobs::Deadlines;
+    /// use mangogw_model::Time;
+    /// use std::time::Duration;
+    /// let deadlines = Deadlines::new(Time::ZERO, Duration::from_millis(100), 1.6, Duration::from_millis(60), None);
+    /// assert_eq!(deadlines.until(Time::from_millis(300)).goal, Time::from_millis(220));
+    /// assert_eq!(deadlines.until(Time::from_millis(300)).late_until, Time::from_millis(300));
+    /// ```
+    #[must_use]
+    pub fn until(self, end: Time) -> Self {
+        Self { goal: self.goal.min(end), late_until: self.late_until.min(end) }
     }
 
     /// Returns the rank at `now` of a job that needs `left` from its next start to its end.
--- a/crates/jobs/tests/board.rs
+++ b/crates/jobs/tests/board.rs
@@ -1800,3 +1800,43 @@
     let ended: Vec<_> = starts.iter().zip(1..).map(|(start, number)| failed(start, number)).collect();
     assert_eq!(answer_for(&mut harness, 1400, &ended[..2]).len(), 0, "two failed runs");
 }
+
+/// Guards against jobs that are known not to end in time, and wait on: their client is answered earlier than it asked for.
+#[test]
+fn a_job_is_refused_once_it_can_not_end_by_its_shortened_deadline() {
+    let mut harness = Harness::open(&[]);
+    harness.queue.slack = 60_000;
+    harness.submit(1, 1, 1000, 60_000);
+    harness.submit(2, 1, 1000, 60_000);
+    harness.board.shorten(1, harness.now + Duration::from_secs(1));
+    harness.advance(850);
+    assert_eq!(harness.refused(), []);
+    harness.advance(50);
+    assert_eq!(harness.refused(), [1]);
+}
+
+/// Guards against a job that ends for the client of a host that stops, though another client waits for it elsewhere.
+#[test]
+fn a_shortened_job_goes_on_for_a_client_that_waits_longer() {
+    for joins_first in [false, true] {
+        let mut harness = Harness::open(&[]);
+        harness.queue.slack = 60_000;
+        harness.submit(1, 1, 1000, 60_000);
+        let queue = harness.queue.clone();
+        let join = |harness: &mut Harness| {
+            let spec = Arc::new(JobSpec { steps: vec![Step::default()], transient: true, ..JobSpec::default() });
+            let deadline = Some(harness.now + Duration::from_mins(1));
+            let submission = Submission { id: JobId(1), spec, deadline, reply_to: 7, first_attempt: false };
+            harness.board.admit(harness.now, submission, &queue);
+        };
+        if joins_first {
+            join(&mut harness);
+        }
+        harness.board.shorten(1, harness.now + Duration::from_secs(1));
+        if !joins_first {
+            join(&mut harness);
+        }
+        harness.advance(5000);
+        assert_eq!(harness.refused(), [], "joins first: {joins_first}");
+    }
+}
--- a/crates/mangogwd/src/api.rs
+++ b/crates/mangogwd/src/api.rs
@@ -123,6 +123,7 @@
             }
             Ok(Err(error @ BadBody::TooLarge { .. })) => Err(Refused::new(Code::BodyTooLarge, error.to_string())),
             Ok(Err(error @ BadBody::NoRoom)) => Err(Refused::new(held.full, error.to_string())),
+            Ok(Err(error @ BadBody::Stopping)) => Err(Refused::new(Code::Draining, error.to_string())),
             Ok(Err(error @ BadBody::Broken { .. })) => {
                 Err(Refused::new(Code::BadRequest, format!("the body could not be read: {error}")))
             }
--- a/crates/mangogwd/src/gate.rs
+++ b/crates/mangogwd/src/gate.rs
@@ -15,8 +15,8 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::Notify;
 use tokio::sync::futures::OwnedNotified;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
@@ -42,6 +42,9 @@
     /// This host has no room for it now.
     #[snafu(display("this host has no room for the body now"))]
     NoRoom,
+    /// This host stops before the body has arrived.
+    #[snafu(display("this host stops"))]
+    Stopping,
     /// The connection broke, or the body is malformed.
     #[snafu(display("{why}"))]
     Broken {
@@ -64,13 +67,20 @@
     state: Mutex<State>,
     /// Notified after each connection that has ended.
     released: Notify,
+    /// True once bodies that have not arrived are given up.
+    stopping: watch::Sender<bool>,
 }
 
 impl Gate {
     /// Returns a gate through which nobody has come, and the task that closes connections without progress.
     pub fn spawn(limits: Limits) -> (Arc<Self>, JoinHandle<()>) {
         let state = State { budget: Budget::new(limits), closers: IndexMap::new() };
-        let gate = Arc::new(Self { start: Instant::now(), state: Mutex::new(state), released: Notify::new() });
+        let gate = Arc::new(Self {
+            start: Instant::now(),
+            state: Mutex::new(state),
+            released: Notify::new(),
+            stopping: watch::Sender::new(false),
+        });
         let task = tokio::spawn(Arc::clone(&gate).close_stalled());
         (gate, task)
     }
@@ -88,6 +98,11 @@
         self.with_budget(|budget, _| budget.view())
     }
 
+    /// Gives up the bodies that have not arrived: reading them fails with [`BadBody::Stopping`].
+    pub fn end_reads(&self) {
+        self.stopping.send_replace(true);
+    }
+
     /// Takes room for a connection, for which others are closed if need be; `None` if there is none.
     pub async fn admit(self: &Arc<Self>, callers: Callers) -> Option<Arc<Ticket>> {
         let id = self.take(|budget, now| budget.open(now, callers)).await?;
@@ -186,6 +201,20 @@
     /// # Errors
     /// [`BadBody`]; a body whose announced length is over the limit is not read at all.
     pub async fn read<B>(self: &Arc<Self>, body: B, max: usize) -> Result<(Bytes, Charge), BadBody>
+    where
+        B: Body<Data = Bytes>,
+        B::Error: std::fmt::Display,
+    {
+        let mut stopping = self.gate.stopping.subscribe();
+        tokio::select! {
+            biased;
+            read = self.read_whole(body, max) => read,
+            // The watch fails only if the gate, which this ticket holds, were dropped.
+            _ = stopping.wait_for(|stopping| *stopping) => StoppingSnafu.fail(),
+        }
+    }
+
+    async fn read_whole<B>(self: &Arc<Self>, body: B, max: usize) -> Result<(Bytes, Charge), BadBody>
     where
         B: Body<Data = Bytes>,
         B::Error: std::fmt::Display,
--- a/crates/mangogwd/src/shell.rs
+++ b/crates/mangogwd/src/shell.rs
@@ -108,9 +108,13 @@
         self.host.lock().unwrap_or_else(PoisonError::into_inner).metrics(self.clock.now())
     }
 
-    /// Hands leadership over to another host, if this host is the leader.
-    pub fn step_down(self: &Arc<Self>) {
-        self.step(ControlHost::on_leaving);
+    /// Prepares the end of this process: hands leadership over to another host, if this host is the leader, and ends
+    /// every call within `time_left`.
+    pub fn stop_within(self: &Arc<Self>, time_left: Duration) {
+        self.step(|host, now| {
+            host.on_leaving(now);
+            host.on_stopping(now, now + time_left);
+        });
     }
 
     /// Replaces the seeds, which are control addresses of hosts of the control group.
