--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -23,9 +23,9 @@
 const CALL_CHECK_PERIOD: Duration = Duration::from_millis(200);
 /// Interval of the leader queries of a host.
 const LEADER_POLL_PERIOD: Duration = Duration::from_millis(150);
-/// Why a host that stops refuses a call.
-const STOPPING: &str = "not run: this host stops";
-/// Time by which the leader ends the calls of a host that stops before that host does, so that its answers arrive.
+/// Reason of refusals during a shutdown.
+const SHUTTING_DOWN: &str = "not run: this host is shutting down";
+/// Time that the answers of the leader have to arrive before a host that is shutting down ends its calls.
 const LEADER_ANSWER_MARGIN: Duration = Duration::from_millis(100);
 /// Time without an answer of the leader after which it counts as lost.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(500);
@@ -139,7 +139,7 @@
     /// Time since which no leader is known.
     leaderless_since: Option<Time>,
     last_check: Time,
-    /// Time by which this host, which stops, ends its calls.
+    /// Time by which all calls end; `None` unless this host is shutting down.
     end_by: Option<Time>,
     /// Hosts that may be members of the control group.
     hosts: Vec<HostId>,
@@ -290,7 +290,7 @@
             self.counts.refused += 1;
             return self
                 .replies
-                .push((caller, Reply::Refused { why: STOPPING.to_owned(), wait: hold::MIN_RETRY_DELAY }));
+                .push((caller, Reply::Refused { why: SHUTTING_DOWN.to_owned(), wait: hold::MIN_RETRY_DELAY }));
         }
         let timeout = match &call {
             Call::Submit { timeout: Some(timeout), .. } => *timeout,
@@ -306,7 +306,7 @@
 
     /// Ends all calls, also those still to come, by `deadline`, and asks the leader to do so.
     pub(crate) fn end_by(&mut self, now: Time, deadline: Time) {
-        log::info!(open = self.open.len(), left = (deadline - now).as_millis() as u64; "calls: this host stops and ends its calls");
+        log::info!(open = self.open.len(), left = (deadline - now).as_millis() as u64; "calls: shutting down; the open calls end in time");
         self.end_by = Some(deadline);
         for open in self.open.values_mut() {
             open.deadline = open.deadline.min(deadline);
@@ -314,7 +314,7 @@
         self.send_deadlines(now);
     }
 
-    /// Tells the leader by when this host, if it stops, ends the jobs that are not stored.
+    /// Tells the leader the deadlines of the jobs that are not stored, if this host is shutting down.
     fn send_deadlines(&mut self, now: Time) {
         let (Some(leader), Some(_)) = (self.leader, self.end_by) else { return };
         let is_transient = |call: &Call| matches!(call, Call::Submit { spec, .. } if spec.transient);
@@ -616,7 +616,7 @@
                         _ => hold::MIN_RETRY_DELAY,
                     };
                     let why = match self.end_by {
-                        Some(end_by) if now >= end_by => STOPPING,
+                        Some(end_by) if now >= end_by => SHUTTING_DOWN,
                         _ => "not run: no leader can be reached",
                     };
                     Reply::Refused { why: why.to_owned(), wait }
@@ -627,7 +627,7 @@
                 }
             };
             let reason = match () {
-                () if self.end_by == Some(open.deadline) && now >= open.deadline => "stopping",
+                () if self.end_by == Some(open.deadline) && now >= open.deadline => "shutdown",
                 () if now >= open.deadline => "deadline",
                 () if open.sent.is_none() && open.is_late(now) => "late",
                 () => "leaderless",
--- a/crates/control/src/control_host.rs
+++ b/crates/control/src/control_host.rs
@@ -221,8 +221,8 @@
         }
     }
 
-    /// Ends the calls of this host by `deadline`, before the process stops: jobs that can't be done by then are refused,
-    /// at once if that is known; calls whose outcome is not known by then end as unclear.
+    /// Ends the calls of this host by `deadline`, before the process ends: jobs that can't be done by then are refused as
+    /// soon as that is known; calls whose outcome is not known by then end as unclear.
     pub fn on_stopping(&mut self, now: Time, deadline: Time) {
         self.calls.end_by(now, deadline);
     }
--- a/crates/control/src/member.rs
+++ b/crates/control/src/member.rs
@@ -418,7 +418,7 @@
 
     /// Returns the serials of a host's calls that are not open on this member.
     pub(crate) fn unknown_calls(&self, host: HostId, serials: &[u64]) -> Vec<u64> {
-        // An answer that is about to be sent must not meet the call that was sent again.
+        // If the call were sent again before its queued answer arrives, a refusal would end as unclear.
         let answers = |output: &MemberOutput, call_id| matches!(output, MemberOutput::Answer(to, _) if *to == call_id);
         let is_open = |call_id: CallId| {
             self.by_call_id.contains_key(&call_id)
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -203,7 +203,7 @@
     /// Latest revision of the evacuations that the sender has seen; beside a leader query or its answer, after the first
     /// evacuation.
     SeenEvacuations(u64),
-    /// Calls that the sender ends before it stops, by the sender's numbers, each with the time until then.
+    /// Calls that the sender ends before it shuts down, by the sender's numbers, each with the time that is left for it.
     Deadlines(Vec<(u64, Duration)>),
 }
 
--- a/crates/mangogwd/src/gate.rs
+++ b/crates/mangogwd/src/gate.rs
@@ -42,8 +42,8 @@
     /// This host has no room for it now.
     #[snafu(display("this host has no room for the body now"))]
     NoRoom,
-    /// This host stops before the body has arrived.
-    #[snafu(display("this host stops"))]
+    /// The body has not arrived before this host shuts down.
+    #[snafu(display("this host is shutting down"))]
     Stopping,
     /// The connection broke, or the body is malformed.
     #[snafu(display("{why}"))]
